--- /dev/null
+++ b/src/jasperwalk/addresses.py
@@ -0,0 +1,53 @@
+"""IPv4 end points: parsing, printing and the six-byte wire form."""
+
+from __future__ import annotations
+
+import ipaddress
+import struct
+
+import msgspec
+
+from jasperwalk.errors import InvalidAddress
+
+PACKED_ENDPOINT_LENGTH = 6
+"""Bytes of a packed end point: four of address, two of port, network byte order."""
+
+HIGHEST_PORT = 65_535
+
+
+class Endpoint(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """An IPv4 address and a port (0 to 65535)."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> Endpoint:
+        """Parse `IPV4:PORT`; raise `InvalidAddress` for anything else."""
+        host, separator, port_text = text.rpartition(":")
+        if not separator or not port_text.isdecimal():
+            raise InvalidAddress(text=text)
+        port = int(port_text)
+        if port > HIGHEST_PORT:
+            raise InvalidAddress(text=text)
+        try:
+            ipaddress.IPv4Address(host)
+        except ValueError as error:
+            raise InvalidAddress(text=text) from error
+        return cls(host=host, port=port)
+
+    @classmethod
+    def unpack(cls, packed: bytes) -> Endpoint:
+        """Decode the six-byte form; raise `InvalidAddress` for another length."""
+        if len(packed) != PACKED_ENDPOINT_LENGTH:
+            raise InvalidAddress(text=packed.hex())
+        first, second, third, fourth, port = struct.unpack("!BBBBH", packed)
+        return cls(host=f"{first}.{second}.{third}.{fourth}", port=port)
+
+    def pack(self) -> bytes:
+        """Encode into six bytes, network byte order."""
+        return ipaddress.IPv4Address(self.host).packed + struct.pack("!H", self.port)
+
+    def __str__(self) -> str:
+        """Return `IPV4:PORT`."""
+        return f"{self.host}:{self.port}"
--- /dev/null
+++ b/src/jasperwalk/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent process: ends QUIC, admits, queues, runs, drains, hands over."""
--- /dev/null
+++ b/src/jasperwalk/balancer/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer process: classifies datagrams, decides and forwards."""
--- /dev/null
+++ b/src/jasperwalk/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: daemons and operators' commands."""
--- /dev/null
+++ b/src/jasperwalk/config/__init__.py
@@ -0,0 +1,1 @@
+"""Templates, tenants, their rendering and the routing table that results."""
--- /dev/null
+++ b/src/jasperwalk/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log: Raft core, durable storage, membership of replicas."""
--- /dev/null
+++ b/src/jasperwalk/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control process: replicated state, adapters and operators' HTTP API."""
--- /dev/null
+++ b/src/jasperwalk/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Publishing table revisions to subscribers and following them."""
--- /dev/null
+++ b/src/jasperwalk/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Liveness of hosts: the platform's list, heartbeats and incarnations."""
--- /dev/null
+++ b/src/jasperwalk/messages/__init__.py
@@ -0,0 +1,1 @@
+"""The internal protocol: typed messages between jasperwalk's own processes."""
--- /dev/null
+++ b/src/jasperwalk/messages/codec.py
@@ -0,0 +1,44 @@
+"""Encoding of typed messages: a CBOR array `[tag, field, field, ...]` per message.
+
+A message is a `msgspec.Struct` declared with `array_like=True` and a unique integer `tag`.
+cbor2 turns it into bytes; msgspec checks every field's type on the way in, so a decoder
+never hands an untyped value to a core. The protocol version is exchanged once per
+connection (see `jasperwalk.transport`) and in the first field of datagrams.
+"""
+
+from __future__ import annotations
+
+from typing import Generic, TypeVar
+
+import cbor2
+import msgspec
+
+from jasperwalk.errors import MalformedMessage
+
+PROTOCOL_VERSION = 1
+"""Version of the internal protocol; raised when a message changes its shape."""
+
+MessageType = TypeVar("MessageType")
+
+
+def encode(message: msgspec.Struct) -> bytes:
+    """Encode one message as CBOR bytes."""
+    return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
+
+
+class Decoder(Generic[MessageType]):
+    """Decodes the bytes of one family of messages (a union of tagged structs)."""
+
+    def __init__(self, family: type[MessageType] | object) -> None:
+        self._family = family
+
+    def decode(self, data: bytes) -> MessageType:
+        """Decode one message; raise `MalformedMessage` for anything that does not fit."""
+        try:
+            value = cbor2.loads(data)
+        except (cbor2.CBORDecodeError, ValueError, RecursionError, MemoryError) as error:
+            raise MalformedMessage(reason=f"not CBOR: {error}") from error
+        try:
+            return msgspec.convert(value, self._family, strict=True)  # type: ignore[call-overload, no-any-return]
+        except (msgspec.ValidationError, ValueError, TypeError) as error:
+            raise MalformedMessage(reason=str(error)) from error
--- /dev/null
+++ b/src/jasperwalk/messages/datagrams.py
@@ -0,0 +1,33 @@
+"""Datagrams between balancers and agents (UDP, one message a datagram)."""
+
+from __future__ import annotations
+
+import msgspec
+
+ADDRESS_BLOCK_LENGTH = 12
+"""Bytes of an address block: source IPv4, destination IPv4, source port, destination port.
+
+It is the address part of a PROXY protocol v2 header for UDP over IPv4, carried untouched:
+the source is the caller, the destination the VIP.
+"""
+
+
+class ForwardedDatagram(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """A caller's datagram on its way to an agent.
+
+    `candidates` is empty for a packet of an established flow. For a new flow it holds the
+    packed end points (six bytes each) of the ordered candidates, first and second choice.
+    `revision` is the sender's table revision. `hops` counts hand-overs between agents.
+    """
+
+    version: int
+    service_id: int
+    revision: int
+    hops: int
+    address_block: bytes
+    candidates: list[bytes]
+    payload: bytes
+
+
+DatagramMessage = ForwardedDatagram
+"""All messages that an agent takes on its forwarding port."""
--- /dev/null
+++ b/src/jasperwalk/messages/distribution.py
@@ -0,0 +1,95 @@
+"""Messages between control replicas (publishers) and balancers or agents (subscribers).
+
+All travel over one framed TCP connection a subscriber, opened by the subscriber.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.config.table import EntryKey, TableEntry
+
+
+class SubscriberRole(enum.StrEnum):
+    """What kind of process subscribes; it decides which entries it is sent."""
+
+    BALANCER = "balancer"
+    AGENT = "agent"
+
+
+class Subscribe(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """First message of a subscriber.
+
+    `boot_id` is drawn once per process start. `address` is the forwarding end point.
+    `revision` is the newest revision that the subscriber holds, 0 for none.
+    An agent is sent the keys, its own service and the members of that service; a balancer
+    is sent everything.
+    """
+
+    name: str
+    role: SubscriberRole
+    zone: str
+    address: Endpoint
+    boot_id: str
+    revision: int
+
+
+class Snapshot(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """The whole table (of the subscriber's scope) at `revision`, in numbered parts.
+
+    A subscriber replaces its table only after part `parts - 1` of the same revision.
+    """
+
+    revision: int
+    part: int
+    parts: int
+    entries: list[TableEntry]
+
+
+class Delta(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """What changed after `base_revision`, up to and including `revision`."""
+
+    base_revision: int
+    revision: int
+    upserts: list[TableEntry]
+    removals: list[EntryKey]
+
+
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Sent by a replica every heartbeat interval.
+
+    `quorum_age_ms` is the time since the replica last knew that its leader had contact with
+    a quorum, in milliseconds; a subscriber leaves a replica whose age is too high.
+    `incarnation` is the agent's committed incarnation, 0 while it has none (or a balancer).
+    """
+
+    revision: int
+    quorum_age_ms: int
+    incarnation: int
+
+
+class Acknowledge(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Sent by a subscriber when `revision` is in force, and as its own heartbeat.
+
+    `healthy` is an agent's own view of its back end: False when the back end does not answer.
+    `open_flows` counts the agent's connections (0 for a balancer).
+    """
+
+    revision: int
+    healthy: bool
+    open_flows: int
+
+
+class Reject(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """A replica's refusal of a subscriber, with when to come back, in milliseconds."""
+
+    kind: str
+    detail: str
+    retry_after_ms: int
+
+
+FromSubscriber = Subscribe | Acknowledge
+FromPublisher = Snapshot | Delta | Heartbeat | Reject
--- /dev/null
+++ b/src/jasperwalk/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Connection IDs and the choice of candidates for new flows."""
--- /dev/null
+++ b/src/jasperwalk/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Framed TCP and UDP end points for the internal protocol."""
