--- /dev/null
+++ b/src/jasperwalk/distribution/follower.py
@@ -0,0 +1,297 @@
+"""The sans-IO core of a subscriber: follows one replica at a time.
+
+It keeps a copy of the table that only moves forward, over replicas, reconnects and
+publishers that are behind. It leaves a replica that is silent, that has lost its quorum, or
+that stays behind the revision held here.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+import random
+from collections.abc import Sequence
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.distribution.follower_events import (
+    REPLACED_KIND,
+    Connect,
+    Disconnect,
+    FollowerConfig,
+    FollowerEffect,
+    LeaveReason,
+    Replaced,
+    Send,
+    SubscriberFacts,
+    TableChanged,
+)
+from jasperwalk.distribution.follower_table import FollowerTable
+from jasperwalk.distribution.replica_choice import ReplicaChoice
+from jasperwalk.distribution.snapshot_assembly import SnapshotAssembly
+from jasperwalk.messages.distribution import (
+    Acknowledge,
+    Delta,
+    FromPublisher,
+    Heartbeat,
+    Reject,
+    Snapshot,
+    Subscribe,
+)
+
+MILLISECONDS_PER_SECOND = 1000
+
+
+class FollowerPhase(enum.Enum):
+    """Where a follower stands with its replica."""
+
+    WAITING = enum.auto()
+    CONNECTING = enum.auto()
+    FOLLOWING = enum.auto()
+    REPLACED = enum.auto()
+
+
+class FollowerCore:
+    """Follows replicas; every method returns the effects that the adapter carries out.
+
+    Set `healthy` and `open_flows` at any time: the next acknowledgement carries them.
+    Times are in seconds of one monotonic clock. Raises `ValueError` without replicas.
+    """
+
+    def __init__(
+        self,
+        config: FollowerConfig,
+        facts: SubscriberFacts,
+        replicas: Sequence[Endpoint],
+        random_source: random.Random,
+    ) -> None:
+        if not replicas:
+            raise ValueError("a follower needs at least one replica")
+        self.facts = facts
+        self.table = FollowerTable()
+        self.healthy = True
+        self.open_flows = 0
+        self.incarnation = 0
+        self.replica: Endpoint | None = None
+        self.last_leave_reason: LeaveReason | None = None
+        self._config = config
+        self._choice = ReplicaChoice(
+            replicas, config.backoff_base_seconds, config.backoff_cap_seconds, random_source
+        )
+        self._phase = FollowerPhase.WAITING
+        self._phase_since = 0.0
+        self._assembly = SnapshotAssembly()
+        self._last_heard = 0.0
+        self._behind_since: float | None = None
+        self._quorum_contact_at: float | None = None
+        self._replica_revision = 0
+        self._fresh_at = -math.inf
+        self._next_acknowledge = math.inf
+
+    @property
+    def phase(self) -> FollowerPhase:
+        """Where this follower stands with its replica."""
+        return self._phase
+
+    def fresh(self, now: float) -> bool:
+        """Tell whether the table was the newest of a quorum within the stale limit."""
+        if self._phase is FollowerPhase.REPLACED:
+            return False
+        return now - self._fresh_at <= self._config.replica_stale_seconds
+
+    def freshness_age(self, now: float) -> float:
+        """Return the seconds since the table was known to be the newest; inf for never."""
+        return now - self._fresh_at
+
+    def next_deadline(self) -> float:
+        """Return the time at which `tick` next has something to do."""
+        match self._phase:
+            case FollowerPhase.WAITING:
+                return self._choice.next_available_at()
+            case FollowerPhase.CONNECTING:
+                return self._phase_since + self._config.connect_timeout_seconds
+            case FollowerPhase.FOLLOWING:
+                return min(self._next_acknowledge, self._leave_at())
+            case FollowerPhase.REPLACED:
+                return math.inf
+
+    def tick(self, now: float) -> list[FollowerEffect]:
+        """Do what is due: choose a replica, acknowledge, or leave a replica."""
+        match self._phase:
+            case FollowerPhase.WAITING:
+                return self._try_connecting(now)
+            case FollowerPhase.CONNECTING:
+                if now >= self._phase_since + self._config.connect_timeout_seconds:
+                    return self._leave(LeaveReason.CONNECT_TIMEOUT, now)
+            case FollowerPhase.FOLLOWING:
+                return self._tick_following(now)
+            case FollowerPhase.REPLACED:
+                pass
+        return []
+
+    def connected(self, replica: Endpoint, now: float) -> list[FollowerEffect]:
+        """Subscribe on the connection to `replica`, which now stands."""
+        if self._phase is not FollowerPhase.CONNECTING or replica != self.replica:
+            return []
+        self._enter(FollowerPhase.FOLLOWING, now)
+        self._last_heard = now
+        self._quorum_contact_at = None
+        self._behind_since = None
+        self._next_acknowledge = now + self._config.acknowledge_interval_seconds
+        subscribe = Subscribe(
+            name=self.facts.name,
+            role=self.facts.role,
+            zone=self.facts.zone,
+            address=self.facts.address,
+            boot_id=self.facts.boot_id,
+            revision=self.table.revision,
+            incarnation=self.incarnation,
+        )
+        return [Send(message=subscribe)]
+
+    def disconnected(self, now: float) -> list[FollowerEffect]:
+        """Back off after the connection, or the attempt to open one, ended by itself."""
+        if self._phase in (FollowerPhase.CONNECTING, FollowerPhase.FOLLOWING):
+            self._back_off(now)
+        return []
+
+    def message(self, message: FromPublisher, now: float) -> list[FollowerEffect]:
+        """Take in one message of the replica."""
+        if self._phase is not FollowerPhase.FOLLOWING:
+            return []
+        if now - self._last_heard >= self._config.replica_stale_seconds:
+            # This process stood still: what waited in the socket may be arbitrarily old, and
+            # taking it for news would make a thawed process believe that it is fresh.
+            return self._leave(LeaveReason.SILENT, now)
+        self._last_heard = now
+        match message:
+            case Heartbeat():
+                return self._heartbeat(message, now)
+            case Delta():
+                return self._delta(message, now)
+            case Snapshot():
+                return self._snapshot(message, now)
+            case Reject():
+                return self._reject(message, now)
+
+    def _try_connecting(self, now: float) -> list[FollowerEffect]:
+        replica = self._choice.choose(now)
+        if replica is None:
+            return []
+        self.replica = replica
+        self._enter(FollowerPhase.CONNECTING, now)
+        return [Connect(endpoint=replica)]
+
+    def _tick_following(self, now: float) -> list[FollowerEffect]:
+        reason = self._reason_to_leave(now)
+        if reason is not None:
+            return self._leave(reason, now)
+        if now >= self._next_acknowledge:
+            return [self._acknowledge(now)]
+        return []
+
+    def _reason_to_leave(self, now: float) -> LeaveReason | None:
+        limit = self._config.replica_stale_seconds
+        if now - self._last_heard >= limit:
+            return LeaveReason.SILENT
+        contact_at = self._quorum_contact_at
+        if contact_at is not None and now - contact_at >= limit:
+            return LeaveReason.STALE_QUORUM
+        if self._behind_since is not None and now - self._behind_since >= limit:
+            return LeaveReason.BEHIND
+        return None
+
+    def _leave_at(self) -> float:
+        oldest = self._last_heard
+        if self._quorum_contact_at is not None:
+            oldest = min(oldest, self._quorum_contact_at)
+        if self._behind_since is not None:
+            oldest = min(oldest, self._behind_since)
+        return oldest + self._config.replica_stale_seconds
+
+    def _heartbeat(self, heartbeat: Heartbeat, now: float) -> list[FollowerEffect]:
+        quorum_contact_at = now - heartbeat.quorum_age_ms / MILLISECONDS_PER_SECOND
+        if self._quorum_contact_at is not None:
+            # The time under way differs from heartbeat to heartbeat; contact does not go back.
+            quorum_contact_at = max(quorum_contact_at, self._quorum_contact_at)
+        self._quorum_contact_at = quorum_contact_at
+        self._replica_revision = heartbeat.revision
+        if heartbeat.incarnation > 0:
+            self.incarnation = heartbeat.incarnation
+        self._note_whether_behind(heartbeat.revision, now)
+        self._note_freshness()
+        reason = self._reason_to_leave(now)
+        if reason is not None:
+            return self._leave(reason, now)
+        if self.replica is not None and self._behind_since is None:
+            self._choice.served(self.replica)
+        return []
+
+    def _note_whether_behind(self, replica_revision: int, now: float) -> None:
+        if replica_revision >= self.table.revision:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+
+    def _note_freshness(self) -> None:
+        contact_at = self._quorum_contact_at
+        if contact_at is not None and self._replica_revision <= self.table.revision:
+            self._fresh_at = max(self._fresh_at, contact_at)
+
+    def _delta(self, delta: Delta, now: float) -> list[FollowerEffect]:
+        # Both checks keep the revision from going back. A base below ours is sound, for the
+        # delta holds the state at `revision` of everything that changed since that base.
+        if delta.revision <= self.table.revision:
+            return []
+        if delta.base_revision > self.table.revision:
+            return self._leave(LeaveReason.GAP, now)
+        self.table.update(delta.revision, delta.upserts, delta.removals)
+        return self._advanced(now)
+
+    def _snapshot(self, snapshot: Snapshot, now: float) -> list[FollowerEffect]:
+        if not self._assembly.add(snapshot):
+            return self._leave(LeaveReason.BROKEN_SNAPSHOT, now)
+        entries = self._assembly.take()
+        if entries is None or snapshot.revision < self.table.revision:
+            return []
+        # A snapshot of the very revision held here is taken: its scope may be a new one.
+        self.table.replace(snapshot.revision, entries)
+        return self._advanced(now)
+
+    def _advanced(self, now: float) -> list[FollowerEffect]:
+        self._note_freshness()
+        return [TableChanged(revision=self.table.revision), self._acknowledge(now)]
+
+    def _reject(self, reject: Reject, now: float) -> list[FollowerEffect]:
+        if reject.kind == REPLACED_KIND:
+            self._enter(FollowerPhase.REPLACED, now)
+            self.last_leave_reason = LeaveReason.REPLACED
+            self.incarnation = 0
+            return [Replaced(detail=reject.detail), Disconnect(reason=LeaveReason.REPLACED)]
+        wait_seconds = max(0, reject.retry_after_ms) / MILLISECONDS_PER_SECOND
+        return self._leave(LeaveReason.REJECTED, now, wait_seconds)
+
+    def _acknowledge(self, now: float) -> Send:
+        self._next_acknowledge = now + self._config.acknowledge_interval_seconds
+        message = Acknowledge(
+            revision=self.table.revision, healthy=self.healthy, open_flows=self.open_flows
+        )
+        return Send(message=message)
+
+    def _leave(
+        self, reason: LeaveReason, now: float, wait_seconds: float = 0.0
+    ) -> list[FollowerEffect]:
+        self.last_leave_reason = reason
+        self._back_off(now, wait_seconds)
+        return [Disconnect(reason=reason)]
+
+    def _back_off(self, now: float, wait_seconds: float = 0.0) -> None:
+        # Parts of a snapshot are worth nothing on another connection.
+        self._assembly.drop()
+        if self.replica is not None:
+            self._choice.failed(self.replica, now, wait_seconds)
+        self.replica = None
+        self._enter(FollowerPhase.WAITING, now)
+
+    def _enter(self, phase: FollowerPhase, now: float) -> None:
+        self._phase = phase
+        self._phase_since = now
--- /dev/null
+++ b/src/jasperwalk/distribution/registrations.py
@@ -0,0 +1,63 @@
+"""Committed registrations of agents, as far as this replica has applied them."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.messages.distribution import Subscribe
+
+
+@dataclass(frozen=True)
+class Registration:
+    """The process that holds an address, and its incarnation."""
+
+    boot_id: str
+    incarnation: int
+
+
+class RegistrationVerdict(enum.Enum):
+    """How a subscribing agent stands to the registration of its address."""
+
+    REGISTERED = enum.auto()
+    REPLACED = enum.auto()
+    NEW = enum.auto()
+    UNKNOWN = enum.auto()
+
+
+class Registrations:
+    """Registered processes by address."""
+
+    def __init__(self) -> None:
+        self._by_address: dict[Endpoint, Registration] = {}
+
+    def register(self, address: Endpoint, boot_id: str, incarnation: int) -> None:
+        """Note a committed registration, which replaces the former one of the address."""
+        self._by_address[address] = Registration(boot_id=boot_id, incarnation=incarnation)
+
+    def remove(self, address: Endpoint) -> None:
+        """Forget the registration of an address."""
+        self._by_address.pop(address, None)
+
+    def at(self, address: Endpoint) -> Registration | None:
+        """Return the registration of an address."""
+        return self._by_address.get(address)
+
+    def judge(self, subscribe: Subscribe, table_revision: int) -> RegistrationVerdict:
+        """Judge a subscribing agent.
+
+        An agent that once had an incarnation and finds another process at its address was
+        replaced while it stood still. On a replica behind the agent's own revision nothing
+        can be said yet: proposing it there could give an old process the address back.
+        """
+        registration = self._by_address.get(subscribe.address)
+        if registration is not None and registration.boot_id == subscribe.boot_id:
+            return RegistrationVerdict.REGISTERED
+        if subscribe.incarnation == 0:
+            return RegistrationVerdict.NEW
+        if table_revision < subscribe.revision:
+            return RegistrationVerdict.UNKNOWN
+        if registration is None:
+            return RegistrationVerdict.NEW
+        return RegistrationVerdict.REPLACED
--- /dev/null
+++ b/src/jasperwalk/distribution/runner.py
@@ -0,0 +1,237 @@
+"""The asyncio adapter of `FollowerCore`: its connection, its clock and its callbacks."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import structlog
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.distribution.follower import FollowerCore
+from jasperwalk.distribution.follower_events import (
+    Connect,
+    Disconnect,
+    FollowerEffect,
+    Replaced,
+    Send,
+    TableChanged,
+)
+from jasperwalk.distribution.follower_table import FollowerTable
+from jasperwalk.errors import JasperwalkError
+from jasperwalk.messages import codec
+from jasperwalk.messages.distribution import (
+    FROM_PUBLISHER_DECODER,
+    FromPublisher,
+    FromSubscriber,
+)
+from jasperwalk.transport.client import connect
+from jasperwalk.transport.framed import ConnectionKind, FramedConnection, Hello, make_hello
+
+EVENT_QUEUE_LENGTH = 64
+"""Events that may wait for the core; a full queue stops the reading of the connection."""
+
+LONGEST_WAIT_SECONDS = 1.0
+"""Longest sleep between two ticks."""
+
+
+logger = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True)
+class _Opened:
+    attempt: int
+    replica: Endpoint
+    connection: FramedConnection
+
+
+@dataclass(frozen=True)
+class _Received:
+    attempt: int
+    message: FromPublisher
+
+
+@dataclass(frozen=True)
+class _Ended:
+    attempt: int
+    error: JasperwalkError
+
+
+_Event = _Opened | _Received | _Ended
+
+
+class FollowerRunner:
+    """Runs a follower on sockets. `run` returns after `stop` or when the agent is replaced.
+
+    `on_table_change` is called with the table after every change, `on_replaced` with the
+    detail when a newer process has this agent's address. Set `healthy` and `open_flows` at
+    any time; the next acknowledgement carries them.
+    """
+
+    def __init__(
+        self,
+        core: FollowerCore,
+        cluster_id: str,
+        on_table_change: Callable[[FollowerTable], None],
+        on_replaced: Callable[[str], None] | None = None,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.core = core
+        self._hello: Hello = make_hello(ConnectionKind.SUBSCRIBER, core.facts.name, cluster_id)
+        self._on_table_change = on_table_change
+        self._on_replaced = on_replaced
+        self._clock = clock
+        self._tls = tls
+        self._events: asyncio.Queue[_Event] = asyncio.Queue(EVENT_QUEUE_LENGTH)
+        self._attempt = 0
+        self._connection: FramedConnection | None = None
+        self._connection_task: asyncio.Task[None] | None = None
+        self._running = True
+        self._stop = asyncio.Event()
+
+    @property
+    def table(self) -> FollowerTable:
+        """The table as it now stands."""
+        return self.core.table
+
+    @property
+    def incarnation(self) -> int:
+        """The committed incarnation of this agent, 0 while it has none."""
+        return self.core.incarnation
+
+    @property
+    def healthy(self) -> bool:
+        """What acknowledgements say of the back end."""
+        return self.core.healthy
+
+    @healthy.setter
+    def healthy(self, healthy: bool) -> None:
+        self.core.healthy = healthy
+
+    @property
+    def open_flows(self) -> int:
+        """What acknowledgements say of the number of connections."""
+        return self.core.open_flows
+
+    @open_flows.setter
+    def open_flows(self, open_flows: int) -> None:
+        self.core.open_flows = open_flows
+
+    def fresh(self) -> bool:
+        """Tell whether the table was the newest of a quorum within the stale limit."""
+        return self.core.fresh(self._clock())
+
+    def stop(self) -> None:
+        """Make `run` return soon."""
+        self._running = False
+        self._stop.set()
+
+    async def run(self) -> None:
+        """Follow until stopped, replaced or cancelled."""
+        try:
+            while self._running:
+                self._perform(self.core.tick(self._clock()))
+                event = await self._next_event()
+                if event is not None:
+                    self._handle(event)
+        finally:
+            self._drop_connection()
+
+    async def _next_event(self) -> _Event | None:
+        wait_seconds = self.core.next_deadline() - self._clock()
+        wait_seconds = max(0.0, min(wait_seconds, LONGEST_WAIT_SECONDS))
+        stop = asyncio.ensure_future(self._stop.wait())
+        take = asyncio.ensure_future(self._events.get())
+        try:
+            await asyncio.wait(
+                (take, stop), timeout=wait_seconds, return_when=asyncio.FIRST_COMPLETED
+            )
+            return take.result() if take.done() else None
+        finally:
+            stop.cancel()
+            take.cancel()
+
+    def _handle(self, event: _Event) -> None:
+        if event.attempt != self._attempt:
+            # Of a connection that was dropped while the event waited in the queue.
+            if isinstance(event, _Opened):
+                event.connection.abort()
+            return
+        now = self._clock()
+        match event:
+            case _Opened():
+                self._connection = event.connection
+                self._perform(self.core.connected(event.replica, now))
+            case _Received():
+                self._perform(self.core.message(event.message, now))
+            case _Ended():
+                logger.info("replica-lost", kind=event.error.kind, detail=str(event.error))
+                self._drop_connection()
+                self._perform(self.core.disconnected(now))
+
+    def _perform(self, effects: list[FollowerEffect]) -> None:
+        for effect in effects:
+            match effect:
+                case Connect():
+                    self._open_connection(effect.endpoint)
+                case Disconnect():
+                    logger.info("replica-left", reason=effect.reason)
+                    self._drop_connection()
+                case Send():
+                    self._send(effect.message)
+                case TableChanged():
+                    self._on_table_change(self.core.table)
+                case Replaced():
+                    self._replaced(effect.detail)
+
+    def _replaced(self, detail: str) -> None:
+        logger.error("agent-replaced", detail=detail)
+        self.stop()
+        if self._on_replaced is not None:
+            self._on_replaced(detail)
+
+    def _send(self, message: FromSubscriber) -> None:
+        if self._connection is None:
+            return
+        try:
+            self._connection.write(codec.encode(message))
+        except JasperwalkError as error:
+            # The reading side sees the same failure, or the core leaves a silent replica.
+            logger.debug("send-failed", kind=error.kind, detail=str(error))
+            self._connection.abort()
+
+    def _open_connection(self, replica: Endpoint) -> None:
+        self._drop_connection()
+        self._connection_task = asyncio.ensure_future(self._converse(replica, self._attempt))
+
+    def _drop_connection(self) -> None:
+        self._attempt += 1
+        if self._connection_task is not None:
+            self._connection_task.cancel()
+            self._connection_task = None
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
+
+    async def _converse(self, replica: Endpoint, attempt: int) -> None:
+        """Connect, then feed what arrives to the event queue until the connection ends."""
+        try:
+            connection = await connect(replica, self._hello, tls=self._tls)
+        except JasperwalkError as error:
+            await self._events.put(_Ended(attempt=attempt, error=error))
+            return
+        try:
+            opened = _Opened(attempt=attempt, replica=replica, connection=connection)
+            await self._events.put(opened)
+            while True:
+                message = FROM_PUBLISHER_DECODER.decode(await connection.receive())
+                await self._events.put(_Received(attempt=attempt, message=message))
+        except JasperwalkError as error:
+            await self._events.put(_Ended(attempt=attempt, error=error))
+        finally:
+            connection.abort()
--- /dev/null
+++ b/src/jasperwalk/membership/liveness.py
@@ -0,0 +1,172 @@
+"""Liveness of agents, judged by the leader from what all replicas see of them.
+
+A member is online while its registered process reports itself healthy. It is offline at once
+when it reports that its back end is down, and `offline_after_seconds` after its last report
+to any replica.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.config.table import MemberEntry, OperatingStatus
+from jasperwalk.control.state.commands import MemberStatus
+
+
+@dataclass(frozen=True)
+class LivenessConfig:
+    """Thresholds, all times in seconds.
+
+    A new leader declares nothing offline for silence during `leader_grace_seconds`, for the
+    reports that it lacks may be on their way; nor does one that has not evaluated for
+    `offline_after_seconds`, for it stood still itself.
+    A member that came back `flap_limit` times within `flap_window_seconds` has to be well for
+    `flap_hold_seconds` before it is online again.
+    """
+
+    offline_after_seconds: float = 3.0
+    leader_grace_seconds: float = 4.0
+    flap_window_seconds: float = 60.0
+    flap_limit: int = 3
+    flap_hold_seconds: float = 10.0
+
+
+@dataclass(frozen=True)
+class AgentObservation:
+    """One agent as some replica saw it, `silence_seconds` before the report."""
+
+    address: Endpoint
+    incarnation: int
+    healthy: bool
+    silence_seconds: float
+
+
+@dataclass
+class _AgentRecord:
+    incarnation: int
+    seen_at: float = -math.inf
+    healthy: bool = False
+    well_since: float = math.inf
+    recoveries: deque[float] = field(default_factory=deque)
+
+
+class LivenessTracker:
+    """Keeps the newest sighting of every agent; `evaluate` names the statuses to change."""
+
+    def __init__(self, config: LivenessConfig) -> None:
+        self._config = config
+        self._records: dict[Endpoint, _AgentRecord] = {}
+        self._grace_until = math.inf
+        self._evaluated_at = -math.inf
+
+    def leader_started(self, now: float) -> None:
+        """Start the grace period of a replica that has just become the leader."""
+        self._grace_until = now + self._config.leader_grace_seconds
+        self._evaluated_at = now
+
+    def observe(self, observation: AgentObservation, now: float) -> None:
+        """Take in a report of any replica; older news and older processes are left out."""
+        if observation.incarnation <= 0:
+            return
+        seen_at = now - observation.silence_seconds
+        record = self._records.get(observation.address)
+        if record is None:
+            record = _AgentRecord(incarnation=observation.incarnation)
+            self._records[observation.address] = record
+        if observation.incarnation != record.incarnation:
+            self._follow_newer_process(record, observation, seen_at)
+            return
+        if seen_at <= record.seen_at:
+            return
+        self._note(record, observation.healthy, seen_at)
+
+    def evaluate(self, members: Iterable[MemberEntry], now: float) -> list[MemberStatus]:
+        """Return the changes of status, and forget agents that are no members any more."""
+        if now - self._evaluated_at > self._config.offline_after_seconds:
+            # A process that stood still finds every report old, its own fault included.
+            self.leader_started(now)
+        self._evaluated_at = now
+        changes: list[MemberStatus] = []
+        kept: dict[Endpoint, _AgentRecord] = {}
+        for member in members:
+            record = self._records.get(member.address)
+            if record is not None:
+                kept[member.address] = record
+            status = self._status(member, record, now)
+            if status is not member.operating_status:
+                changes.append(self._change(member, record, status, now))
+        self._records = kept
+        return changes
+
+    def _follow_newer_process(
+        self, record: _AgentRecord, observation: AgentObservation, seen_at: float
+    ) -> None:
+        # Both processes may be in the reports for a moment; the one heard last goes on.
+        # `evaluate` compares with the committed incarnation, so a wrong guess harms nothing.
+        if seen_at <= record.seen_at:
+            return
+        record.incarnation = observation.incarnation
+        record.well_since = math.inf
+        self._note(record, observation.healthy, seen_at)
+
+    def _note(self, record: _AgentRecord, healthy: bool, seen_at: float) -> None:
+        was_silent = seen_at - record.seen_at > self._config.offline_after_seconds
+        if not healthy:
+            record.well_since = math.inf
+        elif was_silent or not record.healthy or math.isinf(record.well_since):
+            record.well_since = seen_at
+        record.seen_at = seen_at
+        record.healthy = healthy
+
+    def _status(
+        self, member: MemberEntry, record: _AgentRecord | None, now: float
+    ) -> OperatingStatus:
+        if member.incarnation == 0:
+            return member.operating_status
+        if record is None or record.incarnation != member.incarnation:
+            return self._status_without_report(member, now)
+        if now - record.seen_at > self._config.offline_after_seconds:
+            return self._status_without_report(member, now)
+        if not record.healthy:
+            return OperatingStatus.OFFLINE
+        if member.operating_status is OperatingStatus.ONLINE:
+            return OperatingStatus.ONLINE
+        held = self._flaps(record, now) and (
+            now - record.well_since < self._config.flap_hold_seconds
+        )
+        return member.operating_status if held else OperatingStatus.ONLINE
+
+    def _status_without_report(self, member: MemberEntry, now: float) -> OperatingStatus:
+        if member.operating_status is OperatingStatus.ONLINE and now >= self._grace_until:
+            return OperatingStatus.OFFLINE
+        return member.operating_status
+
+    def _flaps(self, record: _AgentRecord, now: float) -> bool:
+        oldest = now - self._config.flap_window_seconds
+        while record.recoveries and record.recoveries[0] < oldest:
+            record.recoveries.popleft()
+        return len(record.recoveries) >= self._config.flap_limit
+
+    def _change(
+        self,
+        member: MemberEntry,
+        record: _AgentRecord | None,
+        status: OperatingStatus,
+        now: float,
+    ) -> MemberStatus:
+        recovered = member.operating_status is OperatingStatus.OFFLINE
+        if record is not None and recovered and status is OperatingStatus.ONLINE:
+            self._note_recovery(record, now)
+        return MemberStatus(
+            address=member.address, incarnation=member.incarnation, operating_status=status
+        )
+
+    def _note_recovery(self, record: _AgentRecord, now: float) -> None:
+        # The proposal may take several evaluations to be applied; it is one recovery.
+        if record.recoveries and record.recoveries[-1] >= record.well_since:
+            return
+        record.recoveries.append(now)
--- a/src/jasperwalk/messages/distribution.py
+++ b/src/jasperwalk/messages/distribution.py
@@ -11,6 +11,7 @@
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.config.table import EntryKey, TableEntry
+from jasperwalk.messages.codec import Decoder
 
 
 class SubscriberRole(enum.StrEnum):
@@ -25,6 +26,8 @@
 
     `boot_id` is drawn once per process start. `address` is the forwarding end point.
     `revision` is the newest revision that the subscriber holds, 0 for none.
+    `incarnation` is the committed incarnation that this process last heard of, 0 for none: a
+    process that was replaced while it stood still is known by it.
     An agent is sent the keys, its own service and the members of that service; a balancer
     is sent everything.
     """
@@ -35,6 +38,7 @@
     address: Endpoint
     boot_id: str
     revision: int
+    incarnation: int = 0
 
 
 class Snapshot(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -93,3 +97,6 @@
 
 FromSubscriber = Subscribe | Acknowledge
 FromPublisher = Snapshot | Delta | Heartbeat | Reject
+
+FROM_SUBSCRIBER_DECODER: Decoder[FromSubscriber] = Decoder(FromSubscriber)
+FROM_PUBLISHER_DECODER: Decoder[FromPublisher] = Decoder(FromPublisher)
--- /dev/null
+++ b/src/jasperwalk/transport/errors.py
@@ -0,0 +1,116 @@
+"""Failures of the framed transport."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from jasperwalk.errors import JasperwalkError
+
+
+@dataclass(eq=False)
+class TransportError(JasperwalkError):
+    """Root of the failures of one connection; the connection is of no more use."""
+
+    kind: ClassVar[str] = "transport"
+
+
+@dataclass(eq=False)
+class TruncatedFrame(TransportError):
+    """The other side closed the connection in the middle of a frame."""
+
+    kind: ClassVar[str] = "truncated-frame"
+    expected: int
+    received: int
+
+    def describe(self) -> str:
+        """Give both lengths, in bytes."""
+        return f"connection closed after {self.received} of {self.expected} bytes of a frame"
+
+
+@dataclass(eq=False)
+class OversizedFrame(TransportError):
+    """A frame that is longer than the limit; its payload is not read."""
+
+    kind: ClassVar[str] = "oversized-frame"
+    length: int
+    limit: int
+
+    def describe(self) -> str:
+        """Give the length and the limit, in bytes."""
+        return f"frame of {self.length} bytes is over the limit of {self.limit} bytes"
+
+
+@dataclass(eq=False)
+class WrongCluster(TransportError):
+    """The other side belongs to another cluster."""
+
+    kind: ClassVar[str] = "wrong-cluster"
+    cluster_id: str
+    expected: str
+
+    def describe(self) -> str:
+        """Name both clusters."""
+        return f"other side is of cluster {self.cluster_id!r}; expected {self.expected!r}"
+
+
+@dataclass(eq=False)
+class UnhandledKind(TransportError):
+    """The other side opened a connection of a kind that this process does not serve."""
+
+    kind: ClassVar[str] = "unhandled-kind"
+    connection_kind: str
+
+    def describe(self) -> str:
+        """Name the kind."""
+        return f"connections of kind {self.connection_kind!r} are not served here"
+
+
+@dataclass(eq=False)
+class HelloTimeout(TransportError):
+    """The other side did not introduce itself in time."""
+
+    kind: ClassVar[str] = "hello-timeout"
+    timeout_seconds: float
+
+    def describe(self) -> str:
+        """Give the time that was waited."""
+        return f"no Hello within {self.timeout_seconds:g} s"
+
+
+@dataclass(eq=False)
+class ConnectFailed(TransportError):
+    """The connection could not be opened."""
+
+    kind: ClassVar[str] = "connect-failed"
+    endpoint: str
+    reason: str
+
+    def describe(self) -> str:
+        """Name the end point and the system's reason."""
+        return f"cannot connect to {self.endpoint}: {self.reason}"
+
+
+@dataclass(eq=False)
+class ConnectionLost(TransportError):
+    """The connection ended or was reset."""
+
+    kind: ClassVar[str] = "connection-lost"
+    reason: str
+
+    def describe(self) -> str:
+        """Give the system's reason."""
+        return f"connection lost: {self.reason}"
+
+
+@dataclass(eq=False)
+class SendBufferFull(TransportError):
+    """The other side reads too slowly: the send buffer is over its limit."""
+
+    kind: ClassVar[str] = "send-buffer-full"
+    buffered: int
+    limit: int
+
+    def describe(self) -> str:
+        """Give the buffered bytes and the limit."""
+        return f"{self.buffered} bytes wait to be sent; the limit is {self.limit}"
--- /dev/null
+++ b/src/jasperwalk/transport/framed.py
@@ -0,0 +1,178 @@
+"""Framed TCP: a four-byte big-endian length, then that many bytes of payload.
+
+The first frame each way is a `Hello`. Its shape never changes between versions, so that both
+sides can name the version that the other one speaks.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+import struct
+
+import msgspec
+
+from jasperwalk.errors import UnsupportedVersion
+from jasperwalk.messages import codec
+from jasperwalk.transport.errors import (
+    ConnectionLost,
+    HelloTimeout,
+    OversizedFrame,
+    SendBufferFull,
+    TruncatedFrame,
+    WrongCluster,
+)
+
+LENGTH_PREFIX = struct.Struct("!I")
+
+MAXIMUM_FRAME_BYTES = 4 * 1024 * 1024
+"""Longest payload of a frame, both ways."""
+
+MAXIMUM_HELLO_BYTES = 1024
+"""Longest payload of a Hello; an unknown sender may not make us hold more."""
+
+MAXIMUM_SEND_BUFFER_BYTES = 8 * 1024 * 1024
+"""Bytes that may wait in the send buffer before `write` refuses."""
+
+HELLO_TIMEOUT_SECONDS = 2.0
+"""Time within which each side has to introduce itself."""
+
+
+class ConnectionKind(enum.StrEnum):
+    """What a connection is for."""
+
+    PEER = "peer"
+    SUBSCRIBER = "subscriber"
+    REPORTER = "reporter"
+    RELAY = "relay"
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """First message each way. `sender_id` is the replica's identity, 0 for other processes."""
+
+    version: int
+    kind: ConnectionKind
+    name: str
+    sender_id: int
+    cluster_id: str
+
+
+HELLO_DECODER: codec.Decoder[Hello] = codec.Decoder(Hello)
+
+
+class FramedConnection:
+    """One connection that carries frames; `peer` is the other side's Hello once exchanged."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        maximum_frame_bytes: int = MAXIMUM_FRAME_BYTES,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._maximum_frame_bytes = maximum_frame_bytes
+        self._maximum_received_bytes = maximum_frame_bytes
+        self.peer: Hello | None = None
+
+    def limit_frames(self, maximum_frame_bytes: int) -> None:
+        """Lower the limit of received frames, where the other side has only short ones to send."""
+        self._maximum_received_bytes = maximum_frame_bytes
+
+    def write(self, payload: bytes) -> None:
+        """Queue one frame without waiting.
+
+        Raises `OversizedFrame`, `SendBufferFull` or `ConnectionLost`.
+        """
+        if len(payload) > self._maximum_frame_bytes:
+            raise OversizedFrame(length=len(payload), limit=self._maximum_frame_bytes)
+        if self._writer.is_closing():
+            raise ConnectionLost(reason="closed on this side")
+        buffered = self._writer.transport.get_write_buffer_size()
+        if buffered > MAXIMUM_SEND_BUFFER_BYTES:
+            raise SendBufferFull(buffered=buffered, limit=MAXIMUM_SEND_BUFFER_BYTES)
+        self._writer.write(LENGTH_PREFIX.pack(len(payload)) + payload)
+
+    async def send(self, payload: bytes) -> None:
+        """Queue one frame and wait until the send buffer is low; raises as `write` does."""
+        self.write(payload)
+        try:
+            await self._writer.drain()
+        except OSError as error:
+            raise ConnectionLost(reason=str(error)) from error
+
+    async def receive(self) -> bytes:
+        """Return the payload of the next frame.
+
+        Raises `ConnectionLost` when the other side closed between frames, `TruncatedFrame`
+        when within one, and `OversizedFrame`.
+        """
+        return await self._receive(self._maximum_received_bytes)
+
+    async def _receive(self, limit: int) -> bytes:
+        prefix = await self._read_exactly(LENGTH_PREFIX.size, at_frame_start=True)
+        (length,) = LENGTH_PREFIX.unpack(prefix)
+        if length > limit:
+            raise OversizedFrame(length=length, limit=limit)
+        return await self._read_exactly(length, at_frame_start=False)
+
+    async def _read_exactly(self, length: int, at_frame_start: bool) -> bytes:
+        try:
+            return await self._reader.readexactly(length)
+        except asyncio.IncompleteReadError as error:
+            if at_frame_start and not error.partial:
+                raise ConnectionLost(reason="closed by the other side") from error
+            raise TruncatedFrame(expected=length, received=len(error.partial)) from error
+        except OSError as error:
+            raise ConnectionLost(reason=str(error)) from error
+
+    async def exchange_hello(self, hello: Hello, timeout_seconds: float) -> Hello:
+        """Send our Hello, take and check the other side's, and return it.
+
+        Ours goes out before theirs is checked, so that both sides learn of a mismatch.
+        Raises `HelloTimeout`, `UnsupportedVersion`, `WrongCluster`, `MalformedMessage` and
+        whatever `send` and `receive` raise.
+        """
+        self.write(codec.encode(hello))
+        try:
+            payload = await asyncio.wait_for(
+                self._receive(MAXIMUM_HELLO_BYTES), timeout=timeout_seconds
+            )
+        except TimeoutError as error:
+            raise HelloTimeout(timeout_seconds=timeout_seconds) from error
+        self.peer = check_hello(HELLO_DECODER.decode(payload), hello.cluster_id)
+        return self.peer
+
+    def abort(self) -> None:
+        """Drop the connection at once, with whatever waits to be sent."""
+        self._writer.transport.abort()
+
+    async def close(self, timeout_seconds: float = 1.0) -> None:
+        """Close after sending what waits; drop the connection if that takes too long."""
+        self._writer.close()
+        try:
+            await asyncio.wait_for(self._writer.wait_closed(), timeout=timeout_seconds)
+        except (OSError, TimeoutError):
+            with contextlib.suppress(OSError):
+                self._writer.transport.abort()
+
+
+def check_hello(hello: Hello, cluster_id: str) -> Hello:
+    """Return the Hello of a fitting peer; raise `UnsupportedVersion` or `WrongCluster`."""
+    if hello.version != codec.PROTOCOL_VERSION:
+        raise UnsupportedVersion(version=hello.version, supported=codec.PROTOCOL_VERSION)
+    if hello.cluster_id != cluster_id:
+        raise WrongCluster(cluster_id=hello.cluster_id, expected=cluster_id)
+    return hello
+
+
+def make_hello(kind: ConnectionKind, name: str, cluster_id: str, sender_id: int = 0) -> Hello:
+    """Build the Hello of this process in the version that it speaks."""
+    return Hello(
+        version=codec.PROTOCOL_VERSION,
+        kind=kind,
+        name=name,
+        sender_id=sender_id,
+        cluster_id=cluster_id,
+    )
--- /dev/null
+++ b/src/jasperwalk/transport/server.py
@@ -0,0 +1,104 @@
+"""A TCP server that hands each framed connection to the handler of its kind."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from collections.abc import Awaitable, Callable, Mapping
+
+import structlog
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.errors import JasperwalkError
+from jasperwalk.transport.errors import TransportError, UnhandledKind
+from jasperwalk.transport.framed import (
+    HELLO_TIMEOUT_SECONDS,
+    ConnectionKind,
+    FramedConnection,
+    Hello,
+)
+
+ConnectionHandler = Callable[[FramedConnection], Awaitable[None]]
+"""Serves one connection until it returns; the server closes the connection afterwards."""
+
+MAXIMUM_CONNECTIONS = 16_384
+"""Connections that a server carries at once; further ones are dropped."""
+
+logger = structlog.get_logger(__name__)
+
+
+class FramedServer:
+    """Listens on one end point. Garbage from a connection ends that connection alone."""
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        hello: Hello,
+        handlers: Mapping[ConnectionKind, ConnectionHandler],
+        hello_timeout_seconds: float = HELLO_TIMEOUT_SECONDS,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._requested = endpoint
+        self._hello = hello
+        self._handlers = dict(handlers)
+        self._hello_timeout_seconds = hello_timeout_seconds
+        self._tls = tls
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.endpoint = endpoint
+        self.refused: dict[str, int] = {}
+        """Connections that ended with an error, counted by the error's kind."""
+
+    async def start(self) -> None:
+        """Bind and listen; `endpoint` then holds the port in use. Raises `OSError`."""
+        self._server = await asyncio.start_server(
+            self._accept, self._requested.host, self._requested.port, ssl=self._tls
+        )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.endpoint = Endpoint(host=host, port=port)
+
+    async def close(self) -> None:
+        """Stop listening and end every connection."""
+        if self._server is not None:
+            self._server.close()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(self._tasks) >= MAXIMUM_CONNECTIONS:
+            writer.transport.abort()
+            return
+        task = asyncio.ensure_future(self._serve(FramedConnection(reader, writer)))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, connection: FramedConnection) -> None:
+        try:
+            await self._greet_and_handle(connection)
+        except JasperwalkError as error:
+            self._count_refusal(error)
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
+        except Exception:
+            # A fault in one handler must not take the listener or other connections along.
+            logger.exception("connection-handler-failed")
+            connection.abort()
+            return
+        await connection.close()
+
+    async def _greet_and_handle(self, connection: FramedConnection) -> None:
+        peer = await connection.exchange_hello(self._hello, self._hello_timeout_seconds)
+        handler = self._handlers.get(peer.kind)
+        if handler is None:
+            raise UnhandledKind(connection_kind=peer.kind)
+        await handler(connection)
+
+    def _count_refusal(self, error: JasperwalkError) -> None:
+        self.refused[error.kind] = self.refused.get(error.kind, 0) + 1
+        if isinstance(error, TransportError):
+            logger.debug("connection-ended", kind=error.kind, detail=error.describe())
+        else:
+            logger.info("connection-refused", kind=error.kind, detail=error.describe())
--- /dev/null
+++ b/tests/distribution/test_follower.py
@@ -0,0 +1,186 @@
+"""Fault table of the follower core: what a replica may send, and what must not come of it."""
+
+import random
+
+import msgspec
+import pytest
+
+from jasperwalk.distribution.follower import FollowerCore, FollowerPhase
+from jasperwalk.distribution.follower_events import (
+    REPLACED_KIND,
+    Connect,
+    Disconnect,
+    FollowerConfig,
+    LeaveReason,
+    Replaced,
+    Send,
+)
+from jasperwalk.messages.distribution import (
+    Acknowledge,
+    Delta,
+    Heartbeat,
+    Reject,
+    Snapshot,
+    SubscriberRole,
+)
+
+
+@pytest.fixture
+def core(lab) -> FollowerCore:
+    """A follower at revision 10 with service 1, connected at time 0 to one of two replicas."""
+    facts = lab.facts("f", SubscriberRole.AGENT, lab.address(1))
+    replicas = [lab.address(200), lab.address(201)]
+    core = FollowerCore(FollowerConfig(), facts, replicas, random.Random(7))
+    connect(core, 0.0)
+    core.message(Snapshot(10, 0, 1, [lab.service(1)]), 0.0)
+    return core
+
+
+def connect(core: FollowerCore, now: float) -> list:
+    (effect,) = core.tick(now)
+    assert isinstance(effect, Connect)
+    return core.connected(effect.endpoint, now)
+
+
+def leave_reason(effects: list) -> LeaveReason | None:
+    return next((each.reason for each in effects if isinstance(each, Disconnect)), None)
+
+
+FAULTS = {
+    "older delta": ([Delta(3, 9, [2], [])], None, {1}, 10),
+    "delta again": ([Delta(9, 10, [2], [])], None, {1}, 10),
+    "delta from an older base": ([Delta(8, 12, [2], [])], None, {1, 2}, 12),
+    "delta with a gap": ([Delta(11, 12, [2], [])], LeaveReason.GAP, {1}, 10),
+    "older snapshot": ([Snapshot(9, 0, 1, [2])], None, {1}, 10),
+    "snapshot of the same revision": ([Snapshot(10, 0, 1, [2])], None, {2}, 10),
+    "half a snapshot": ([Snapshot(12, 0, 2, [2])], None, {1}, 10),
+    "whole snapshot": ([Snapshot(12, 0, 2, [2]), Snapshot(12, 1, 2, [3])], None, {2, 3}, 12),
+    "snapshot started again": (
+        [Snapshot(12, 0, 2, [2]), Snapshot(13, 0, 2, [3]), Snapshot(13, 1, 2, [4])],
+        None,
+        {3, 4},
+        13,
+    ),
+    "part missing": (
+        [Snapshot(12, 0, 3, [2]), Snapshot(12, 2, 3, [3])],
+        LeaveReason.BROKEN_SNAPSHOT,
+        {1},
+        10,
+    ),
+    "part of another": (
+        [Snapshot(12, 0, 2, [2]), Snapshot(13, 1, 2, [3])],
+        LeaveReason.BROKEN_SNAPSHOT,
+        {1},
+        10,
+    ),
+    "no first part": ([Snapshot(12, 1, 2, [2])], LeaveReason.BROKEN_SNAPSHOT, {1}, 10),
+    "parts beyond bound": ([Snapshot(12, 0, 2**40, [2])], LeaveReason.BROKEN_SNAPSHOT, {1}, 10),
+    "no parts at all": ([Snapshot(12, 0, 0, [2])], LeaveReason.BROKEN_SNAPSHOT, {1}, 10),
+    "stale quorum": ([Heartbeat(10, 2000, 0)], LeaveReason.STALE_QUORUM, {1}, 10),
+    "refusal": ([Reject("stale-replica", "", 1000)], LeaveReason.REJECTED, {1}, 10),
+    "replaced": ([Reject(REPLACED_KIND, "", 0)], LeaveReason.REPLACED, {1}, 10),
+}
+
+
+def with_services(message, lab):
+    """Put the services in place of their IDs in the table above."""
+    match message:
+        case Delta():
+            upserts = [lab.service(each) for each in message.upserts]
+            return Delta(message.base_revision, message.revision, upserts, [])
+        case Snapshot():
+            entries = [lab.service(each) for each in message.entries]
+            return Snapshot(message.revision, message.part, message.parts, entries)
+    return message
+
+
+@pytest.mark.parametrize(
+    ("messages", "reason", "services", "revision"), FAULTS.values(), ids=FAULTS.keys()
+)
+def test_faults(lab, core, messages, reason, services, revision) -> None:
+    effects = []
+    for message in messages:
+        effects += core.message(with_services(message, lab), 0.1)
+    assert leave_reason(effects) is reason
+    assert {each.service_id for each in core.table.services()} == services
+    assert core.table.revision == revision
+
+
+def test_parts_of_a_snapshot_do_not_outlive_the_connection(lab, core) -> None:
+    core.message(Snapshot(12, 0, 2, [lab.service(2)]), 0.1)
+    core.disconnected(0.2)
+    connect(core, 1.0)
+    assert leave_reason(core.message(Snapshot(12, 1, 2, [lab.service(3)]), 1.1)) is not None
+    assert core.table.revision == 10
+
+
+def test_a_refusal_names_when_that_replica_may_be_tried_again(core) -> None:
+    refusing = core.replica
+    core.message(Reject("too-many-subscribers", "", 30_000), 0.0)
+    now, tried = 0.0, []
+    while now < 29.9:
+        for effect in core.tick(now):
+            tried.append(effect.endpoint)
+            core.disconnected(now)
+        now += 0.05
+    assert len(set(tried)) == 1
+    assert refusing not in tried
+    assert core.next_deadline() > now - 6
+
+
+def test_a_replaced_agent_loses_its_rights_and_does_not_come_back(core) -> None:
+    core.message(Heartbeat(10, 0, 5), 0.1)
+    assert core.incarnation == 5
+    assert core.fresh(0.1)
+    effects = core.message(Reject(REPLACED_KIND, "newer boot", 0), 0.2)
+    assert [type(each) for each in effects] == [Replaced, Disconnect]
+    assert core.incarnation == 0
+    assert not core.fresh(0.2)
+    assert core.tick(100.0) == []
+    assert core.phase is FollowerPhase.REPLACED
+
+
+def test_a_thawed_process_does_not_take_buffered_heartbeats_for_news(core) -> None:
+    core.message(Heartbeat(10, 0, 5), 0.1)
+    assert core.fresh(2.0)
+    effects = core.message(Heartbeat(10, 0, 5), 60.0)
+    assert leave_reason(effects) is LeaveReason.SILENT
+    assert not core.fresh(60.0)
+    (send,) = connect(core, 61.0)
+    assert (send.message.revision, send.message.incarnation) == (10, 5)
+
+
+def test_a_table_is_fresh_only_once_it_has_the_replicas_revision(lab, core) -> None:
+    core.message(Heartbeat(11, 100, 0), 1.0)
+    assert not core.fresh(1.0)
+    core.message(Delta(10, 11, [lab.service(2)], []), 1.2)
+    assert core.fresh(1.2)
+    assert core.freshness_age(1.2) == pytest.approx(0.3)
+    assert not core.fresh(3.0)
+
+
+def test_acknowledgements_carry_health_and_follow_the_interval(core) -> None:
+    core.message(Heartbeat(10, 0, 0), 0.1)
+    core.healthy, core.open_flows = False, 12
+    assert core.tick(0.49) == []
+    assert core.tick(0.5) == [Send(Acknowledge(10, healthy=False, open_flows=12))]
+    assert core.next_deadline() == pytest.approx(1.0)
+
+
+def test_a_connection_that_never_stands_is_given_up(core) -> None:
+    core.disconnected(1.0)
+    (effect,) = core.tick(2.0)
+    assert core.tick(3.9) == []
+    assert leave_reason(core.tick(4.0)) is LeaveReason.CONNECT_TIMEOUT
+    assert core.connected(effect.endpoint, 4.1) == []
+
+
+def test_services_may_swap_listeners_within_one_update(lab, core) -> None:
+    core.message(Delta(10, 11, [lab.service(2)], []), 0.1)
+    swapped = [
+        msgspec.structs.replace(lab.service(2), listener=lab.service(1).listener),
+        msgspec.structs.replace(lab.service(1), listener=lab.service(2).listener),
+    ]
+    core.message(Delta(11, 12, swapped, []), 0.2)
+    found = [core.table.service_at(lab.service(each).listener) for each in (1, 2)]
+    assert found == swapped
--- /dev/null
+++ b/tests/distribution/test_publisher.py
@@ -0,0 +1,240 @@
+"""The publisher core: budgets, coalescing, registration, refusals and reports."""
+
+import math
+
+import pytest
+
+from jasperwalk.config.routing_table import VersionedTable
+from jasperwalk.distribution.follower_events import REPLACED_KIND
+from jasperwalk.distribution.publisher import PublisherCore
+from jasperwalk.distribution.publisher_events import (
+    CloseReason,
+    CloseSubscriber,
+    PublisherConfig,
+    RegisterAgent,
+    RoleCount,
+    SendTo,
+)
+from jasperwalk.messages.distribution import (
+    FROM_PUBLISHER_DECODER,
+    Acknowledge,
+    Delta,
+    Heartbeat,
+    Reject,
+    Snapshot,
+    SubscriberRole,
+)
+
+AGENT = SubscriberRole.AGENT
+
+
+@pytest.fixture
+def table(lab) -> VersionedTable:
+    """A table at revision 3: a service with two members."""
+    table = VersionedTable()
+    for revision, entry in enumerate([lab.service(1), lab.member(1, 1), lab.member(2, 1)], 1):
+        table.upsert(entry, revision)
+    return table
+
+
+@pytest.fixture
+def core(table) -> PublisherCore:
+    core = PublisherCore(table, PublisherConfig())
+    core.tick(0.0, 0.0)
+    return core
+
+
+def messages(effects: list) -> list:
+    return [FROM_PUBLISHER_DECODER.decode(e.payload) for e in effects if isinstance(e, SendTo)]
+
+
+def of_type(kind: type, effects: list) -> list:
+    return [each for each in messages(effects) if isinstance(each, kind)]
+
+
+def closings(effects: list) -> list:
+    return [(e.subscriber_id, e.reason) for e in effects if isinstance(e, CloseSubscriber)]
+
+
+def acknowledge(core: PublisherCore, subscriber_id: int, revision: int, now: float) -> list:
+    return core.message(subscriber_id, Acknowledge(revision, True, 0), now)
+
+
+def test_a_small_table_is_sent_at_once(lab, core, table) -> None:
+    effects = core.subscriber_opened(1, lab.subscribe(), 0.0)
+    (snapshot,) = of_type(Delta, effects)
+    assert set(snapshot.upserts) == set(table.entries())
+
+
+def test_a_delta_is_encoded_once_for_all_of_a_scope(lab, core, table) -> None:
+    for number in range(50):
+        core.subscriber_opened(number, lab.subscribe(name=f"b{number}", revision=3), 0.0)
+    table.upsert(lab.member(3, 1), 4)
+    effects = core.table_advanced(0.1)
+    assert len(effects) == 50
+    assert len({id(effect.payload) for effect in effects}) == 1
+
+
+def test_a_large_table_is_paced_by_the_links_budget(lab, table) -> None:
+    for number in range(20_000):
+        table.upsert(lab.member(number, 1), 4)
+    table.horizon = 1
+    config = PublisherConfig(link_burst_bytes=100_000, outstanding_limit=10**6)
+    core = PublisherCore(table, config)
+    core.tick(0.0, 0.0)
+    lengths = [len(e.payload) for e in core.subscriber_opened(1, lab.subscribe(), 0.0)]
+    sent, longest = sum(lengths), max(lengths)
+    assert 100_000 <= sent <= 100_000 + longest
+    now = 0.0
+    while now < 60.0:
+        now += 0.1
+        sent += sum(len(e.payload) for e in core.tick(now, 0.0) if isinstance(e, SendTo))
+        acknowledge(core, 1, 0, now)
+    assert 0.9 * 60 * 5000 <= sent - 100_000 <= 60 * 5000 + longest
+
+
+def test_changes_wait_as_one_delta_while_a_subscriber_is_slow(lab, core, table) -> None:
+    core.subscriber_opened(1, lab.subscribe(revision=3), 0.0)
+    sent = []
+    for revision in range(4, 304):
+        table.upsert(lab.member(1, 1, weight=revision), revision)
+        sent += of_type(Delta, core.table_advanced(1.0))
+    assert [each.revision for each in sent] == [4, 5, 6, 7]
+    (delta,) = of_type(Delta, acknowledge(core, 1, 7, 2.0))
+    assert (delta.base_revision, delta.revision) == (7, 303)
+    assert delta.upserts == [lab.member(1, 1, weight=303)]
+
+
+def test_heartbeats_cost_only_what_is_due_and_tell_the_quorums_age(lab, core) -> None:
+    for number in range(2000):
+        subscribe = lab.subscribe(name=f"b{number}", revision=3)
+        core.subscriber_opened(number, subscribe, number / 4000)
+    assert core.next_deadline() == 0.5
+    assert len(core.tick(0.55, 0.25)) == 201
+    (heartbeat,) = set(messages(core.tick(0.6, 1.5)))
+    assert heartbeat == Heartbeat(3, 1500, 0)
+    assert core.tick(0.6, 1.5) == []
+
+
+def test_a_publisher_that_stood_still_tells_its_true_age(lab, core) -> None:
+    assert closings(core.subscriber_opened(1, lab.subscribe(), 10.0)) == [
+        (1, CloseReason.STALE_REPLICA)
+    ]
+
+
+@pytest.mark.parametrize("quorum_age", [2.1, math.inf])
+def test_a_replica_without_quorum_refuses(lab, core, quorum_age: float) -> None:
+    core.tick(1.0, quorum_age)
+    effects = core.subscriber_opened(1, lab.subscribe(), 1.0)
+    assert messages(effects) == [Reject("stale-replica", "stale-replica", 1000)]
+    assert core.subscriber_count == 0
+
+
+def test_other_refusals_and_closings(lab, table) -> None:
+    core = PublisherCore(table, PublisherConfig(subscriber_limit=1))
+    core.tick(0.0, 0.0)
+    core.subscriber_opened(1, lab.subscribe(), 0.0)
+    assert closings(core.subscriber_opened(2, lab.subscribe(name="x"), 0.0)) == [
+        (2, CloseReason.TOO_MANY_SUBSCRIBERS)
+    ]
+    assert closings(core.message(1, lab.subscribe(), 0.0)) == [(1, CloseReason.SUBSCRIBED_TWICE)]
+    assert core.message(1, Acknowledge(1, True, 0), 0.0) == []
+
+
+def test_a_silent_subscriber_is_closed_and_a_reconnect_takes_over(lab, core) -> None:
+    core.subscriber_opened(1, lab.subscribe(), 0.0)
+    core.tick(0.1, 0.0)
+    assert closings(core.subscriber_opened(2, lab.subscribe(), 1.0)) == [
+        (1, CloseReason.RECONNECTED)
+    ]
+    effects = [effect for step in range(140) for effect in core.tick(step / 20, 0.0)]
+    assert closings(effects) == [(2, CloseReason.SILENT)]
+
+
+def test_an_agent_is_registered_and_hears_of_it_at_once(lab, core) -> None:
+    subscribe = lab.subscribe(AGENT, lab.address(1), name="host-1")
+    wanted = RegisterAgent(lab.address(1), "boot", "host-1", "a")
+    assert core.subscriber_opened(1, subscribe, 0.0)[0] == wanted
+    proposals = [e for step in range(1, 21) for e in core.tick(step / 10, 0.0)]
+    assert proposals.count(wanted) == 2
+    assert messages(core.agent_registered(lab.address(1), "boot", 7, 2.1)) == [Heartbeat(3, 100, 7)]
+    later = [e for step in range(22, 40) for e in core.tick(step / 10, 0.0)]
+    assert wanted not in later
+    assert of_type(Heartbeat, later)[-1].incarnation == 7
+    (standing,) = core.report(4.0).subscribers
+    assert (standing.boot_id, standing.incarnation) == ("boot", 7)
+
+
+def test_the_older_process_at_an_address_is_refused(lab, core) -> None:
+    at = lab.address(1)
+    core.subscriber_opened(1, lab.subscribe(AGENT, at, boot_id="old"), 0.0)
+    core.agent_registered(at, "old", 1, 0.0)
+    core.subscriber_opened(2, lab.subscribe(AGENT, at, boot_id="new"), 1.0)
+    effects = core.agent_registered(at, "new", 2, 1.0)
+    assert closings(effects) == [(1, CloseReason.REPLACED)]
+    assert of_type(Reject, effects)[0].kind == REPLACED_KIND
+    thawed = lab.subscribe(AGENT, at, boot_id="old", incarnation=1, revision=3)
+    effects = core.subscriber_opened(3, thawed, 1.5)
+    assert closings(effects) == [(3, CloseReason.REPLACED)]
+    assert not [each for each in effects if isinstance(each, RegisterAgent)]
+    assert [each.boot_id for each in core.report(2.0).subscribers] == ["new"]
+
+
+def test_a_replica_behind_proposes_nothing_for_an_agent_that_was_registered(lab, core) -> None:
+    at = lab.address(1)
+    core.agent_registered(at, "old", 1, 0.0)
+    ahead = lab.subscribe(AGENT, at, boot_id="new", incarnation=2, revision=9)
+    effects = core.subscriber_opened(1, ahead, 0.0)
+    assert messages(effects) == [Heartbeat(3, 0, 0)]
+    assert len(effects) == 1
+    assert messages(core.agent_registered(at, "new", 2, 0.1)) == [Heartbeat(3, 100, 2)]
+
+
+def test_an_agent_refused_by_control_is_closed(lab, core) -> None:
+    core.subscriber_opened(1, lab.subscribe(AGENT, lab.address(1)), 0.0)
+    assert core.agent_refused(lab.address(1), "another") == []
+    effects = core.agent_refused(lab.address(1), "boot")
+    assert closings(effects) == [(1, CloseReason.REPLACED)]
+
+
+def test_an_agent_gets_its_own_service_and_another_when_it_moves(lab, core, table) -> None:
+    table.upsert(lab.service(2), 4)
+    table.upsert(lab.fleet_key(0), 4)
+    core.table_advanced(0.0)
+    effects = core.subscriber_opened(1, lab.subscribe(AGENT, lab.address(1)), 0.0)
+    (first,) = of_type(Snapshot, effects)
+    members = {lab.member(1, 1), lab.member(2, 1)}
+    assert set(first.entries) == {lab.service(1), lab.fleet_key(0), *members}
+    table.upsert(lab.member(2, 2), 5)
+    (left,) = of_type(Delta, core.table_advanced(0.1))
+    assert (left.upserts, [key.address for key in left.removals]) == ([], [lab.address(2)])
+    table.upsert(lab.member(1, 2), 6)
+    (moved,) = of_type(Snapshot, core.table_advanced(0.2))
+    members = {lab.member(1, 2), lab.member(2, 2)}
+    assert set(moved.entries) == {lab.service(2), lab.fleet_key(0), *members}
+
+
+def test_the_report_names_laggards(lab, core, table) -> None:
+    core.subscriber_opened(1, lab.subscribe(name="b1", at=lab.address(10)), 0.0)
+    core.subscriber_opened(2, lab.subscribe(name="b2", at=lab.address(11)), 0.0)
+    core.subscriber_opened(3, lab.subscribe(AGENT, lab.address(1), name="a1"), 0.0)
+    acknowledge(core, 1, 3, 0.5)
+    core.message(3, Acknowledge(3, False, 17), 0.7)
+    report = core.report(1.0)
+    assert (report.balancers, report.agents) == (RoleCount(1, 2), RoleCount(1, 1))
+    assert [(each.name, each.acknowledged_revision) for each in report.laggards] == [("b2", 0)]
+    agent = next(each for each in report.subscribers if each.name == "a1")
+    assert (agent.healthy, agent.open_flows) == (False, 17)
+    assert agent.silence_seconds == pytest.approx(0.3)
+    core.subscriber_closed(2)
+    assert core.report(1.0).laggards == []
+
+
+def test_agents_of_a_service_share_the_bytes_of_its_snapshot(lab, core) -> None:
+    sent = [
+        core.subscriber_opened(each, lab.subscribe(AGENT, lab.address(each), name=str(each)), 0.0)
+        for each in (1, 2)
+    ]
+    first, second = (effects[-1].payload for effects in sent)
+    assert first is second
+    assert isinstance(FROM_PUBLISHER_DECODER.decode(first), Snapshot)
--- /dev/null
+++ b/tests/membership/test_liveness.py
@@ -0,0 +1,99 @@
+"""Liveness: when a member is online or offline, after silence, elections and flapping."""
+
+import msgspec
+import pytest
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.config.table import AdminState, MemberEntry, OperatingStatus
+from jasperwalk.membership.liveness import AgentObservation, LivenessConfig, LivenessTracker
+
+AT = Endpoint("127.0.0.1", 7000)
+ONLINE = OperatingStatus.ONLINE
+OFFLINE = OperatingStatus.OFFLINE
+UNREGISTERED = OperatingStatus.UNREGISTERED
+
+
+def member(status: OperatingStatus = ONLINE, incarnation: int = 3) -> MemberEntry:
+    return MemberEntry(AT, 1, "h", "a", 1, 4, AdminState.ENABLED, status, incarnation)
+
+
+def seen(silence: float = 0.0, healthy: bool = True, incarnation: int = 3) -> AgentObservation:
+    return AgentObservation(AT, incarnation, healthy, silence)
+
+
+@pytest.fixture
+def tracker() -> LivenessTracker:
+    """A tracker whose leader won long ago and has evaluated all the time."""
+    tracker = LivenessTracker(LivenessConfig())
+    tracker.leader_started(90.0)
+    for second in range(91, 100):
+        tracker.evaluate([], float(second))
+    return tracker
+
+
+CASES = {
+    "well": (member(ONLINE), [seen()], None),
+    "comes back": (member(OFFLINE), [seen()], ONLINE),
+    "just within the limit": (member(ONLINE), [seen(3.0)], None),
+    "silent": (member(ONLINE), [seen(3.1)], OFFLINE),
+    "never seen": (member(ONLINE), [], OFFLINE),
+    "back end down": (member(ONLINE), [seen(healthy=False)], OFFLINE),
+    "back end still down": (member(OFFLINE), [seen(healthy=False)], None),
+    "silence does not bring back": (member(OFFLINE), [seen(9.0)], None),
+    "seen by another replica": (member(ONLINE), [seen(9.0), seen(0.5)], None),
+    "older news does not count": (member(ONLINE), [seen(0.1), seen(2.0, healthy=False)], None),
+    "older process": (member(OFFLINE), [seen(incarnation=2)], None),
+    "older process in place of the registered": (member(ONLINE), [seen(incarnation=2)], OFFLINE),
+    "both processes": (member(OFFLINE), [seen(0.2, incarnation=2), seen(0.1)], ONLINE),
+    "unregistered process": (member(OFFLINE), [seen(incarnation=0)], None),
+    "member without registration": (member(UNREGISTERED, 0), [seen()], None),
+}
+
+
+@pytest.mark.parametrize(("entry", "reports", "expected"), CASES.values(), ids=CASES.keys())
+def test_statuses(tracker, entry, reports, expected) -> None:
+    for report in reports:
+        tracker.observe(report, 100.0)
+    changes = tracker.evaluate([entry], 100.0)
+    assert [(each.address, each.incarnation, each.operating_status) for each in changes] == (
+        [] if expected is None else [(AT, 3, expected)]
+    )
+
+
+@pytest.mark.parametrize("stood_still", [False, True])
+def test_a_leader_that_is_new_or_stood_still_waits_before_it_declares_silence(
+    tracker, stood_still: bool
+) -> None:
+    if not stood_still:
+        tracker.leader_started(110.0)
+    for tenth in range(1100, 1140):
+        assert tracker.evaluate([member(ONLINE)], tenth / 10) == []
+    assert len(tracker.evaluate([member(ONLINE)], 114.0)) == 1
+
+
+def test_a_new_leader_acts_on_what_it_hears_during_its_grace(tracker) -> None:
+    tracker.leader_started(100.0)
+    tracker.observe(seen(healthy=False), 100.1)
+    assert [each.operating_status for each in tracker.evaluate([member(ONLINE)], 100.1)] == [
+        OFFLINE
+    ]
+
+
+def test_a_flapping_member_has_to_be_well_for_a_while(tracker) -> None:
+    entry, now, online_at = member(ONLINE), 100.0, []
+    for second in range(40):
+        now = 100.0 + second
+        well = second > 20 or second % 4 < 2
+        tracker.observe(seen(healthy=well), now)
+        for change in tracker.evaluate([entry], now):
+            entry = msgspec.structs.replace(entry, operating_status=change.operating_status)
+            if change.operating_status is ONLINE:
+                online_at.append(second)
+    # Well from second 20 on, after three recoveries within the window.
+    assert online_at == [4, 8, 12, 30]
+
+
+def test_agents_that_are_no_members_are_forgotten(tracker) -> None:
+    tracker.observe(seen(), 100.0)
+    tracker.evaluate([], 100.0)
+    assert len(tracker.evaluate([member(ONLINE)], 100.0)) == 1
--- /dev/null
+++ b/tests/membership/test_platform.py
@@ -0,0 +1,111 @@
+"""The platform's list: what does not parse, and what its lag may do."""
+
+import json
+
+import pytest
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.config.table import AdminState, MemberEntry, OperatingStatus
+from jasperwalk.control.state.commands import PlatformState
+from jasperwalk.membership.platform import (
+    InvalidPlatformList,
+    PlatformReconciler,
+    ReconcilerConfig,
+    parse_platform_list,
+)
+
+HOSTS = ("h1", "h2", "h3", "h4")
+
+
+def machine(host: str, state: str = "live", address: str = "127.0.0.1:7000") -> dict:
+    return {"host": host, "address": address, "zone": "a", "state": state}
+
+
+def document(version: int, *machines: dict) -> bytes:
+    return json.dumps({"version": version, "machines": machines}).encode()
+
+
+def members() -> list[MemberEntry]:
+    return [
+        MemberEntry(
+            address=Endpoint("127.0.0.1", 7000 + number),
+            service_id=1,
+            host=host,
+            zone="a",
+            weight=1,
+            slots=4,
+            admin_state=AdminState.ENABLED,
+            operating_status=OperatingStatus.ONLINE,
+            incarnation=1,
+        )
+        for number, host in enumerate(HOSTS)
+    ]
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[" * 100_000,
+        b'{"machines": []}',
+        b'{"machines": {}, "version": 1}',
+        b'{"machines": [], "version": "1"}',
+        document(1, machine("h", state="gone")),
+        document(1, machine("h", address="nowhere:1")),
+        document(1, {"host": "h"}),
+    ],
+)
+def test_lists_that_do_not_parse_are_typed_errors(data: bytes) -> None:
+    with pytest.raises(InvalidPlatformList):
+        parse_platform_list(data)
+
+
+POLLS = {
+    "leaving drains at once": (
+        [(1, "h1 h2 h3 h4"), (2, "-h1 h2 h3 h4")],
+        [{"h1": "e", "h2": "e", "h3": "e", "h4": "e"}, {"h1": "d"}],
+    ),
+    "unchanged says nothing": (
+        [(1, "h1 h2 h3 -h4"), (1, "h1 h2 h3 -h4")],
+        [{"h1": "e", "h2": "e", "h3": "e", "h4": "d"}, {}],
+    ),
+    "an old list is ignored": (
+        [(5, "-h1 h2 h3 h4"), (4, "h1 h2 h3 h4"), (6, "h1 h2 h3 h4")],
+        [{"h1": "d", "h2": "e", "h3": "e", "h4": "e"}, {}, {"h1": "e"}],
+    ),
+    "missing drains after three polls": (
+        [(1, "h1 h2 h3 h4"), (2, "h2 h3 h4"), (3, "h2 h3 h4"), (4, "h2 h3 h4"), (5, "h1 h2 h3 h4")],
+        [{"h1": "e", "h2": "e", "h3": "e", "h4": "e"}, {}, {}, {"h1": "d"}, {"h1": "e"}],
+    ),
+    "a sighting starts the count again": (
+        [(1, "h2 h3 h4"), (2, "h2 h3 h4"), (3, "h1 h2 h3 h4"), (4, "h2 h3 h4"), (5, "h2 h3 h4")],
+        [{"h2": "e", "h3": "e", "h4": "e"}, {}, {"h1": "e"}, {}, {}],
+    ),
+    "an emptied list drains nobody": ([(1, ""), (2, ""), (3, ""), (4, "")], [{}, {}, {}, {}]),
+    "unknown machines are left out": ([(1, "h9 -h8 -h1")], [{"h1": "d"}]),
+    "named twice is leaving": ([(1, "-h1 h1")], [{"h1": "d"}]),
+}
+
+
+@pytest.mark.parametrize(("polls", "expected"), POLLS.values(), ids=POLLS.keys())
+def test_polls(polls: list, expected: list) -> None:
+    reconciler = PlatformReconciler(ReconcilerConfig())
+    for (version, hosts), changes in zip(polls, expected, strict=True):
+        machines = [
+            machine(each.lstrip("-"), "leaving" if each.startswith("-") else "live")
+            for each in hosts.split()
+        ]
+        platform_list = parse_platform_list(document(version, *machines))
+        states = {"e": AdminState.ENABLED, "d": AdminState.DRAINING}
+        wanted = [PlatformState(host, states[state]) for host, state in changes.items()]
+        assert reconciler.reconcile(platform_list, members()) == wanted
+
+
+def test_a_lost_proposal_is_made_again() -> None:
+    reconciler = PlatformReconciler(ReconcilerConfig())
+    platform_list = parse_platform_list(document(1, machine("h1", "leaving")))
+    first = reconciler.reconcile(platform_list, members())
+    assert reconciler.reconcile(platform_list, members()) == []
+    reconciler.repeat([state.host for state in first])
+    assert reconciler.reconcile(platform_list, members()) == first
