Consensus: Raft core, durable storage, membership of replicas

Cause: accepted configuration must survive any control machine, and no outside store or ready-made consensus may be used.

Weighed for a wiped disk: an operator's bootstrap flag (forgotten or set twice it loses a vote), against votes that belong to a disk. Chosen: each data folder draws an identity, member lists name it, and votes or acknowledgements from another disk don't count. The first list is written once every initial member has answered that it knows of none; the price is that all must be up once.

Found by the tests and mended: swapped log segments were accepted; records now carry a gapless sequence.

Not covered: a folder restored from an old copy; leadership transfer; clocks that drift; a leader in a 2-2 split may still commit the removal of a replica in the second before it steps down (safe by the single-change argument, untested).

--- /dev/null
+++ b/src/jasperwalk/consensus/disk/__init__.py
@@ -0,0 +1,1 @@
+"""Files of a replica: checksummed frames, log segments, atomic replacement."""
--- /dev/null
+++ b/src/jasperwalk/consensus/freshness.py
@@ -0,0 +1,54 @@
+"""How old a follower's knowledge of the leader's quorum contact is.
+
+A heartbeat may lie in a buffer while a process is frozen or a link is cut. The leader's and
+the follower's clocks are not compared; instead the smallest difference seen between them
+lately counts as the normal delay, and what exceeds it counts as age.
+"""
+
+from __future__ import annotations
+
+import math
+
+DELAY_WINDOW_SECONDS = 60.0
+"""Length of the window of the smallest delay; short enough that clock drift is negligible."""
+
+
+class QuorumContact:
+    """The age of the leader's quorum contact, as a follower knows it."""
+
+    def __init__(self) -> None:
+        self._source = (0, 0)
+        self._forget()
+
+    def _forget(self) -> None:
+        self._newest_sent_at = -math.inf
+        self._contact_at = -math.inf
+        self._window_started_at = -math.inf
+        self._smallest_now = math.inf
+        self._smallest_before = math.inf
+
+    def heard(
+        self, leader_id: int, term: int, sent_at: float, quorum_age: float, now: float
+    ) -> None:
+        """Take a message of the leader in; a late duplicate changes nothing.
+
+        Another leader has another clock, so everything starts anew with it.
+        """
+        if self._source != (leader_id, term):
+            self._source = (leader_id, term)
+            self._forget()
+        if sent_at <= self._newest_sent_at:
+            return
+        self._newest_sent_at = sent_at
+        difference = now - sent_at
+        if now - self._window_started_at > DELAY_WINDOW_SECONDS:
+            self._smallest_before = self._smallest_now
+            self._smallest_now = math.inf
+            self._window_started_at = now
+        self._smallest_now = min(self._smallest_now, difference)
+        extra_delay = difference - min(self._smallest_now, self._smallest_before)
+        self._contact_at = max(self._contact_at, now - extra_delay - quorum_age)
+
+    def age(self, now: float) -> float:
+        """Return seconds since the leader last had contact with a quorum, inf when unknown."""
+        return now - self._contact_at
--- /dev/null
+++ b/tests/consensus/test_storage.py
@@ -0,0 +1,229 @@
+"""What the data folder survives, and what it refuses."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from jasperwalk.consensus.disk.failures import (
+    DamagedFile,
+    FolderInUse,
+    IdentityMismatch,
+    MissingFile,
+    WriteFailed,
+)
+from jasperwalk.consensus.disk.frames import encode_frame, read_frames
+from jasperwalk.consensus.durable import HardState, PersistBatch, SnapshotData
+from jasperwalk.consensus.entries import EMPTY_MEMBERSHIP, EntryKind, LogEntry
+from jasperwalk.consensus.storage import FileStorage
+
+SEGMENT_BYTES = 250
+
+
+def entry(index: int, term: int = 1) -> LogEntry:
+    return LogEntry(index, term, EntryKind.COMMAND, b"command %d of %d" % (index, term))
+
+
+def snapshot(index: int, term: int = 1) -> SnapshotData:
+    return SnapshotData(index, term, EMPTY_MEMBERSHIP, b"state" * 50)
+
+
+def open_storage(folder: Path, disk_id: str = "disk", replica_id: int = 1) -> FileStorage:
+    return FileStorage(folder, "cluster", replica_id, disk_id, SEGMENT_BYTES)
+
+
+def load(folder: Path):
+    """Load a folder as after a crash, and free it."""
+    storage = open_storage(folder, "another disk")
+    durable = storage.load()
+    storage.close()
+    return durable
+
+
+@pytest.fixture
+def filled(tmp_path: Path) -> Path:
+    """Return a folder with entries 1 to 30 over several segments, a vote and a snapshot."""
+    storage = open_storage(tmp_path / "data")
+    storage.load()
+    storage.persist(PersistBatch(hard_state=HardState(term=7, voted_for=2)))
+    for index in range(1, 31):
+        storage.persist(PersistBatch(entries=[entry(index)]))
+    storage.persist(PersistBatch(snapshot=snapshot(20), discard_through=15))
+    storage.close()
+    return tmp_path / "data"
+
+
+def segments(folder: Path) -> list[Path]:
+    return sorted(folder.glob("segment-*.log"))
+
+
+def test_all_that_was_persisted_is_loaded(filled):
+    assert len(segments(filled)) > 3
+    assert not (filled / "segment-0000000001.log").exists()
+    durable = load(filled)
+    assert durable.hard_state == HardState(term=7, voted_for=2)
+    assert durable.snapshot == snapshot(20)
+    assert durable.entries[0].index <= 16
+    assert durable.entries == [entry(one) for one in range(durable.entries[0].index, 31)]
+    assert (durable.disk_id, durable.fresh) == ("disk", False)
+
+
+def test_a_new_folder_is_fresh_once(tmp_path):
+    assert load(tmp_path).fresh
+    assert not load(tmp_path).fresh
+
+
+def test_a_conflicting_tail_is_replaced(filled):
+    storage = open_storage(filled)
+    storage.load()
+    storage.persist(PersistBatch(entries=[entry(25, 2), entry(26, 2)]))
+    storage.close()
+    assert load(filled).entries[-3:] == [entry(24), entry(25, 2), entry(26, 2)]
+
+
+def test_a_leaders_snapshot_replaces_the_log(filled):
+    storage = open_storage(filled)
+    storage.load()
+    batch = PersistBatch(None, snapshot(50, 3), 50, [entry(51, 3)], 50)
+    storage.persist(batch)
+    storage.close()
+    durable = load(filled)
+    assert (durable.snapshot, durable.entries) == (snapshot(50, 3), [entry(51, 3)])
+
+
+@pytest.mark.parametrize("newer", [snapshot(50, 3), snapshot(25, 3)])
+def test_a_crash_between_snapshot_and_log_is_mended(filled, newer, monkeypatch):
+    storage = open_storage(filled)
+    storage.load()
+    with monkeypatch.context() as patch:
+        patch.setattr(storage._log, "append", lambda record: (_ for _ in ()).throw(OSError()))
+        with pytest.raises(WriteFailed):
+            storage.persist(PersistBatch(snapshot=newer, reset_index=newer.index))
+    storage.close()
+    assert load(filled).entries == []
+    storage = open_storage(filled)
+    storage.load()
+    storage.persist(PersistBatch(entries=[entry(newer.index + 1, 3)]))
+    storage.close()
+    assert load(filled).entries == [entry(newer.index + 1, 3)]
+
+
+def last_frame_start(path: Path) -> int:
+    data = path.read_bytes()
+    return ([0] + [frame.end for frame in read_frames(path, data, may_be_torn=False)])[-2]
+
+
+@pytest.mark.parametrize("kept", ["nothing", "5 bytes", "header", "all but 1", "zeros"])
+def test_a_torn_tail_is_cut_back(filled, kept):
+    path = segments(filled)[-1]
+    before = path.read_bytes()
+    torn = encode_frame(b"x" * 2000)
+    tails = {
+        "nothing": b"",
+        "5 bytes": torn[:5],
+        "header": torn[:16],
+        "all but 1": torn[:-1],
+        "zeros": torn[:900] + bytes(len(torn) - 900),
+    }
+    path.write_bytes(before + tails[kept])
+    storage = open_storage(filled)
+    assert storage.load().entries[-1] == entry(30)
+    assert storage.torn_bytes == len(tails[kept])
+    storage.persist(PersistBatch(entries=[entry(31)]))
+    storage.close()
+    assert load(filled).entries[-1] == entry(31)
+
+
+def flip(path: Path, offset: int) -> None:
+    data = bytearray(path.read_bytes())
+    data[offset] ^= 0x10
+    path.write_bytes(bytes(data))
+
+
+def test_a_flipped_byte_anywhere_is_refused(filled):
+    for path in [*segments(filled), filled / "snapshot", filled / "manifest", filled / "identity"]:
+        whole = path.read_bytes()
+        for offset in range(len(whole)):
+            flip(path, offset)
+            with pytest.raises(DamagedFile):
+                load(filled)
+            path.write_bytes(whole)
+    assert load(filled).entries[-1] == entry(30)
+
+
+DAMAGES = {
+    "first segment missing": (lambda f: segments(f)[0].unlink(), MissingFile),
+    "middle segment missing": (lambda f: segments(f)[1].unlink(), MissingFile),
+    "last segment missing": (lambda f: segments(f)[-1].unlink(), MissingFile),
+    "last segment empty": (lambda f: segments(f)[-1].write_bytes(b""), MissingFile),
+    "middle segment cut": (lambda f: cut(segments(f)[1], 3), DamagedFile),
+    "snapshot cut": (lambda f: cut(f / "snapshot", 3), DamagedFile),
+    "snapshot missing": (lambda f: (f / "snapshot").unlink(), MissingFile),
+    "manifest missing": (lambda f: (f / "manifest").unlink(), MissingFile),
+    "identity missing": (lambda f: (f / "identity").unlink(), MissingFile),
+    "segments swapped": (lambda f: swap(segments(f)[0], segments(f)[2]), DamagedFile),
+}
+
+
+def cut(path: Path, count: int) -> None:
+    path.write_bytes(path.read_bytes()[:-count])
+
+
+def swap(one: Path, other: Path) -> None:
+    first, second = one.read_bytes(), other.read_bytes()
+    one.write_bytes(second)
+    other.write_bytes(first)
+
+
+@pytest.mark.parametrize("name", DAMAGES)
+def test_damage_is_refused_and_nothing_changed(filled, name):
+    damage, error = DAMAGES[name]
+    damage(filled)
+    files = {path: path.read_bytes() for path in filled.iterdir()}
+    with pytest.raises(error):
+        load(filled)
+    assert {path: path.read_bytes() for path in filled.iterdir()} == files
+
+
+def test_a_folder_of_another_replica_is_refused(filled):
+    with pytest.raises(IdentityMismatch):
+        open_storage(filled, replica_id=2).load()
+
+
+def test_a_folder_in_use_is_refused(tmp_path):
+    storage = open_storage(tmp_path)
+    storage.load()
+    with pytest.raises(FolderInUse):
+        load(tmp_path)
+    storage.close()
+
+
+def test_after_a_failed_sync_nothing_more_is_taken(filled, monkeypatch):
+    storage = open_storage(filled)
+    storage.load()
+    with monkeypatch.context() as patch:
+        patch.setattr("os.fsync", lambda _: (_ for _ in ()).throw(OSError("no")))
+        with pytest.raises(WriteFailed):
+            storage.persist(PersistBatch(entries=[entry(31)]))
+    with pytest.raises(WriteFailed):
+        storage.persist(PersistBatch(entries=[entry(31)]))
+    storage.close()
+
+
+@pytest.mark.parametrize("stop_at", range(6))
+def test_a_crash_during_creation_leaves_a_usable_folder(tmp_path, monkeypatch, stop_at):
+    calls = []
+
+    def sync(descriptor):
+        calls.append(descriptor)
+        if len(calls) > stop_at:
+            raise OSError("crash")
+
+    storage = open_storage(tmp_path / "data")
+    with monkeypatch.context() as patch:
+        patch.setattr("os.fsync", sync)
+        with pytest.raises(OSError, match="crash"):
+            storage.load()
+    storage.close()
+    assert load(tmp_path / "data").hard_state == HardState()
