Configuration, rendering and the replicated state machine; strict decoding

Cause: an accepted change must be rendered, free of conflicts and the same on every replica, and a resent change must get its first outcome.

Ruled out: checking the length by encoding again (twice the work). The decoder's stream position tells.

--- /dev/null
+++ b/src/jasperwalk/control/state/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state machine of control: commands in, outcomes and a routing table out."""
--- /dev/null
+++ b/src/jasperwalk/control/state/change_register.py
@@ -0,0 +1,111 @@
+"""First outcomes by change ID, so that a resent change is not made twice."""
+
+from __future__ import annotations
+
+import hashlib
+
+import msgspec
+
+from jasperwalk.control.state.canonical import canonical_bytes
+from jasperwalk.control.state.commands import OperatorCommand
+from jasperwalk.control.state.outcomes import (
+    Outcome,
+    OutcomeImage,
+    outcome_from_image,
+    outcome_to_image,
+)
+
+DEFAULT_CHANGE_LIMIT = 4_096
+"""Outcomes remembered; the oldest is forgotten first."""
+
+LONGEST_CHANGE_ID = 128
+"""Characters of a change ID."""
+
+FINGERPRINT_LENGTH = 16
+"""Bytes of the hash that tells a resend from another change under the same ID."""
+
+
+class ChangeRecord(msgspec.Struct, frozen=True):
+    """The first outcome of a change, and the log index at which it was decided."""
+
+    change_id: str
+    fingerprint: bytes
+    index: int
+    outcome: Outcome
+
+
+class ChangeImage(msgspec.Struct, frozen=True, array_like=True):
+    """Serialised form of a change record."""
+
+    change_id: str
+    fingerprint: bytes
+    index: int
+    outcome: OutcomeImage
+
+
+class ChangeRegisterImage(msgspec.Struct, frozen=True, array_like=True):
+    """Serialised form of the register, oldest change first."""
+
+    limit: int
+    changes: list[ChangeImage]
+
+
+def fingerprint_of(command: OperatorCommand) -> bytes:
+    """Hash what the command asks for.
+
+    The expected revision is left out: an operator who reads again before a resend still
+    resends the same change.
+    """
+    fields = msgspec.structs.asdict(command)
+    fields.pop("expected_revision", None)
+    content = canonical_bytes([type(command).__name__, fields])
+    return hashlib.sha256(content).digest()[:FINGERPRINT_LENGTH]
+
+
+class ChangeRegister:
+    """Change records in the order of their first decision, bounded by count."""
+
+    def __init__(self, limit: int = DEFAULT_CHANGE_LIMIT) -> None:
+        self._limit = limit
+        self._records: dict[str, ChangeRecord] = {}
+
+    def __len__(self) -> int:
+        """Return the number of remembered changes."""
+        return len(self._records)
+
+    def find(self, change_id: str) -> ChangeRecord | None:
+        """Return the record of a change ID, None where it is unknown or forgotten."""
+        return self._records.get(change_id)
+
+    def remember(self, record: ChangeRecord) -> None:
+        """Remember a first outcome, forgetting the oldest beyond the limit."""
+        self._records[record.change_id] = record
+        while len(self._records) > self._limit:
+            del self._records[next(iter(self._records))]
+
+    def image(self) -> ChangeRegisterImage:
+        """Return the serialised form."""
+        changes = [
+            ChangeImage(
+                change_id=record.change_id,
+                fingerprint=record.fingerprint,
+                index=record.index,
+                outcome=outcome_to_image(record.outcome),
+            )
+            for record in self._records.values()
+        ]
+        return ChangeRegisterImage(limit=self._limit, changes=changes)
+
+    @classmethod
+    def from_image(cls, image: ChangeRegisterImage) -> ChangeRegister:
+        """Rebuild a register; raise `msgspec.ValidationError` for an unknown outcome."""
+        register = cls(limit=image.limit)
+        for change in image.changes:
+            record = ChangeRecord(
+                change_id=change.change_id,
+                fingerprint=change.fingerprint,
+                index=change.index,
+                outcome=outcome_from_image(change.outcome),
+            )
+            register.remember(record)
+        return register
--- /dev/null
+++ b/src/jasperwalk/control/state/commands.py
@@ -0,0 +1,160 @@
+"""Commands of the replicated log: every change of control's state is one of these.
+
+`change_id` names an operator's change; a resend of the same change ID is answered with the
+first outcome. `expected_revision` is the last-changed revision of the named template or
+tenant: None for "whatever it is", 0 for "it does not exist yet".
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.config.table import AdminState, KeyPurpose, OperatingStatus
+from jasperwalk.errors import MalformedMessage
+from jasperwalk.messages import codec
+
+
+class ApplyTemplate(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Create or replace a template from TOML `text`; its tenants are rendered again.
+
+    `name`, where it is not empty, must be the name that the text gives.
+    """
+
+    change_id: str
+    expected_revision: int | None
+    text: str
+    name: str = ""
+
+
+class SetTenant(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Create or replace a tenant: a template's name and the values of its parameters."""
+
+    change_id: str
+    expected_revision: int | None
+    name: str
+    template: str
+    values: dict[str, Any]
+
+
+class RemoveTenant(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Remove a tenant with all its services and members."""
+
+    change_id: str
+    expected_revision: int | None
+    name: str
+
+
+class SetHostState(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """An operator's wish for a host: `host` is a host name or an agent's `IPV4:PORT`."""
+
+    change_id: str
+    host: str
+    admin_state: AdminState
+
+
+class RegisterAgent(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """An agent's start: `boot_id` is drawn once per process start."""
+
+    address: Endpoint
+    boot_id: str
+    name: str
+    zone: str
+
+
+class MemberStatus(msgspec.Struct, frozen=True, array_like=True):
+    """What was seen of one incarnation of the agent at `address`."""
+
+    address: Endpoint
+    incarnation: int
+    operating_status: OperatingStatus
+
+
+class SetMemberStatus(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Statuses seen by the leader; those of superseded incarnations are ignored."""
+
+    statuses: list[MemberStatus]
+
+
+class PlatformState(msgspec.Struct, frozen=True, array_like=True):
+    """The platform's wish for `host`, a host name or an agent's `IPV4:PORT`."""
+
+    host: str
+    admin_state: AdminState
+
+
+class SetPlatformStates(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Changes of the platform's list of leaving machines; hosts not named keep theirs."""
+
+    states: list[PlatformState]
+
+
+class InstallKey(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Install a fleet key; an active one makes the others of its purpose inactive."""
+
+    purpose: KeyPurpose
+    rotation: int
+    secret: bytes
+    active: bool
+
+
+OperatorCommand = ApplyTemplate | SetTenant | RemoveTenant | SetHostState
+"""Commands with a change ID."""
+
+SystemCommand = RegisterAgent | SetMemberStatus | SetPlatformStates | InstallKey
+"""Commands that control itself proposes; each is idempotent by its content."""
+
+Command = OperatorCommand | SystemCommand
+
+_DECODER: codec.Decoder[Command] = codec.Decoder(Command)
+
+
+HIGHEST_VALUE = 2**63 - 1
+"""Integers beyond this are not taken into the log."""
+
+DEEPEST_VALUE = 8
+"""Levels of lists and tables within a tenant's values."""
+
+
+def encode_command(command: Command) -> bytes:
+    """Encode a command for the log; raise `MalformedMessage` where a value cannot be."""
+    _check_plain(command)
+    try:
+        return codec.encode(command)
+    except (TypeError, ValueError, RecursionError) as error:
+        raise MalformedMessage(reason=f"not encodable: {error}") from error
+
+
+def decode_command(data: bytes) -> Command:
+    """Decode a command of the log; raise `MalformedMessage` for anything else."""
+    command = _DECODER.decode(data)
+    _check_plain(command)
+    return command
+
+
+def _check_plain(command: Command) -> None:
+    """Raise `MalformedMessage` for values that another replica could not print or encode."""
+    if isinstance(command, SetTenant) and not _is_plain(command.values, DEEPEST_VALUE):
+        reason = (
+            "values may hold strings, 64-bit integers, numbers, booleans, and lists and tables "
+            f"of them up to {DEEPEST_VALUE} levels deep"
+        )
+        raise MalformedMessage(reason=reason)
+
+
+def _is_plain(value: Any, depth: int) -> bool:
+    """Tell whether a value is what JSON or TOML without dates can say, and not too deep."""
+    if value is None or isinstance(value, str | float):
+        return True
+    if isinstance(value, int):
+        return -HIGHEST_VALUE <= value <= HIGHEST_VALUE
+    if depth == 0:
+        return False
+    if isinstance(value, list):
+        return all(_is_plain(item, depth - 1) for item in value)
+    if isinstance(value, dict):
+        keys_are_text = all(isinstance(key, str) for key in value)
+        return keys_are_text and all(_is_plain(item, depth - 1) for item in value.values())
+    return False
--- /dev/null
+++ b/src/jasperwalk/control/state/machine.py
@@ -0,0 +1,306 @@
+"""The state machine of control: applies the log's commands, deterministically.
+
+Every replica that applies the same commands at the same indices holds the same state and
+serialises it into the same bytes: no clock, no randomness, no order of hashing is used.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.config.routing_table import DEFAULT_TOMBSTONE_LIMIT, VersionedTable
+from jasperwalk.config.table import MemberEntry
+from jasperwalk.control.state.change_register import (
+    DEFAULT_CHANGE_LIMIT,
+    LONGEST_CHANGE_ID,
+    ChangeRecord,
+    ChangeRegister,
+    fingerprint_of,
+)
+from jasperwalk.control.state.commands import (
+    ApplyTemplate,
+    Command,
+    InstallKey,
+    OperatorCommand,
+    RegisterAgent,
+    RemoveTenant,
+    SetHostState,
+    SetMemberStatus,
+    SetPlatformStates,
+    SetTenant,
+    decode_command,
+)
+from jasperwalk.control.state.configuration import (
+    Configuration,
+    Plan,
+    StoredTemplate,
+    StoredTenant,
+)
+from jasperwalk.control.state.fleet_keys import install_key
+from jasperwalk.control.state.host_states import HIGHEST_HOST_COUNT, HostStates
+from jasperwalk.control.state.incarnations import AgentRecord, Incarnations
+from jasperwalk.control.state.installer import Installer
+from jasperwalk.control.state.outcomes import (
+    Accepted,
+    ChangeIdReused,
+    InvalidIdentifier,
+    LimitReached,
+    MalformedCommand,
+    Outcome,
+    Registered,
+    ServiceIdsExhausted,
+    UnknownHost,
+)
+from jasperwalk.control.state.service_ids import ServiceIds
+from jasperwalk.control.state.state_image import (
+    StateImage,
+    configuration_from_image,
+    decode_state,
+    encode_state,
+    template_images,
+    tenant_images,
+)
+from jasperwalk.errors import JasperwalkError, MalformedMessage
+
+
+@dataclass(eq=False)
+class CommandOutOfOrder(JasperwalkError):
+    """A command's index is not above the last applied one; a fault of the host."""
+
+    kind: ClassVar[str] = "command-out-of-order"
+    index: int
+    last_index: int
+
+    def describe(self) -> str:
+        """Name both indices."""
+        return f"command of index {self.index} after index {self.last_index}"
+
+
+class ControlState:
+    """Configuration, agents and routing table as the log has them so far."""
+
+    def __init__(
+        self,
+        change_limit: int = DEFAULT_CHANGE_LIMIT,
+        tombstone_limit: int = DEFAULT_TOMBSTONE_LIMIT,
+    ) -> None:
+        self.last_index = 0
+        self._configuration = Configuration()
+        self._changes = ChangeRegister(limit=change_limit)
+        self._incarnations = Incarnations()
+        self._host_states = HostStates()
+        self._installer = Installer(
+            VersionedTable(tombstone_limit=tombstone_limit),
+            ServiceIds(),
+            self._incarnations,
+            self._host_states,
+        )
+
+    @property
+    def table(self) -> VersionedTable:
+        """The routing table that is published."""
+        return self._installer.table
+
+    @property
+    def revision(self) -> int:
+        """The log index of the last command that altered the table."""
+        return self.table.revision
+
+    def apply(self, index: int, command: Command) -> Outcome:
+        """Apply one command; raise `CommandOutOfOrder` for an index already applied."""
+        if index <= self.last_index:
+            raise CommandOutOfOrder(index=index, last_index=self.last_index)
+        self.last_index = index
+        match command:
+            case ApplyTemplate() | SetTenant() | RemoveTenant() | SetHostState():
+                return self._apply_once(index, command)
+            case RegisterAgent():
+                return self._register_agent(index, command)
+            case SetMemberStatus():
+                return self._set_member_status(index, command)
+            case SetPlatformStates():
+                return self._set_platform_states(index, command)
+            case InstallKey():
+                refusal = install_key(self.table, command, index)
+                return self._accepted() if refusal is None else refusal
+
+    def apply_encoded(self, index: int, data: bytes) -> Outcome:
+        """Apply a command as the log holds it; bytes that are none change nothing."""
+        try:
+            command = decode_command(data)
+        except MalformedMessage as error:
+            self.last_index = max(self.last_index, index)
+            return MalformedCommand(reason=error.reason)
+        return self.apply(index, command)
+
+    def templates(self) -> list[StoredTemplate]:
+        """Return all templates, ordered by name."""
+        stored = self._configuration.templates
+        return [stored[name] for name in sorted(stored)]
+
+    def template(self, name: str) -> StoredTemplate | None:
+        """Return one template."""
+        return self._configuration.templates.get(name)
+
+    def tenants(self) -> list[StoredTenant]:
+        """Return all tenants, ordered by name."""
+        stored = self._configuration.tenants
+        return [stored[name] for name in sorted(stored)]
+
+    def tenant(self, name: str) -> StoredTenant | None:
+        """Return one tenant."""
+        return self._configuration.tenants.get(name)
+
+    def members(self) -> list[MemberEntry]:
+        """Return all members, ordered by address."""
+        return sorted(self.table.members(), key=lambda member: member.address)
+
+    def agents(self) -> list[AgentRecord]:
+        """Return all registered agents, also those that are no member, ordered by address."""
+        return self._incarnations.records()
+
+    def agent(self, address: Endpoint) -> AgentRecord | None:
+        """Return what is known of the agent at an address."""
+        return self._incarnations.find(address)
+
+    def operator_draining(self) -> list[str]:
+        """Return the hosts that operators drain."""
+        return self._host_states.operator_draining()
+
+    def platform_draining(self) -> list[str]:
+        """Return the hosts that the platform's list says are leaving."""
+        return self._host_states.platform_draining()
+
+    def outcome_of(self, change_id: str) -> Outcome | None:
+        """Return the first outcome of a change, None where it is unknown or forgotten."""
+        record = self._changes.find(change_id)
+        return None if record is None else record.outcome
+
+    def serialise(self) -> bytes:
+        """Encode the whole state; equal states give equal bytes."""
+        image = StateImage(
+            last_index=self.last_index,
+            table=self.table.image(),
+            templates=template_images(self._configuration),
+            tenants=tenant_images(self._configuration),
+            service_ids=self._installer.service_ids.image(),
+            agents=self._incarnations.records(),
+            host_states=self._host_states.image(),
+            changes=self._changes.image(),
+        )
+        return encode_state(image)
+
+    @classmethod
+    def restore(cls, data: bytes) -> ControlState:
+        """Rebuild a state from its bytes; raise `MalformedState` for anything else."""
+        image = decode_state(data)
+        state = cls()
+        state.last_index = image.last_index
+        state._configuration = configuration_from_image(image)
+        state._changes = ChangeRegister.from_image(image.changes)
+        state._incarnations.restore(image.agents)
+        state._host_states = HostStates.from_image(image.host_states)
+        state._installer = Installer(
+            VersionedTable.from_image(image.table),
+            ServiceIds.from_image(image.service_ids),
+            state._incarnations,
+            state._host_states,
+        )
+        return state
+
+    def _apply_once(self, index: int, command: OperatorCommand) -> Outcome:
+        """Apply an operator's change, or repeat the first outcome of its change ID."""
+        if not 1 <= len(command.change_id) <= LONGEST_CHANGE_ID:
+            mend = f"use 1 to {LONGEST_CHANGE_ID} characters"
+            return InvalidIdentifier(subject="change ID", text=command.change_id[:80], mend=mend)
+        fingerprint = fingerprint_of(command)
+        known = self._changes.find(command.change_id)
+        if known is not None:
+            if known.fingerprint != fingerprint:
+                return ChangeIdReused(change_id=command.change_id)
+            return known.outcome
+        outcome = self._apply_operator_command(index, command)
+        self._changes.remember(
+            ChangeRecord(
+                change_id=command.change_id, fingerprint=fingerprint, index=index, outcome=outcome
+            )
+        )
+        return outcome
+
+    def _apply_operator_command(self, index: int, command: OperatorCommand) -> Outcome:
+        claims = self._installer.claims
+        match command:
+            case ApplyTemplate():
+                plan = self._configuration.plan_template(command, index, claims)
+                return self._carry_out(plan, index, subject_revision=index)
+            case SetTenant():
+                plan = self._configuration.plan_tenant(command, index, claims)
+                return self._carry_out(plan, index, subject_revision=index)
+            case RemoveTenant():
+                plan = self._configuration.plan_removal(command)
+                outcome = self._carry_out(plan, index, subject_revision=0)
+                if outcome.accepted:
+                    del self._configuration.tenants[command.name]
+                return outcome
+            case SetHostState():
+                return self._set_host_state(index, command)
+
+    def _carry_out(self, plan: Plan | Outcome, index: int, subject_revision: int) -> Outcome:
+        """Store and install a plan; pass a refusal on."""
+        if not isinstance(plan, Plan):
+            return plan
+        if not self._installer.has_room_for(plan.renderings):
+            return ServiceIdsExhausted()
+        self._configuration.store(plan)
+        self._installer.install(plan.renderings, index)
+        return self._accepted(subject_revision=subject_revision)
+
+    def _set_host_state(self, index: int, command: SetHostState) -> Outcome:
+        if not self._is_known_host(command.host):
+            return UnknownHost(host=command.host[:80])
+        if not self._host_states.set_by_operator(command.host, command.admin_state):
+            return LimitReached(subject="draining hosts", limit=HIGHEST_HOST_COUNT)
+        self._refresh_hosts({command.host}, index)
+        return self._accepted()
+
+    def _set_platform_states(self, index: int, command: SetPlatformStates) -> Outcome:
+        has_room = True
+        for state in command.states:
+            stored = self._host_states.set_by_platform(state.host, state.admin_state)
+            has_room = has_room and stored
+        self._refresh_hosts({state.host for state in command.states}, index)
+        if not has_room:
+            return LimitReached(subject="leaving hosts", limit=HIGHEST_HOST_COUNT)
+        return self._accepted()
+
+    def _register_agent(self, index: int, command: RegisterAgent) -> Outcome:
+        record = self._incarnations.register(command)
+        if not isinstance(record, AgentRecord):
+            return record
+        self._installer.refresh_member(command.address, index)
+        return Registered(
+            address=str(record.address), incarnation=record.incarnation, revision=self.revision
+        )
+
+    def _set_member_status(self, index: int, command: SetMemberStatus) -> Outcome:
+        for status in command.statuses:
+            if self._incarnations.set_status(status):
+                self._installer.refresh_member(status.address, index)
+        return self._accepted()
+
+    def _refresh_hosts(self, hosts: set[str], index: int) -> None:
+        """Bring the members on the named hosts in step with their admin state."""
+        for member in self.members():
+            if member.host in hosts or str(member.address) in hosts:
+                self._installer.refresh_member(member.address, index)
+
+    def _is_known_host(self, host: str) -> bool:
+        """Tell whether a host name or address is a member's, an agent's, or drained now."""
+        if host in self.operator_draining() or self._incarnations.has_host(host):
+            return True
+        return any(host in (member.host, str(member.address)) for member in self.table.members())
+
+    def _accepted(self, subject_revision: int = 0) -> Accepted:
+        return Accepted(revision=self.revision, subject_revision=subject_revision)
--- a/src/jasperwalk/messages/codec.py
+++ b/src/jasperwalk/messages/codec.py
@@ -8,7 +8,8 @@
 
 from __future__ import annotations
 
-from typing import Generic, TypeVar
+import io
+from typing import Any, Generic, TypeVar
 
 import cbor2
 import msgspec
@@ -26,6 +27,26 @@
     return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
 
 
+def decode_whole(data: bytes) -> Any:
+    """Decode exactly one CBOR item; raise `MalformedMessage` for less, or for more after it."""
+    stream = io.BytesIO(data)
+    decoder = cbor2.CBORDecoder(stream, allow_indefinite=False, allow_duplicate_keys=False)
+    try:
+        value = decoder.decode()
+    except (
+        cbor2.CBORDecodeError,
+        ArithmeticError,
+        MemoryError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise MalformedMessage(reason=f"not CBOR: {error}") from error
+    if stream.tell() != len(data):
+        raise MalformedMessage(reason=f"{len(data) - stream.tell()} bytes after the end")
+    return value
+
+
 class Decoder(Generic[MessageType]):
     """Decodes the bytes of one family of messages (a union of tagged structs)."""
 
@@ -34,11 +55,8 @@
 
     def decode(self, data: bytes) -> MessageType:
         """Decode one message; raise `MalformedMessage` for anything that does not fit."""
+        value = decode_whole(data)
         try:
-            value = cbor2.loads(data)
-        except (cbor2.CBORDecodeError, ValueError, RecursionError, MemoryError) as error:
-            raise MalformedMessage(reason=f"not CBOR: {error}") from error
-        try:
-            return msgspec.convert(value, self._family, strict=True)  # type: ignore[call-overload, no-any-return]
+            return msgspec.convert(value, self._family, strict=True)  # type: ignore[no-any-return]
         except (msgspec.ValidationError, ValueError, TypeError) as error:
             raise MalformedMessage(reason=str(error)) from error
