--- /dev/null
+++ b/src/jasperwalk_lab/backend.py
@@ -0,0 +1,237 @@
+"""Stand-in of a service's back end: an HTTP/1.1 server with slots, as tenants run them.
+
+Paths: `GET /lookup?q=`, `GET /stream?seconds=&interval_ms=`, `POST /submit`,
+`GET /download?bytes=`, `GET /health`, `GET /load`; for the lab `GET /lab/journal`,
+`PUT /lab/drain` and `PUT /lab/faults`. A stream holds a slot only until its head is sent:
+a host has a few slots, but thousands of open streams. A connection closed by the agent
+cancels the work. `jasperwalk-deadline-ms` bounds waiting and running, of a stream the time
+until its head.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import math
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import msgspec
+import structlog
+from aiohttp import web
+from pydantic import BaseModel, ConfigDict
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk_lab import answers
+from jasperwalk_lab.backend_core import BackendState, ReportFaults
+from jasperwalk_lab.journal import Journal, JournalRecord, RunOutcome
+from jasperwalk_lab.serving import install_stop_event, json_response, read_body, start_http
+
+LARGEST_DOWNLOAD_BYTES = 64 * 1024 * 1024
+LARGEST_BODY_BYTES = 16 * 1024 * 1024
+MILLISECONDS = 1000.0
+RECORD = web.RequestKey("record", JournalRecord)
+DEADLINE = web.RequestKey("deadline", asyncio.Timeout)
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class BackendSettings(BaseModel):
+    """Settings of one back end; times in the unit of their names."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    service: str
+    host: str
+    listen: str
+    slots: int
+    service_time_ms: float = 10.0
+    queue_length: int = 0
+    cold_seconds: float = 0.0
+    cold_factor: float = 4.0
+
+
+class DrainBody(msgspec.Struct, frozen=True):
+    """Body of `PUT /lab/drain`."""
+
+    draining: bool
+
+
+class Backend:
+    """One back end: its state, its journal and its HTTP handlers."""
+
+    def __init__(self, settings: BackendSettings, now: float) -> None:
+        self.settings = settings
+        self.journal = Journal(settings.service, settings.host)
+        self.state = BackendState(
+            slots=settings.slots,
+            queue_length=settings.queue_length,
+            cold_seconds=settings.cold_seconds,
+            cold_factor=settings.cold_factor,
+            started=now,
+        )
+        self.state.note(now)
+        self._slots = asyncio.Semaphore(settings.slots)
+
+    def application(self) -> web.Application:
+        """Build the HTTP application."""
+        application = web.Application(client_max_size=LARGEST_BODY_BYTES)
+        application.router.add_get("/lookup", self._guarded(self._lookup))
+        application.router.add_get("/stream", self._guarded(self._stream))
+        application.router.add_get("/download", self._guarded(self._download))
+        application.router.add_post("/submit", self._guarded(self._submit))
+        application.router.add_get("/health", self._report)
+        application.router.add_get("/load", self._report)
+        application.router.add_get("/lab/journal", self._journal)
+        application.router.add_put("/lab/drain", self._drain)
+        application.router.add_put("/lab/faults", self._faults)
+        return application
+
+    def _guarded(self, handler: Handler) -> Handler:
+        """Shed, journal and bound by its deadline whatever `handler` does."""
+
+        async def guarded(request: web.Request) -> web.StreamResponse:
+            request_id = request.headers.get(answers.REQUEST_HEADER, "")
+            if self.state.sheds():
+                self.journal.arrived(request_id, request.path, RunOutcome.SHED)
+                return self._refusal(request_id)
+            # Until it holds a slot the request has not run.
+            record = self.journal.arrived(request_id, request.path, RunOutcome.SHED)
+            return await self._within_deadline(handler, request, record)
+
+        return guarded
+
+    async def _within_deadline(
+        self, handler: Handler, request: web.Request, record: JournalRecord
+    ) -> web.StreamResponse:
+        request[RECORD] = record
+        try:
+            async with asyncio.timeout(_deadline_seconds(request)) as deadline:
+                request[DEADLINE] = deadline
+                response = await handler(request)
+        except TimeoutError:
+            if not record.ran:
+                return self._refusal(record.request_id)
+            record.outcome = RunOutcome.EXPIRED
+            return web.Response(status=504, headers=self._headers(record.request_id))
+        except (asyncio.CancelledError, ConnectionError):
+            if record.ran:
+                record.outcome = RunOutcome.CANCELLED
+            raise
+        record.outcome = RunOutcome.COMPLETED
+        return response
+
+    @contextlib.asynccontextmanager
+    async def _slot(self, request: web.Request) -> AsyncIterator[None]:
+        """Wait for a slot, hold it, and journal that the request runs."""
+        self.state.waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self.state.waiting -= 1
+        self.state.busy += 1
+        self.state.note(_now())
+        request[RECORD].outcome = RunOutcome.RUNNING
+        try:
+            yield
+        finally:
+            self._slots.release()
+            self.state.busy -= 1
+            self.state.note(_now())
+
+    async def _work(self) -> None:
+        service_time = self.settings.service_time_ms / MILLISECONDS
+        await asyncio.sleep(service_time * self.state.slowness(_now()))
+
+    async def _lookup(self, request: web.Request) -> web.Response:
+        async with self._slot(request):
+            await self._work()
+        request_id = request[RECORD].request_id
+        body = answers.lookup_body(self.settings.service, request_id, request.query.get("q", ""))
+        return web.Response(body=body, headers=self._headers(request_id))
+
+    async def _submit(self, request: web.Request) -> web.Response:
+        submitted = await request.read()
+        async with self._slot(request):
+            await self._work()
+        request_id = request[RECORD].request_id
+        body = answers.submission_body(self.settings.service, request_id, submitted)
+        return web.Response(body=body, headers=self._headers(request_id))
+
+    async def _download(self, request: web.Request) -> web.Response:
+        length = _number(request, "bytes", 100_000, LARGEST_DOWNLOAD_BYTES)
+        async with self._slot(request):
+            await self._work()
+        request_id = request[RECORD].request_id
+        body = answers.download_body(self.settings.service, request_id, int(length))
+        return web.Response(body=body, headers=self._headers(request_id))
+
+    async def _stream(self, request: web.Request) -> web.StreamResponse:
+        seconds = _number(request, "seconds", 1.0, math.inf)
+        interval_ms = _number(request, "interval_ms", 100.0, math.inf)
+        request_id = request[RECORD].request_id
+        response = web.StreamResponse(headers=self._headers(request_id))
+        async with self._slot(request):
+            await self._work()
+            await response.prepare(request)
+        request[DEADLINE].reschedule(None)
+        for number in range(answers.stream_chunks(seconds, interval_ms)):
+            await response.write(answers.stream_chunk(self.settings.service, request_id, number))
+            await asyncio.sleep(interval_ms / MILLISECONDS)
+        await response.write_eof()
+        return response
+
+    async def _report(self, _request: web.Request) -> web.Response:
+        return json_response(self.state.report(_now()))
+
+    async def _journal(self, _request: web.Request) -> web.Response:
+        return json_response(self.journal.answer())
+
+    async def _drain(self, request: web.Request) -> web.Response:
+        self.state.draining = (await read_body(request, DrainBody)).draining
+        self.state.note(_now())
+        return web.Response(status=204)
+
+    async def _faults(self, request: web.Request) -> web.Response:
+        self.state.faults = await read_body(request, ReportFaults)
+        return web.Response(status=204)
+
+    def _headers(self, request_id: str) -> dict[str, str]:
+        return {
+            answers.REQUEST_HEADER: request_id,
+            answers.SERVICE_HEADER: self.settings.service,
+            answers.HOST_HEADER: self.settings.host,
+        }
+
+    def _refusal(self, request_id: str) -> web.Response:
+        headers = {**self._headers(request_id), answers.NOT_RUN_HEADER: "1", "retry-after": "1"}
+        return web.Response(status=503, headers=headers)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _deadline_seconds(request: web.Request) -> float | None:
+    text = request.headers.get(answers.DEADLINE_HEADER, "")
+    return int(text) / MILLISECONDS if text.isdecimal() else None
+
+
+def _number(request: web.Request, name: str, default: float, highest: float) -> float:
+    text = request.query.get(name)
+    try:
+        number = default if text is None else float(text)
+    except ValueError as error:
+        raise web.HTTPBadRequest(text=f"{name} is not a number") from error
+    if not 0 < number <= highest:
+        raise web.HTTPBadRequest(text=f"{name} is out of range")
+    return number
+
+
+async def run_backend(settings: BackendSettings) -> None:
+    """Run one back end until SIGTERM or SIGINT."""
+    stop = install_stop_event()
+    backend = Backend(settings, _now())
+    runner = await start_http(backend.application(), Endpoint.parse(settings.listen))
+    log = structlog.get_logger()
+    log.info("backend_ready", service=settings.service, host=settings.host, listen=settings.listen)
+    await stop.wait()
+    await runner.cleanup()
--- /dev/null
+++ b/src/jasperwalk_lab/cli.py
@@ -0,0 +1,43 @@
+"""The command line of the lab: one module a command under `jasperwalk_lab.commands`."""
+
+from __future__ import annotations
+
+import sys
+
+import click
+
+from jasperwalk.errors import JasperwalkError
+from jasperwalk_lab.commands.demo import demo
+from jasperwalk_lab.commands.fleet import fleet
+from jasperwalk_lab.commands.scale import scale, scale_hollow, scale_slopes
+from jasperwalk_lab.commands.stand_in import stand_in
+from jasperwalk_lab.serving import configure_lab_logging
+
+EXIT_FAILED = 1
+
+
+@click.group()
+def lab() -> None:
+    """Run fleets of jasperwalk on this machine, with stand-ins for all that surrounds it."""
+    configure_lab_logging()
+
+
+lab.add_command(demo)
+lab.add_command(fleet)
+lab.add_command(scale)
+lab.add_command(scale_hollow)
+lab.add_command(scale_slopes)
+lab.add_command(stand_in)
+
+
+def main() -> None:
+    """Run the command line; a typed failure gives one line and exit status 1."""
+    try:
+        lab()
+    except JasperwalkError as error:
+        click.echo(f"jasperwalk-lab: {error.kind}: {error.describe()}", err=True)
+        sys.exit(EXIT_FAILED)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/jasperwalk_lab/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of `jasperwalk-lab`, one module each."""
--- /dev/null
+++ b/src/jasperwalk_lab/fabric.py
@@ -0,0 +1,192 @@
+"""Stand-in of the platform's fabric: sprays callers' datagrams over the balancers.
+
+One UDP socket a listener (VIP and port). Each datagram of a caller goes to a balancer chosen
+at random, behind a PROXY protocol v2 header (source caller, destination VIP). Agents send
+answers to the return end point behind a header with source VIP and destination caller; the
+fabric sends them on from the VIP's socket. Balancers are probed on their `/healthz` page.
+
+One-way delays: a balancer's `delay_ms` holds the way from the caller to it plus the way
+between zones that follows; `return_delay_ms` the way of an answer to the caller.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+import socket
+from dataclasses import dataclass
+
+import aiohttp
+import structlog
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk_lab.errors import MalformedProxyHeader
+from jasperwalk_lab.fabric_core import DelayLine, FabricBalancer, FabricCounters, Sprayer
+from jasperwalk_lab.proxy_protocol import HEADER_LENGTH, decode_header, encode_header
+
+BATCH = 64
+"""Datagrams read from one socket before the event loop serves the others."""
+LARGEST_DATAGRAM = 65_535
+SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
+TIMER_RESOLUTION_SECONDS = 0.001
+PROBE_INTERVAL_SECONDS = 0.25
+PROBE_TIMEOUT_SECONDS = 1.0
+
+log = structlog.get_logger()
+
+
+@dataclass(frozen=True)
+class FabricSockets:
+    """End points that a running fabric listens on."""
+
+    listeners: list[Endpoint]
+    return_endpoint: Endpoint
+
+
+class Fabric:
+    """The running fabric: sockets, delay line and probes around a `Sprayer`."""
+
+    def __init__(self, generator: random.Random, return_delay: float) -> None:
+        self.sprayer = Sprayer(generator)
+        self.counters = FabricCounters()
+        self.return_delay = return_delay
+        self._line = DelayLine()
+        self._timer: asyncio.Handle | None = None
+        self._armed_for = math.inf
+        self._sockets: list[socket.socket] = []
+        self._channels: dict[Endpoint, int] = {}
+        self._headers: dict[tuple[int, tuple[str, int]], bytes] = {}
+
+    def start(self, listeners: list[Endpoint], return_endpoint: Endpoint) -> FabricSockets:
+        """Bind all sockets and begin to read them."""
+        loop = asyncio.get_running_loop()
+        bound = [self._open(listener) for listener in listeners]
+        for channel, listener in enumerate(bound):
+            self._channels[listener] = channel
+            loop.add_reader(self._sockets[channel], self._read_callers, channel, listener)
+        bound_return = self._open(return_endpoint)
+        loop.add_reader(self._sockets[-1], self._read_answers, self._sockets[-1])
+        return FabricSockets(listeners=bound, return_endpoint=bound_return)
+
+    def stop(self) -> None:
+        """Close all sockets."""
+        for opened in self._sockets:
+            asyncio.get_running_loop().remove_reader(opened)
+            opened.close()
+        if self._timer is not None:
+            self._timer.cancel()
+
+    async def probe_forever(self) -> None:
+        """Probe every balancer's health page until cancelled."""
+        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_SECONDS)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                probes = [self._probe(session, balancer) for balancer in self.sprayer.all()]
+                await asyncio.gather(*probes)
+                await asyncio.sleep(PROBE_INTERVAL_SECONDS)
+
+    async def _probe(self, session: aiohttp.ClientSession, balancer: FabricBalancer) -> None:
+        was_in_use = balancer.in_use
+        try:
+            async with session.get(f"http://{balancer.admin}/healthz") as response:
+                healthy = response.status == 200  # noqa: PLR2004 - HTTP 200 OK
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            healthy = False
+        self.sprayer.probed(balancer.name, healthy)
+        if balancer.in_use != was_in_use:
+            log.info("balancer_health", balancer=balancer.name, in_use=balancer.in_use)
+
+    def _open(self, endpoint: Endpoint) -> Endpoint:
+        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        opened.setblocking(False)
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+        opened.bind((endpoint.host, endpoint.port))
+        self._sockets.append(opened)
+        host, port = opened.getsockname()
+        return Endpoint(host=host, port=port)
+
+    def _read_callers(self, channel: int, listener: Endpoint) -> None:
+        opened = self._sockets[channel]
+        for _ in range(BATCH):
+            try:
+                payload, caller = opened.recvfrom(LARGEST_DATAGRAM)
+            except (BlockingIOError, ConnectionError):
+                return
+            self._spray(channel, listener, caller, payload)
+
+    def _spray(
+        self, channel: int, listener: Endpoint, caller: tuple[str, int], payload: bytes
+    ) -> None:
+        balancer = self.sprayer.choose()
+        if balancer is None:
+            self.counters.dropped_without_balancer += 1
+            return
+        if balancer.cut:
+            self.counters.dropped_by_cut += 1
+            return
+        header = self._headers.get((channel, caller))
+        if header is None:
+            header = encode_header(Endpoint(host=caller[0], port=caller[1]), listener)
+            self._headers[(channel, caller)] = header
+        self.counters.sprayed += 1
+        balancer.sent += 1
+        # The return socket sends, so that a balancer's ICMP errors do not reach callers' reads.
+        self._send_after(
+            balancer.delay, len(self._sockets) - 1, balancer.endpoint, header + payload
+        )
+
+    def _read_answers(self, opened: socket.socket) -> None:
+        for _ in range(BATCH):
+            try:
+                datagram = opened.recv(LARGEST_DATAGRAM)
+            except (BlockingIOError, ConnectionError):
+                return
+            self._return(datagram)
+
+    def _return(self, datagram: bytes) -> None:
+        try:
+            vip, caller = decode_header(datagram)
+        except MalformedProxyHeader:
+            self.counters.malformed += 1
+            return
+        channel = self._channels.get(vip)
+        if channel is None:
+            self.counters.malformed += 1
+            return
+        self.counters.answered += 1
+        self._send_after(self.return_delay, channel, caller, datagram[HEADER_LENGTH:])
+
+    def _send_after(
+        self, delay: float, channel: int, destination: Endpoint, payload: bytes
+    ) -> None:
+        if delay <= 0:
+            self._send(channel, destination, payload)
+            return
+        self._line.put(asyncio.get_running_loop().time() + delay, channel, destination, payload)
+        self._arm()
+
+    def _arm(self) -> None:
+        due = self._line.next_due()
+        if due is None or due >= self._armed_for:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._armed_for = due
+        self._timer = asyncio.get_running_loop().call_at(due, self._flush)
+
+    def _flush(self) -> None:
+        self._timer = None
+        self._armed_for = math.inf
+        # uvloop's timers have a resolution of 1 ms: take what is due within half of it.
+        latest = asyncio.get_running_loop().time() + TIMER_RESOLUTION_SECONDS / 2
+        for datagram in self._line.take_due(latest):
+            self._send(datagram.channel, datagram.destination, datagram.payload)
+        self._arm()
+
+    def _send(self, channel: int, destination: Endpoint, payload: bytes) -> None:
+        try:
+            self._sockets[channel].sendto(payload, (destination.host, destination.port))
+        except OSError:  # a full buffer or a closed port loses the datagram, as a network does
+            return
--- /dev/null
+++ b/src/jasperwalk_lab/fabric_core.py
@@ -0,0 +1,133 @@
+"""Decisions of the fabric stand-in, without sockets: spraying, health, delays, cuts."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass, field
+
+from jasperwalk.addresses import Endpoint
+
+FAILURES_TO_REMOVE = 2
+"""Failed probes in a row after which a balancer gets no more datagrams."""
+
+
+@dataclass
+class FabricBalancer:
+    """One balancer that the fabric knows.
+
+    `delay` is the one-way delay to it in seconds, `sent` counts the datagrams sent to it.
+    """
+
+    name: str
+    endpoint: Endpoint
+    admin: Endpoint
+    delay: float
+    failures: int = FAILURES_TO_REMOVE
+    cut: bool = False
+    sent: int = 0
+
+    @property
+    def in_use(self) -> bool:
+        """Tell whether the last probes found the balancer healthy."""
+        return self.failures < FAILURES_TO_REMOVE
+
+
+@dataclass
+class FabricCounters:
+    """What the fabric did since it started, in datagrams."""
+
+    sprayed: int = 0
+    answered: int = 0
+    dropped_without_balancer: int = 0
+    dropped_by_cut: int = 0
+    malformed: int = 0
+
+
+class Sprayer:
+    """Sprays datagrams uniformly at random over the balancers that probes found healthy.
+
+    A new balancer counts as unhealthy until its first probe succeeds. A cut balancer still
+    gets its share, which is lost: the fabric does not see the cut, its probes do not either.
+    """
+
+    def __init__(self, generator: random.Random) -> None:
+        self._random = generator
+        self._balancers: dict[str, FabricBalancer] = {}
+        self._in_use: list[FabricBalancer] = []
+
+    def add(self, balancer: FabricBalancer) -> None:
+        """Add a balancer, or replace the one of the same name."""
+        self._balancers[balancer.name] = balancer
+        self._refresh()
+
+    def remove(self, name: str) -> bool:
+        """Forget a balancer; tell whether it was known."""
+        known = self._balancers.pop(name, None) is not None
+        self._refresh()
+        return known
+
+    def get(self, name: str) -> FabricBalancer | None:
+        """Return the balancer called `name`."""
+        return self._balancers.get(name)
+
+    def all(self) -> list[FabricBalancer]:
+        """Return every known balancer."""
+        return list(self._balancers.values())
+
+    def in_use(self) -> list[FabricBalancer]:
+        """Return the balancers that get datagrams now."""
+        return list(self._in_use)
+
+    def probed(self, name: str, healthy: bool) -> None:
+        """Take the result of one probe of the balancer's health page."""
+        balancer = self._balancers.get(name)
+        if balancer is None:
+            return
+        balancer.failures = 0 if healthy else balancer.failures + 1
+        self._refresh()
+
+    def choose(self) -> FabricBalancer | None:
+        """Choose a balancer for one datagram; None when none is healthy."""
+        if not self._in_use:
+            return None
+        return self._in_use[int(self._random.random() * len(self._in_use))]
+
+    def _refresh(self) -> None:
+        self._in_use = [b for b in self._balancers.values() if b.in_use]
+
+
+@dataclass(order=True)
+class DelayedDatagram:
+    """A datagram on its way: due at `due` seconds, `sequence` keeps equal ones in order."""
+
+    due: float
+    sequence: int
+    channel: int = field(compare=False)
+    destination: Endpoint = field(compare=False)
+    payload: bytes = field(compare=False)
+
+
+class DelayLine:
+    """Datagrams that wait for their one-way delay, by the time they are due."""
+
+    def __init__(self) -> None:
+        self._waiting: list[DelayedDatagram] = []
+        self._sequence = 0
+
+    def put(self, due: float, channel: int, destination: Endpoint, payload: bytes) -> None:
+        """Add a datagram that socket `channel` sends to `destination` at `due`."""
+        self._sequence += 1
+        datagram = DelayedDatagram(due, self._sequence, channel, destination, payload)
+        heapq.heappush(self._waiting, datagram)
+
+    def take_due(self, now: float) -> list[DelayedDatagram]:
+        """Remove and return what is due at `now`, in order."""
+        due: list[DelayedDatagram] = []
+        while self._waiting and self._waiting[0].due <= now:
+            due.append(heapq.heappop(self._waiting))
+        return due
+
+    def next_due(self) -> float | None:
+        """Return when the next datagram is due; None when none waits."""
+        return self._waiting[0].due if self._waiting else None
--- /dev/null
+++ b/src/jasperwalk_lab/fleet_settings.py
@@ -0,0 +1,154 @@
+"""Writes the settings files of a fleet and plans the processes that read them."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Any
+
+import tomli_w
+
+from jasperwalk_lab.certificates import CertificateFiles
+from jasperwalk_lab.layout import BalancerPlace, ControlPlace, Layout, MemberPlace
+from jasperwalk_lab.supervisor import ProcessPlan, health_url
+
+CLUSTER_ID = "lab"
+COMMANDS_FOLDER = Path(sys.executable).parent
+PLATFORM_LIST = "platform-list"
+FABRIC = "fabric"
+
+
+class FleetPlanner:
+    """Plans processes; each settings file goes to `run_folder/settings/<name>.toml`."""
+
+    def __init__(
+        self, layout: Layout, run_folder: Path, certificates: CertificateFiles, seed: int
+    ) -> None:
+        self._layout = layout
+        self._run_folder = run_folder
+        self._certificates = certificates
+        self._seed = seed
+        self._settings_folder = run_folder / "settings"
+        self._settings_folder.mkdir(parents=True, exist_ok=True)
+
+    def control(self, place: ControlPlace) -> ProcessPlan:
+        """Plan a control replica."""
+        peers = [
+            {"replica_id": each.replica_id, "address": str(each.peer)}
+            for each in self._layout.controls
+        ]
+        settings: dict[str, Any] = {
+            "name": place.name,
+            "replica_id": place.replica_id,
+            "cluster_id": CLUSTER_ID,
+            "zone": place.zone,
+            "data_folder": str(self._run_folder / "data" / place.name),
+            "peer_listen": str(place.peer),
+            "api_listen": str(place.api),
+            "platform_list_url": health_url(self._layout.platform_list, "/machines"),
+            "peers": peers,
+        }
+        return self._product("control", place.name, settings, health_url(place.api))
+
+    def balancer(self, place: BalancerPlace) -> ProcessPlan:
+        """Plan a balancer."""
+        settings: dict[str, Any] = {
+            "name": place.name,
+            "cluster_id": CLUSTER_ID,
+            "zone": place.zone,
+            "listen": str(place.listen),
+            "admin_listen": str(place.admin),
+            "control": self._control_endpoints(),
+        }
+        return self._product("balancer", place.name, settings, health_url(place.admin))
+
+    def agent(self, place: MemberPlace) -> ProcessPlan:
+        """Plan an agent."""
+        settings: dict[str, Any] = {
+            "name": place.host,
+            "cluster_id": CLUSTER_ID,
+            "zone": place.zone,
+            "listen": str(place.listen),
+            "admin_listen": str(place.admin),
+            "control": self._control_endpoints(),
+            "backend": str(place.backend),
+            "fabric": str(self._layout.fabric_return),
+            "certificate_file": str(self._certificates.certificate_file),
+            "private_key_file": str(self._certificates.private_key_file),
+        }
+        return self._product("agent", agent_name(place), settings, health_url(place.admin))
+
+    def backend(self, place: MemberPlace) -> ProcessPlan:
+        """Plan the back end beside an agent."""
+        settings: dict[str, Any] = {
+            "service": place.service,
+            "host": place.host,
+            "listen": str(place.backend),
+            "slots": place.slots,
+        }
+        ready_url = health_url(place.backend, "/health")
+        return self._stand_in("backend", backend_name(place), settings, ready_url)
+
+    def platform_list(self) -> ProcessPlan:
+        """Plan the platform list."""
+        settings: dict[str, Any] = {
+            "listen": str(self._layout.platform_list),
+            "machines": [
+                {"host": each.host, "address": str(each.listen), "zone": each.zone}
+                for each in self._layout.members
+            ],
+        }
+        ready_url = health_url(self._layout.platform_list, "/machines")
+        return self._stand_in(PLATFORM_LIST, PLATFORM_LIST, settings, ready_url)
+
+    def fabric(self) -> ProcessPlan:
+        """Plan the fabric, which sprays over the balancers that start with the fleet."""
+        settings: dict[str, Any] = {
+            "listeners": [str(each.listener) for each in self._layout.example.services()],
+            "return_listen": str(self._layout.fabric_return),
+            "admin_listen": str(self._layout.fabric_admin),
+            "return_delay_ms": self._layout.example.delays.to_clients_ms,
+            "seed": self._seed,
+            "balancers": [
+                {
+                    "name": each.name,
+                    "address": str(each.listen),
+                    "admin": str(each.admin),
+                    "delay_ms": each.delay_ms,
+                }
+                for each in self._layout.balancers
+            ],
+        }
+        return self._stand_in(FABRIC, FABRIC, settings, health_url(self._layout.fabric_admin))
+
+    def _control_endpoints(self) -> list[str]:
+        return [str(each.peer) for each in self._layout.controls]
+
+    def _product(
+        self, kind: str, name: str, settings: dict[str, Any], ready_url: str
+    ) -> ProcessPlan:
+        program = str(COMMANDS_FOLDER / "jasperwalk")
+        command = (program, kind, "--settings", self._write(name, settings))
+        return ProcessPlan(name=name, command=command, health_url=ready_url)
+
+    def _stand_in(
+        self, kind: str, name: str, settings: dict[str, Any], ready_url: str
+    ) -> ProcessPlan:
+        program = str(COMMANDS_FOLDER / "jasperwalk-lab")
+        command = (program, "stand-in", kind, "--settings", self._write(name, settings))
+        return ProcessPlan(name=name, command=command, health_url=ready_url)
+
+    def _write(self, name: str, settings: dict[str, Any]) -> str:
+        path = self._settings_folder / f"{name}.toml"
+        path.write_text(tomli_w.dumps(settings), encoding="utf-8")
+        return str(path)
+
+
+def agent_name(place: MemberPlace) -> str:
+    """Return the process name of a member's agent."""
+    return f"agent-{place.host}"
+
+
+def backend_name(place: MemberPlace) -> str:
+    """Return the process name of a member's back end."""
+    return f"backend-{place.host}"
--- /dev/null
+++ b/src/jasperwalk_lab/http3_client.py
@@ -0,0 +1,102 @@
+"""HTTP/3 requests over one connection of the stock aioquic client."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from aioquic.asyncio.protocol import QuicConnectionProtocol, QuicStreamHandler
+from aioquic.h3.connection import ErrorCode, H3Connection
+from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
+from aioquic.quic.connection import QuicConnection
+from aioquic.quic.events import ConnectionTerminated, QuicEvent, StreamReset
+
+from jasperwalk_lab.operations import BreakReason
+
+LOWEST_FINAL_STATUS = 200
+"""Statuses below are interim (1xx)."""
+
+
+@dataclass
+class Exchange:
+    """One request on its stream; `ended` gets None when the answer is whole."""
+
+    ended: asyncio.Future[BreakReason | None]
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytearray = field(default_factory=bytearray)
+
+
+class CallerProtocol(QuicConnectionProtocol):
+    """HTTP/3 over one QUIC connection of the stock client."""
+
+    def __init__(
+        self, quic: QuicConnection, stream_handler: QuicStreamHandler | None = None
+    ) -> None:
+        super().__init__(quic, stream_handler)
+        self._http = H3Connection(self._quic)
+        self._exchanges: dict[int, Exchange] = {}
+        self.terminated = False
+
+    def quic_event_received(self, event: QuicEvent) -> None:
+        """Take one event of the QUIC connection."""
+        if isinstance(event, ConnectionTerminated):
+            self.terminated = True
+            for exchange in self._exchanges.values():
+                _end(exchange, BreakReason.CONNECTION_ENDED)
+        elif isinstance(event, StreamReset) and event.stream_id in self._exchanges:
+            _end(self._exchanges[event.stream_id], BreakReason.STREAM_RESET)
+        for http_event in self._http.handle_event(event):
+            self._http_event_received(http_event)
+
+    def _http_event_received(self, event: H3Event) -> None:
+        if not isinstance(event, HeadersReceived | DataReceived):
+            return
+        exchange = self._exchanges.get(event.stream_id)
+        if exchange is None:
+            return
+        if isinstance(event, DataReceived):
+            exchange.body += event.data
+        else:
+            _take_headers(exchange, event)
+        if event.stream_ended:
+            _end(exchange, None)
+
+    async def exchange(
+        self, headers: list[tuple[bytes, bytes]], body: bytes, timeout: float
+    ) -> tuple[Exchange, BreakReason | None]:
+        """Send a request; return what came and why it broke, None for a whole answer."""
+        exchange = Exchange(ended=asyncio.get_running_loop().create_future())
+        if self.terminated:
+            return exchange, BreakReason.CONNECTION_ENDED
+        stream_id = self._quic.get_next_available_stream_id()
+        self._exchanges[stream_id] = exchange
+        self._http.send_headers(stream_id, headers, end_stream=not body)
+        if body:
+            self._http.send_data(stream_id, body, end_stream=True)
+        self.transmit()
+        try:
+            async with asyncio.timeout(timeout):
+                return exchange, await exchange.ended
+        except TimeoutError:
+            self._cancel(stream_id)
+            return exchange, BreakReason.TIMED_OUT
+        finally:
+            del self._exchanges[stream_id]
+
+    def _cancel(self, stream_id: int) -> None:
+        self._quic.stop_stream(stream_id, ErrorCode.H3_REQUEST_CANCELLED)
+        self.transmit()
+
+
+def _take_headers(exchange: Exchange, event: HeadersReceived) -> None:
+    headers = {name.decode(): value.decode() for name, value in event.headers}
+    status = int(headers.get(":status", "0"))
+    if status >= LOWEST_FINAL_STATUS:  # neither interim answers nor trailers
+        exchange.status = status
+        exchange.headers = headers
+
+
+def _end(exchange: Exchange, reason: BreakReason | None) -> None:
+    if not exchange.ended.done():
+        exchange.ended.set_result(reason)
--- /dev/null
+++ b/src/jasperwalk_lab/ports.py
@@ -0,0 +1,61 @@
+"""Free loopback ports, chosen by the operating system and held until processes take them."""
+
+from __future__ import annotations
+
+import socket
+from types import TracebackType
+from typing import Self
+
+from jasperwalk.addresses import Endpoint
+
+ATTEMPTS = 50
+"""Tries to find a port that is free for both TCP and UDP."""
+
+
+class PortReservations:
+    """Holds ports open so that no two reservations are alike; leaving the context frees them.
+
+    Every process of a fleet gets a loopback address of its own, so that a port freed here is
+    not taken by an outgoing connection, which leaves from 127.0.0.1.
+    """
+
+    def __init__(self) -> None:
+        self._held: list[socket.socket] = []
+
+    def __enter__(self) -> Self:
+        """Begin to hold ports."""
+        return self
+
+    def __exit__(
+        self,
+        _kind: type[BaseException] | None,
+        _error: BaseException | None,
+        _traceback: TracebackType | None,
+    ) -> None:
+        """Free every port."""
+        self.release()
+
+    def release(self) -> None:
+        """Free every port, for the processes that are about to bind them."""
+        for held in self._held:
+            held.close()
+        self._held.clear()
+
+    def reserve(self, host: str) -> Endpoint:
+        """Reserve a port of `host` that is free for TCP and for UDP."""
+        for _ in range(ATTEMPTS - 1):
+            try:
+                return self._try_reserve(host)
+            except OSError:  # the UDP port of the same number is taken
+                continue
+        return self._try_reserve(host)
+
+    def _try_reserve(self, host: str) -> Endpoint:
+        stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._held.append(stream)
+        stream.bind((host, 0))
+        port = stream.getsockname()[1]
+        datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._held.append(datagram)
+        datagram.bind((host, port))
+        return Endpoint(host=host, port=port)
--- /dev/null
+++ b/src/jasperwalk_lab/supervisor.py
@@ -0,0 +1,122 @@
+"""Starts the processes of a fleet, watches their health pages and stops them by process ID."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+from dataclasses import dataclass
+from pathlib import Path
+
+import aiohttp
+import structlog
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk_lab.errors import FleetNotReady
+
+STOP_TIMEOUT_SECONDS = 5.0
+"""From SIGTERM to SIGKILL."""
+HEALTH_POLL_SECONDS = 0.1
+HEALTH_TIMEOUT_SECONDS = 2.0
+HTTP_OK = 200
+
+log = structlog.get_logger()
+
+
+@dataclass(frozen=True)
+class ProcessPlan:
+    """One process: its name, command line, and the URL that answers 200 when it is ready."""
+
+    name: str
+    command: tuple[str, ...]
+    health_url: str | None
+
+
+def health_url(admin: Endpoint, path: str = "/healthz") -> str:
+    """Return the URL of a health page."""
+    return f"http://{admin}{path}"
+
+
+class Supervisor:
+    """Runs processes and writes what they print to `<name>.log` in `log_folder`."""
+
+    def __init__(self, log_folder: Path) -> None:
+        self._log_folder = log_folder
+        self._plans: dict[str, ProcessPlan] = {}
+        self._processes: dict[str, asyncio.subprocess.Process] = {}
+
+    async def start(self, plan: ProcessPlan) -> None:
+        """Start a process; a restart appends to its log."""
+        with self._log(plan.name).open("ab") as output:
+            process = await asyncio.create_subprocess_exec(
+                *plan.command,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+        self._plans[plan.name] = plan
+        self._processes[plan.name] = process
+
+    async def start_all(self, plans: list[ProcessPlan]) -> None:
+        """Start many processes at once."""
+        await asyncio.gather(*(self.start(plan) for plan in plans))
+
+    async def wait_ready(self, names: list[str], timeout: float) -> None:
+        """Wait until every named process is healthy; raise `FleetNotReady`."""
+        request_timeout = aiohttp.ClientTimeout(total=HEALTH_TIMEOUT_SECONDS)
+        deadline = asyncio.get_running_loop().time() + timeout
+        async with aiohttp.ClientSession(timeout=request_timeout) as session:
+            await asyncio.gather(*(self._wait_one(session, name, deadline) for name in names))
+
+    async def _wait_one(self, session: aiohttp.ClientSession, name: str, deadline: float) -> None:
+        url = self._plans[name].health_url
+        seen = "no answer"
+        while url is not None:
+            if self._processes[name].returncode is not None:
+                code = self._processes[name].returncode
+                raise FleetNotReady(name, f"ended with status {code}", self._log(name))
+            try:
+                async with session.get(url) as response:
+                    seen = f"status {response.status}: {(await response.text())[:200]}"
+                    if response.status == HTTP_OK:
+                        return
+            except (aiohttp.ClientError, TimeoutError) as error:
+                seen = type(error).__name__
+            if asyncio.get_running_loop().time() > deadline:
+                raise FleetNotReady(name, f"not healthy in time ({seen})", self._log(name))
+            await asyncio.sleep(HEALTH_POLL_SECONDS)
+
+    async def kill(self, name: str) -> None:
+        """End a process at once with SIGKILL, as a lost machine would."""
+        process = self._processes.pop(name)
+        _signal(process, signal.SIGKILL)
+        await process.wait()
+        log.info("process_killed", process=name)
+
+    async def stop(self, name: str) -> int:
+        """Stop a process with SIGTERM, after five seconds with SIGKILL; return its status."""
+        process = self._processes.pop(name)
+        _signal(process, signal.SIGTERM)
+        try:
+            return await asyncio.wait_for(process.wait(), STOP_TIMEOUT_SECONDS)
+        except TimeoutError:
+            log.warning("process_did_not_stop", process=name)
+            _signal(process, signal.SIGKILL)
+            return await process.wait()
+
+    async def stop_all(self) -> None:
+        """Stop every process that still runs."""
+        await asyncio.gather(*(self.stop(name) for name in list(self._processes)))
+
+    def ended_early(self) -> list[str]:
+        """Return the names of processes that ended by themselves."""
+        ended = self._processes.items()
+        return [name for name, process in ended if process.returncode is not None]
+
+    def _log(self, name: str) -> Path:
+        return self._log_folder / f"{name}.log"
+
+
+def _signal(process: asyncio.subprocess.Process, number: signal.Signals) -> None:
+    with contextlib.suppress(ProcessLookupError):  # it ended in this very moment
+        process.send_signal(number)
--- /dev/null
+++ b/tests/lab/test_fabric.py
@@ -0,0 +1,152 @@
+"""The fabric stand-in: header bytes, spraying, delays, health, and datagrams over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from collections import Counter
+
+import pytest
+import uvloop
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk_lab.errors import MalformedProxyHeader
+from jasperwalk_lab.fabric import Fabric
+from jasperwalk_lab.fabric_core import DelayLine, FabricBalancer, Sprayer
+from jasperwalk_lab.proxy_protocol import HEADER_LENGTH, decode_header, encode_header
+
+SEED = 20_261
+BURST = 20
+ANY_PORT = Endpoint(host="127.0.0.1", port=0)
+CALLER = Endpoint(host="127.0.0.9", port=40_000)
+VIP = Endpoint(host="127.0.0.1", port=443)
+
+
+def balancer(name, endpoint=ANY_PORT, healthy=True):
+    made = FabricBalancer(name=name, endpoint=endpoint, admin=ANY_PORT, delay=0.0)
+    if healthy:
+        made.failures = 0
+    return made
+
+
+def sprayer(*balancers):
+    print("seed", SEED)
+    made = Sprayer(random.Random(SEED))
+    for each in balancers:
+        made.add(each)
+    return made
+
+
+def test_header_has_the_bytes_of_the_standard():
+    header = encode_header(CALLER, VIP)
+    expected = "0d0a0d0a000d0a515549540a2112000c7f0000097f0000019c4001bb"
+    assert header.hex() == expected
+    assert decode_header(header + b"payload") == (CALLER, VIP)
+
+
+@pytest.mark.parametrize(
+    "datagram",
+    [b"", b"x" * 40, encode_header(CALLER, VIP)[:-1], b"\r" + encode_header(CALLER, VIP)],
+    ids=["empty", "no-signature", "short", "shifted"],
+)
+def test_malformed_headers_are_refused(datagram):
+    with pytest.raises(MalformedProxyHeader):
+        decode_header(datagram)
+
+
+def test_spraying_is_even_over_healthy_balancers_only():
+    spray = sprayer(balancer("a"), balancer("b"), balancer("c", healthy=False))
+    chosen = Counter(spray.choose().name for _ in range(2000))
+    assert chosen.keys() == {"a", "b"}
+    assert min(chosen.values()) > 900
+
+
+def test_two_failed_probes_remove_a_balancer_and_one_good_brings_it_back():
+    spray = sprayer(balancer("a"))
+    spray.probed("a", healthy=False)
+    assert spray.choose() is not None
+    spray.probed("a", healthy=False)
+    assert spray.choose() is None
+    spray.probed("a", healthy=True)
+    assert spray.choose() is not None
+
+
+def test_delay_line_orders_by_due_time_then_by_arrival():
+    line = DelayLine()
+    for due, payload in [(2.0, b"late"), (1.0, b"first"), (1.0, b"second")]:
+        line.put(due, 0, VIP, payload)
+    assert line.next_due() == 1.0
+    assert [datagram.payload for datagram in line.take_due(1.5)] == [b"first", b"second"]
+    assert [datagram.payload for datagram in line.take_due(2.0)] == [b"late"]
+    assert line.next_due() is None
+
+
+@pytest.mark.parametrize(
+    "return_delay", [0.0, 0.0001, 0.002], ids=["at-once", "under-resolution", "delayed"]
+)
+def test_datagrams_go_to_a_balancer_and_answers_come_from_the_vip(return_delay):
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _loop, context: failures.append(context))
+        fabric = Fabric(random.Random(SEED), return_delay)
+        opened = fabric.start([ANY_PORT, ANY_PORT], ANY_PORT)
+        with udp_socket() as behind, udp_socket() as caller:
+            made = balancer("a", Endpoint(*behind.getsockname()))
+            made.delay = return_delay
+            fabric.sprayer.add(made)
+            async with asyncio.timeout(10):
+                for vip in opened.listeners:
+                    for _ in range(BURST):
+                        caller.sendto(b"question", (vip.host, vip.port))
+                    for _ in range(BURST):
+                        datagram, _ = await receive(behind)
+                        source, destination = decode_header(datagram)
+                        assert (source, destination) == (Endpoint(*caller.getsockname()), vip)
+                        assert datagram[HEADER_LENGTH:] == b"question"
+                        answer = encode_header(vip, source) + b"answer"
+                        back = opened.return_endpoint
+                        behind.sendto(answer, (back.host, back.port))
+                    for _ in range(BURST):
+                        assert await receive(caller) == (b"answer", (vip.host, vip.port))
+        fabric.stop()
+        assert (fabric.counters.sprayed, fabric.counters.answered) == (2 * BURST, 2 * BURST)
+
+    failures = []
+    uvloop.run(scenario())
+    assert failures == []
+
+
+def test_lost_and_malformed_datagrams_are_counted():
+    async def scenario():
+        fabric = Fabric(random.Random(SEED), 0.0)
+        opened = fabric.start([ANY_PORT], ANY_PORT)
+        with udp_socket() as sender:
+            vip, back = opened.listeners[0], opened.return_endpoint
+            sender.sendto(b"x", (vip.host, vip.port))
+            sender.sendto(b"no header", (back.host, back.port))
+            unknown_vip = encode_header(VIP, CALLER) + b"x"
+            sender.sendto(unknown_vip, (back.host, back.port))
+            async with asyncio.timeout(10):
+                while fabric.counters.malformed < 2:
+                    await asyncio.sleep(0.005)
+        fabric.stop()
+        assert fabric.counters.dropped_without_balancer == 1
+        assert fabric.counters.answered == 0
+
+    asyncio.run(scenario())
+
+
+def udp_socket():
+    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    opened.bind(("127.0.0.1", 0))
+    opened.setblocking(False)
+    return opened
+
+
+async def receive(opened):
+    while True:
+        try:
+            return opened.recvfrom(2048)
+        except BlockingIOError:
+            await asyncio.sleep(0)
