Routable connection IDs, candidates and the balancer, with their benchmark

Cause: any balancer of any age must forward any packet without flow state, and every balancer of a revision must pick the same hosts for a new flow.

Not measured: a flood of new flows against established ones.

--- /dev/null
+++ b/bench/traffic.py
@@ -0,0 +1,134 @@
+"""Datagrams for the balancer's benchmarks, and the process that sends them on loopback."""
+
+from __future__ import annotations
+
+import enum
+import itertools
+import socket
+from collections.abc import Iterator
+from multiprocessing.synchronize import Event as ProcessEvent
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.balancer.fabric_header import HEADER_PREFIX
+from jasperwalk.config.table import (
+    AdminState,
+    HealthMonitor,
+    KeyEntry,
+    KeyPurpose,
+    MemberEntry,
+    Objective,
+    OperatingStatus,
+    ServiceEntry,
+    ServiceLimits,
+    TableEntry,
+)
+from jasperwalk.routing.connection_ids import NONCE_LENGTH, ConnectionIdCodec, RoutableId
+
+VIP = Endpoint("127.1.0.1", 443)
+CALLER = Endpoint("127.9.9.9", 40_000)
+KEY = KeyEntry(KeyPurpose.CONNECTION_ID, 1, bytes(range(16)), True)
+SERVICE_ID = 77
+INCARNATION = 3
+AGENT_HOSTS = tuple(f"127.0.0.{number}" for number in range(1, 8))
+"""Addresses of the pool's members: seven, as in the services urednik and segment-svc."""
+
+PAYLOAD_BYTES = 1200
+POOL_SIZE = 4096
+"""Datagrams that a generator prepares and repeats."""
+
+ADDRESS_BLOCK = (
+    CALLER.pack()[:4]
+    + VIP.pack()[:4]
+    + CALLER.port.to_bytes(2, "big")
+    + VIP.port.to_bytes(2, "big")
+)
+
+
+class TrafficClass(enum.Enum):
+    """Kinds of datagrams that a generator sends."""
+
+    ESTABLISHED = "established"
+    DISTINCT_FLOWS = "distinct-flows"
+    """Established flows, each datagram of another one."""
+    NEW = "new"
+    REJECTED = "rejected"
+
+
+def table_entries(agent: Endpoint) -> list[TableEntry]:
+    """Return a table with one service; all agents share the port of `agent`'s socket."""
+    limits = ServiceLimits(16, 1000, 30_000, 10_000)
+    monitor = HealthMonitor("/health", 1000, 500, 3)
+    service = ServiceEntry(
+        SERVICE_ID, "urednik", "bench", VIP, Objective.LEAST_IMBALANCE, limits, monitor
+    )
+    members = [_member(Endpoint(host, agent.port)) for host in AGENT_HOSTS]
+    return [service, *members, KEY]
+
+
+def _member(address: Endpoint) -> MemberEntry:
+    return MemberEntry(
+        address=address,
+        service_id=SERVICE_ID,
+        host=address.host,
+        zone="bench",
+        weight=100,
+        slots=4,
+        admin_state=AdminState.ENABLED,
+        operating_status=OperatingStatus.ONLINE,
+        incarnation=INCARNATION,
+    )
+
+
+def established_datagram(codec: ConnectionIdCodec, agent: Endpoint, number: int) -> bytes:
+    """Return a packet of the established flow with this number."""
+    routable = RoutableId(agent, SERVICE_ID, INCARNATION)
+    connection_id = codec.encode(routable, number.to_bytes(NONCE_LENGTH, "big"))
+    packet = b"\x40" + connection_id
+    return HEADER_PREFIX + ADDRESS_BLOCK + packet.ljust(PAYLOAD_BYTES, b"\x55")
+
+
+def new_datagram(number: int) -> bytes:
+    """Return the Initial that opens the flow with this number."""
+    packet = b"\xc0\x00\x00\x00\x01\x08" + number.to_bytes(8, "big")
+    return HEADER_PREFIX + ADDRESS_BLOCK + packet.ljust(PAYLOAD_BYTES, b"\x55")
+
+
+def rejected_datagram(number: int) -> bytes:
+    """Return a packet with a forged connection ID: it decodes into another service."""
+    packet = b"\x40\x30" + number.to_bytes(16, "big")
+    return HEADER_PREFIX + ADDRESS_BLOCK + packet.ljust(PAYLOAD_BYTES, b"\x55")
+
+
+def datagrams(traffic: TrafficClass, agent: Endpoint, first: int) -> Iterator[bytes]:
+    """Yield datagrams of one class without end, of flows numbered from `first` on."""
+    pool = range(first, first + POOL_SIZE)
+    codec = ConnectionIdCodec([KEY])
+    match traffic:
+        case TrafficClass.ESTABLISHED:
+            return itertools.cycle([established_datagram(codec, agent, n) for n in pool])
+        case TrafficClass.DISTINCT_FLOWS:
+            return (established_datagram(codec, agent, number) for number in itertools.count(first))
+        case TrafficClass.NEW:
+            return itertools.cycle([new_datagram(number) for number in pool])
+        case TrafficClass.REJECTED:
+            return itertools.cycle([rejected_datagram(number) for number in pool])
+
+
+def generate(
+    traffic: TrafficClass,
+    agent: Endpoint,
+    target: Endpoint,
+    stop: ProcessEvent,
+    first: int,
+    most: int,
+) -> None:
+    """Send datagrams to `target` until `stop` is set, and at most `most` of them."""
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sender.connect((target.host, target.port))
+    send = sender.send
+    source = datagrams(traffic, agent, first)
+    for _ in range(most // POOL_SIZE):
+        for datagram in itertools.islice(source, POOL_SIZE):
+            send(datagram)
+        if stop.is_set():
+            return
--- /dev/null
+++ b/src/jasperwalk/balancer/core.py
@@ -0,0 +1,309 @@
+"""The balancer's decision for each datagram, without sockets, clocks or per-flow state.
+
+A packet of an established flow names its agent in its connection ID and is forwarded
+without a look at the pool, so that it reaches its agent whatever this balancer knows of
+members. Only a new flow needs candidates. What is kept between datagrams depends on the
+table alone (a route for each listener, prepared pools) or is bounded (a route's agents), so
+memory does not grow with the number of flows.
+
+A balancer's table may be old. It serves new flows only after its follower was fresh once,
+because an empty or ancient table would send them to hosts that left long ago. When control
+is lost later it goes on with its last table: agents check service and incarnation of every
+packet and hand on the flows that they should not take, whereas a balancer that stopped
+would turn the loss of control into the loss of the service.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterable, Sequence
+from ipaddress import IPv4Address, IPv4Network
+from typing import Final, Protocol
+
+from jasperwalk.addresses import PACKED_ENDPOINT_LENGTH, Endpoint
+from jasperwalk.balancer.fabric_header import (
+    ADDRESS_BLOCK_START,
+    HEADER_LENGTH,
+    HEADER_PREFIX,
+)
+from jasperwalk.balancer.forwarding import (
+    ESTABLISHED_HEADS,
+    LARGEST_PAYLOAD,
+    PAYLOAD_HEADS,
+    encode_candidates,
+    encode_prefix,
+)
+from jasperwalk.balancer.limiter import TokenBucket
+from jasperwalk.balancer.outcomes import DatagramCounters, DropReason, Forward, SocketAddress
+from jasperwalk.config.table import KeyEntry, KeyPurpose, MemberEntry, ServiceEntry
+from jasperwalk.routing.candidates import CandidateIndex
+from jasperwalk.routing.connection_ids import (
+    CONNECTION_ID_LENGTH,
+    SERVICE_ID_END,
+    SERVICE_ID_START,
+    ConnectionIdCodec,
+    pack_service_id,
+)
+from jasperwalk.routing.quic_packets import (
+    FIXED_BIT,
+    LONG_HEADER_BIT,
+    SHORTEST_INITIAL_CONNECTION_ID,
+    SMALLEST_INITIAL_DATAGRAM,
+    PacketHeader,
+    PacketKind,
+    classify,
+)
+from jasperwalk.routing.rendezvous import CandidatePair
+
+LARGEST_DATAGRAM: Final = HEADER_LENGTH + LARGEST_PAYLOAD
+"""Largest datagram from the fabric, in bytes."""
+
+NEW_FLOW_BURST_SECONDS: Final = 0.1
+"""New flows that may come at once, as a time at the limit's rate."""
+
+HIGHEST_DESTINATION_COUNT: Final = 65_536
+"""Agents that a route keeps; beyond it the route starts anew."""
+
+VipKey = tuple[int, int]
+"""A listener's host and port as numbers, the cheapest key that a datagram yields."""
+
+unpack_vip: Final = struct.Struct("!20xI2xH").unpack_from
+"""Reads the destination of a PROXY header: host and port."""
+
+unpack_short: Final = struct.Struct("!16s4xI2xHBB16sx").unpack_from
+"""Reads what the short path needs, in one call.
+
+The fields: constant part of the PROXY header, VIP's host and port, first octet of the
+packet, first octet of the connection ID, its encrypted block, and one byte more, without
+which a short header packet is malformed.
+"""
+
+OPENING_KINDS: Final = frozenset((PacketKind.INITIAL, PacketKind.UNKNOWN_VERSION))
+"""Packets that go to a candidate when their connection ID names no agent."""
+
+UNROUTABLE_REASONS: Final = {
+    PacketKind.SHORT: DropReason.UNROUTABLE_SHORT,
+    PacketKind.ZERO_RTT: DropReason.UNROUTABLE_ZERO_RTT,
+    PacketKind.HANDSHAKE: DropReason.UNROUTABLE_HANDSHAKE,
+    PacketKind.MALFORMED: DropReason.MALFORMED_PACKET,
+}
+
+
+class RoutingTable(Protocol):
+    """The part of a follower's table that a balancer reads."""
+
+    revision: int
+
+    def service_at(self, listener: Endpoint) -> ServiceEntry | None:
+        """Return the service whose listener is this VIP and port."""
+        ...
+
+    def members_of(self, service_id: int) -> Iterable[MemberEntry]:
+        """Return the members of a service's pool."""
+        ...
+
+    def keys_for(self, purpose: KeyPurpose) -> Sequence[KeyEntry]:
+        """Return the fleet keys of one purpose."""
+        ...
+
+
+class ServiceRoute:
+    """What forwarding needs of one service at the table's revision.
+
+    `destinations` holds the agents that were met, by the first nine bytes of a server ID
+    (address and service), all of them checked: the service is this one and the address lies
+    in the agents' networks.
+    """
+
+    __slots__ = ("destinations", "packed_service_id", "prefix", "service_id")
+
+    def __init__(self, service_id: int, revision: int) -> None:
+        self.destinations: dict[bytes, SocketAddress] = {}
+        self.service_id = service_id
+        self.packed_service_id = pack_service_id(service_id)
+        self.prefix = encode_prefix(service_id, revision)
+
+
+class BalancerCore:
+    """Decides for each datagram; see the module's docstring."""
+
+    def __init__(
+        self,
+        table: RoutingTable,
+        agent_networks: Sequence[IPv4Network],
+        new_flows_per_second: float,
+        now: float,
+    ) -> None:
+        self.counters = DatagramCounters()
+        self.accepts_new_flows = False
+        self._table = table
+        self._agent_networks = tuple(agent_networks)
+        burst = max(1.0, new_flows_per_second * NEW_FLOW_BURST_SECONDS)
+        self._new_flow_limit = TokenBucket(new_flows_per_second, burst, now)
+        self._candidates = CandidateIndex(table)
+        self._routes: dict[VipKey, ServiceRoute] = {}
+        self._keys: list[KeyEntry] = []
+        self._codec = ConnectionIdCodec(())
+        self._decryptors = self._codec.decryptors
+        self.table_changed(table)
+
+    def table_changed(self, table: RoutingTable) -> None:
+        """Take the table's new state, in time proportional to the listeners in use.
+
+        Raises `UnusableConnectionIdKey`, after which the former keys stay in use.
+        """
+        self._table = table
+        self._routes = {}
+        self._candidates.table_changed(table)
+        keys = list(table.keys_for(KeyPurpose.CONNECTION_ID))
+        if keys != self._keys:
+            self._codec = ConnectionIdCodec(keys)
+            self._decryptors = self._codec.decryptors
+            self._keys = keys
+
+    def follower_was_fresh(self) -> None:
+        """Begin to accept new flows; it holds until the process ends."""
+        self.accepts_new_flows = True
+
+    def handle(self, datagram: bytes, now: float) -> Forward | DropReason:
+        """Decide for one datagram from the fabric; never raises.
+
+        This is the short path, for packets of established flows whose service and agent
+        were met before: each step is one lookup or one call, and whatever fails goes to
+        `_decide`, which gives the same answer at leisure or the reason for a drop.
+        """
+        try:
+            header, vip_host, vip_port, first_octet, rotation_octet, block = unpack_short(datagram)
+            if header == HEADER_PREFIX and FIXED_BIT <= first_octet < LONG_HEADER_BIT:
+                route = self._routes[vip_host, vip_port]
+                server_id = self._decryptors[rotation_octet].update(block)
+                destination = route.destinations[server_id[:SERVICE_ID_END]]
+                parts = (
+                    route.prefix,
+                    datagram[ADDRESS_BLOCK_START:HEADER_LENGTH],
+                    ESTABLISHED_HEADS[len(datagram) - HEADER_LENGTH],
+                    datagram[HEADER_LENGTH:],
+                )
+                self.counters.established += 1
+                return Forward(destination, b"".join(parts))
+        except (struct.error, LookupError):
+            pass
+        return self._decide(datagram, now)
+
+    def _decide(self, datagram: bytes, now: float) -> Forward | DropReason:
+        """Decide for any datagram."""
+        if len(datagram) > LARGEST_DATAGRAM:
+            return self._drop(DropReason.OVERSIZED)
+        if not datagram.startswith(HEADER_PREFIX) or len(datagram) <= HEADER_LENGTH:
+            return self._drop(DropReason.BAD_PROXY_HEADER)
+        route = self._find_route(datagram)
+        if route is None:
+            return self._drop(DropReason.UNKNOWN_LISTENER)
+        return self._decide_packet(datagram, route, now)
+
+    def _decide_packet(
+        self, datagram: bytes, route: ServiceRoute, now: float
+    ) -> Forward | DropReason:
+        header = classify(datagram[HEADER_LENGTH:])
+        if header.kind is PacketKind.SERVER_ONLY:
+            return self._drop(DropReason.SERVER_ONLY_PACKET)
+        server_id = self._decode(header.connection_id)
+        if server_id is not None and _names_service(server_id, route):
+            return self._forward_established(datagram, route, server_id)
+        if header.kind in OPENING_KINDS:
+            # A client may by chance choose a connection ID that decodes: it is a new flow too.
+            return self._open_flow(datagram, route, header, now)
+        if server_id is not None:
+            return self._drop(DropReason.SERVICE_MISMATCH)
+        return self._drop(UNROUTABLE_REASONS[header.kind])
+
+    def _forward_established(
+        self, datagram: bytes, route: ServiceRoute, server_id: bytes
+    ) -> Forward | DropReason:
+        destination = self._resolve(server_id[:PACKED_ENDPOINT_LENGTH])
+        if destination is None:
+            return self._drop(DropReason.BAD_AGENT_ADDRESS)
+        if len(route.destinations) >= HIGHEST_DESTINATION_COUNT:
+            route.destinations.clear()
+        route.destinations[server_id[:SERVICE_ID_END]] = destination
+        self.counters.established += 1
+        return Forward(destination, _encode(datagram, route, ()))
+
+    def _open_flow(
+        self, datagram: bytes, route: ServiceRoute, header: PacketHeader, now: float
+    ) -> Forward | DropReason:
+        refusal = self._refuse_flow(len(datagram) - HEADER_LENGTH, header, now)
+        if refusal is not None:
+            return self._drop(refusal)
+        pair = self._candidates.candidates(route.service_id, header.connection_id)
+        if pair is None:
+            return self._drop(DropReason.NO_MEMBER)
+        destination = self._resolve(pair.first.packed_address)
+        if destination is None:
+            return self._drop(DropReason.BAD_AGENT_ADDRESS)
+        self.counters.new_flows += 1
+        return Forward(destination, _encode(datagram, route, _packed_addresses(pair)))
+
+    def _refuse_flow(
+        self, payload_length: int, header: PacketHeader, now: float
+    ) -> DropReason | None:
+        if payload_length < SMALLEST_INITIAL_DATAGRAM:
+            return DropReason.SMALL_INITIAL
+        is_initial = header.kind is PacketKind.INITIAL
+        if is_initial and len(header.connection_id) < SHORTEST_INITIAL_CONNECTION_ID:
+            return DropReason.SHORT_CONNECTION_ID
+        if not self.accepts_new_flows:
+            return DropReason.NO_FRESH_TABLE
+        if not self._new_flow_limit.take(now):
+            return DropReason.NEW_FLOW_LIMIT
+        return None
+
+    def _decode(self, connection_id: bytes) -> bytes | None:
+        if len(connection_id) != CONNECTION_ID_LENGTH:
+            return None
+        decryptor = self._decryptors.get(connection_id[0])
+        return None if decryptor is None else decryptor.update(connection_id[1:])
+
+    def _find_route(self, datagram: bytes) -> ServiceRoute | None:
+        vip_host, vip_port = unpack_vip(datagram)
+        route = self._routes.get((vip_host, vip_port))
+        if route is not None:
+            return route
+        service = self._table.service_at(Endpoint(str(IPv4Address(vip_host)), vip_port))
+        if service is None:
+            return None
+        route = ServiceRoute(service.service_id, self._table.revision)
+        self._routes[vip_host, vip_port] = route
+        return route
+
+    def _resolve(self, packed_address: bytes) -> SocketAddress | None:
+        """Return an agent's address for the socket; None outside the agents' networks."""
+        address = Endpoint.unpack(packed_address)
+        host = IPv4Address(packed_address[:4])
+        if not address.port or not any(host in network for network in self._agent_networks):
+            return None
+        return (address.host, address.port)
+
+    def _drop(self, reason: DropReason) -> DropReason:
+        self.counters.dropped[reason] += 1
+        return reason
+
+
+def _names_service(server_id: bytes, route: ServiceRoute) -> bool:
+    return server_id[SERVICE_ID_START:SERVICE_ID_END] == route.packed_service_id
+
+
+def _packed_addresses(pair: CandidatePair) -> tuple[bytes, ...]:
+    if pair.second is None:
+        return (pair.first.packed_address,)
+    return (pair.first.packed_address, pair.second.packed_address)
+
+
+def _encode(datagram: bytes, route: ServiceRoute, candidates: tuple[bytes, ...]) -> bytes:
+    return (
+        route.prefix
+        + datagram[ADDRESS_BLOCK_START:HEADER_LENGTH]
+        + encode_candidates(candidates)
+        + PAYLOAD_HEADS[len(datagram) - HEADER_LENGTH]
+        + datagram[HEADER_LENGTH:]
+    )
--- /dev/null
+++ b/src/jasperwalk/balancer/limiter.py
@@ -0,0 +1,27 @@
+"""The limit on new flows."""
+
+from __future__ import annotations
+
+
+class TokenBucket:
+    """Allows `rate_per_second` events a second, and `burst` at once after a quiet time.
+
+    Time is a parameter, in seconds from any origin; it never has to be the wall clock.
+    """
+
+    def __init__(self, rate_per_second: float, burst: float, now: float) -> None:
+        self._rate_per_second = rate_per_second
+        self._burst = burst
+        self._tokens = burst
+        self._updated_at = now
+
+    def take(self, now: float) -> bool:
+        """Take one token; False when there is none."""
+        elapsed = now - self._updated_at
+        if elapsed > 0:
+            self._tokens = min(self._burst, self._tokens + elapsed * self._rate_per_second)
+            self._updated_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
--- /dev/null
+++ b/src/jasperwalk/balancer/outcomes.py
@@ -0,0 +1,49 @@
+"""What a balancer does with a datagram: forward it, or drop it for a counted reason."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class DropReason(enum.StrEnum):
+    """Why a datagram was dropped; the value is the metric's label."""
+
+    OVERSIZED = "oversized"
+    BAD_PROXY_HEADER = "bad-proxy-header"
+    UNKNOWN_LISTENER = "unknown-listener"
+    MALFORMED_PACKET = "malformed-packet"
+    SERVER_ONLY_PACKET = "server-only-packet"
+    UNROUTABLE_SHORT = "unroutable-short"
+    UNROUTABLE_ZERO_RTT = "unroutable-0-rtt"
+    UNROUTABLE_HANDSHAKE = "unroutable-handshake"
+    SERVICE_MISMATCH = "service-mismatch"
+    BAD_AGENT_ADDRESS = "bad-agent-address"
+    SHORT_CONNECTION_ID = "short-connection-id"
+    SMALL_INITIAL = "small-initial"
+    NO_FRESH_TABLE = "no-fresh-table"
+    NEW_FLOW_LIMIT = "new-flow-limit"
+    NO_MEMBER = "no-member"
+
+
+SocketAddress = tuple[str, int]
+"""Host and port in the shape that sockets take."""
+
+
+class Forward(msgspec.Struct, frozen=True, gc=False):
+    """Send `data` to the agent at `destination`."""
+
+    destination: SocketAddress
+    data: bytes
+
+
+class DatagramCounters:
+    """Datagrams by class since the start; plain integers, read by the metrics now and then."""
+
+    __slots__ = ("dropped", "established", "new_flows")
+
+    def __init__(self) -> None:
+        self.established = 0
+        self.new_flows = 0
+        self.dropped = dict.fromkeys(DropReason, 0)
--- /dev/null
+++ b/src/jasperwalk/routing/candidates.py
@@ -0,0 +1,81 @@
+"""The candidates of new flows, prepared once for each service and set of members."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+from jasperwalk.config.table import MemberEntry, accepts_new_work
+from jasperwalk.routing.rendezvous import (
+    CandidatePair,
+    Contender,
+    WeightedMember,
+    choose_pair,
+    prepare,
+)
+
+
+class MemberSource(Protocol):
+    """The part of a routing table that the index reads."""
+
+    def members_of(self, service_id: int) -> Iterable[MemberEntry]:
+        """Return the members of a service's pool, whatever their state."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class PreparedPool:
+    """A service's contenders, with the member entries that they were made from."""
+
+    members: tuple[MemberEntry, ...]
+    contenders: tuple[Contender, ...]
+
+
+class CandidateIndex:
+    """Picks candidates among the members that accept new work.
+
+    Pools are prepared on first use. After `table_changed` each pool is compared with the
+    table once, when it is next asked for, and prepared again only if its members changed.
+    A pool that nobody asked for between two changes is let go, so that removed services
+    leave nothing behind.
+    """
+
+    def __init__(self, source: MemberSource) -> None:
+        self._source = source
+        self._current: dict[int, PreparedPool] = {}
+        self._outdated: dict[int, PreparedPool] = {}
+
+    def table_changed(self, source: MemberSource) -> None:
+        """Take the table's new state."""
+        self._source = source
+        self._outdated = self._current
+        self._current = {}
+
+    def candidates(self, service_id: int, flow_key: bytes) -> CandidatePair | None:
+        """Return the ordered candidates for a flow, None if no member accepts new work."""
+        return choose_pair(self.contenders(service_id), flow_key)
+
+    def contenders(self, service_id: int) -> tuple[Contender, ...]:
+        """Return the prepared members of a service that accept new work."""
+        pool = self._current.get(service_id)
+        if pool is None:
+            pool = self._refresh(service_id)
+        return pool.contenders
+
+    def _refresh(self, service_id: int) -> PreparedPool:
+        members = tuple(self._source.members_of(service_id))
+        pool = self._outdated.pop(service_id, None)
+        if pool is None or pool.members != members:
+            pool = _prepare_pool(members)
+        self._current[service_id] = pool
+        return pool
+
+
+def _prepare_pool(members: tuple[MemberEntry, ...]) -> PreparedPool:
+    eligible = [
+        WeightedMember(address=member.address, weight=float(member.weight))
+        for member in members
+        if accepts_new_work(member)
+    ]
+    return PreparedPool(members=members, contenders=prepare(eligible))
--- /dev/null
+++ b/src/jasperwalk/routing/rendezvous.py
@@ -0,0 +1,85 @@
+"""Weighted rendezvous hashing: an ordered pair of members for a flow key.
+
+Each member gets a score from a hash of the flow key that is its own (the hash is seeded by
+the member's address); the two best scores win. Every balancer with the same members picks
+the same pair, their order in the table does not matter, and a member that leaves moves only
+the flows that had chosen it.
+
+Weights follow the logarithmic method of Schindelhauer and Schomaker ("Weighted distributed
+hash tables", SPAA 2005): with u uniform in (0, 1), the greatest `ln(u) / weight` belongs to
+a member with a probability proportional to its weight.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from xxhash import xxh3_64_intdigest
+
+from jasperwalk.addresses import Endpoint
+
+HASH_SPAN = float(2**64)
+"""Number of values of the 64-bit hash."""
+
+
+@dataclass(frozen=True, slots=True)
+class WeightedMember:
+    """A member that may be chosen: its end point and its weight (over 0)."""
+
+    address: Endpoint
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Contender:
+    """A member prepared for scoring: the seed of its hash and the inverse of its weight."""
+
+    address: Endpoint
+    packed_address: bytes
+    seed: int
+    inverse_weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class CandidatePair:
+    """The members chosen for a flow; `second` is None where the pool has one member."""
+
+    first: Contender
+    second: Contender | None
+
+
+def prepare(members: Iterable[WeightedMember]) -> tuple[Contender, ...]:
+    """Prepare members for `choose_pair`, in an order that does not depend on the input's."""
+    contenders = [_contender(member) for member in members]
+    return tuple(sorted(contenders, key=lambda contender: contender.packed_address))
+
+
+def choose_pair(contenders: Sequence[Contender], flow_key: bytes) -> CandidatePair | None:
+    """Return the two members with the best scores for a flow key, None if there is none."""
+    first: Contender | None = None
+    second: Contender | None = None
+    first_score = second_score = -math.inf
+    for contender in contenders:
+        # The half keeps the logarithm's argument above 0 and a score always finite.
+        uniform = (xxh3_64_intdigest(flow_key, contender.seed) + 0.5) / HASH_SPAN
+        score = math.log(uniform) * contender.inverse_weight
+        if first is None or score > first_score:
+            second, second_score = first, first_score
+            first, first_score = contender, score
+        elif second is None or score > second_score:
+            second, second_score = contender, score
+    if first is None:
+        return None
+    return CandidatePair(first=first, second=second)
+
+
+def _contender(member: WeightedMember) -> Contender:
+    packed = member.address.pack()
+    return Contender(
+        address=member.address,
+        packed_address=packed,
+        seed=xxh3_64_intdigest(packed),
+        inverse_weight=1.0 / member.weight,
+    )
--- /dev/null
+++ b/tests/balancer/test_receiver.py
@@ -0,0 +1,84 @@
+import asyncio
+import socket
+
+import pytest
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.balancer.outcomes import DropReason, Forward
+from jasperwalk.balancer.receiver import RECEIVE_BYTES, DatagramReceiver
+
+LOOPBACK = Endpoint("127.0.0.1", 0)
+
+
+class Handler:
+    """Forwards to one place, drops what is empty, and reports what it saw."""
+
+    def __init__(self, destination, wanted, repeat):
+        self.destination = destination
+        self.wanted = wanted
+        self.repeat = repeat
+        self.seen = []
+        self.complete = asyncio.Event()
+
+    def handle(self, datagram, now):
+        self.seen.append(datagram)
+        if len(self.seen) == self.wanted:
+            self.complete.set()
+        if not datagram:
+            return DropReason.BAD_PROXY_HEADER
+        return Forward(self.destination, datagram * self.repeat)
+
+
+async def exchange(datagrams, destination, repeat=1):
+    receiver = DatagramReceiver(LOOPBACK)
+    handler = Handler(destination, len(datagrams), repeat)
+    receiver.start(handler)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for datagram in datagrams:
+            sender.sendto(datagram, (receiver.endpoint.host, receiver.endpoint.port))
+        await asyncio.wait_for(handler.complete.wait(), timeout=10)
+    receiver.stop()
+    return receiver, handler
+
+
+def test_datagrams_are_handled_in_order_and_forwarded_unless_dropped():
+    datagrams = [b"one", b"", b"two", b"x" * RECEIVE_BYTES]
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as agent:
+        agent.bind(("127.0.0.1", 0))
+        agent.settimeout(10)
+        _, handler = asyncio.run(exchange(datagrams, agent.getsockname()))
+        assert handler.seen == datagrams
+        assert [agent.recv(4096) for _ in range(3)] == [b"one", b"two", b"x" * RECEIVE_BYTES]
+
+
+def test_a_longer_datagram_is_seen_to_be_too_long():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as agent:
+        agent.bind(("127.0.0.1", 0))
+        _, handler = asyncio.run(exchange([b"x" * 5000], agent.getsockname()))
+    assert len(handler.seen[0]) == RECEIVE_BYTES
+
+
+def test_a_failed_send_is_counted_and_stops_nothing():
+    # The kernel refuses a datagram over 65,507 bytes.
+    receiver, handler = asyncio.run(exchange([b"one", b"two"], ("127.0.0.1", 9), repeat=70_000))
+    assert len(handler.seen) == 2
+    assert receiver.send_failures == 2
+
+
+def test_a_refusing_agent_costs_no_exception():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as agent:
+        agent.bind(("127.0.0.1", 0))
+        closed_port = agent.getsockname()
+    receiver, handler = asyncio.run(exchange([b"one", b"two", b"three"], closed_port))
+    assert len(handler.seen) == 3
+    # The refusal of one datagram comes back with the next send.
+    assert receiver.send_failures > 0
+
+
+def test_a_port_in_use_is_refused():
+    first = DatagramReceiver(LOOPBACK)
+    try:
+        with pytest.raises(OSError, match="in use"):
+            DatagramReceiver(first.endpoint)
+    finally:
+        first.close()
