--- /dev/null
+++ b/src/jasperwalk/cli/api_client.py
@@ -0,0 +1,208 @@
+"""Client of control's HTTP API: tries the replicas in turn, bounded in time.
+
+A request goes to the next replica when the connection fails, when no answer comes, and on
+503 or 504. A change carries its change ID, so sending it again is safe: it gets the first
+outcome. A request without change ID that may have arrived is never sent again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.cli.failures import ChangeOutcomeUnknown, ControlUnreachable, OperationRefused
+from jasperwalk.control.problem import Problem
+
+ATTEMPT_SECONDS = 5.0
+"""How long one replica may take to answer, besides a wait that was asked for."""
+
+CONNECT_SECONDS = 2.0
+FIRST_PAUSE_SECONDS = 0.2
+"""Pause after the first round over all replicas; it doubles with each round."""
+
+LONGEST_PAUSE_SECONDS = 2.0
+RETRY_AFTER = "Retry-After"
+
+AnswerType = TypeVar("AnswerType")
+
+
+@dataclass(frozen=True)
+class ApiRequest:
+    """One request; `wait_seconds` is time that the replica is asked to hold it."""
+
+    method: str
+    path: str
+    query: tuple[tuple[str, str], ...] = ()
+    body: bytes | None = None
+    content_type: str = "application/json"
+    change_id: str | None = None
+    expected_revision: int | None = None
+    wait_seconds: float = 0.0
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether it may be sent again after it may have arrived."""
+        return self.method == "GET" or self.change_id is not None
+
+    def headers(self) -> dict[str, str]:
+        """Return the HTTP headers."""
+        headers = {"Accept": "application/json, application/problem+json"}
+        if self.body is not None:
+            headers["Content-Type"] = self.content_type
+        if self.change_id is not None:
+            headers["Idempotency-Key"] = self.change_id
+        if self.expected_revision is not None:
+            headers["If-Match"] = f'"{self.expected_revision}"'
+        return headers
+
+
+@dataclass(frozen=True)
+class Answered:
+    """A replica's definite answer."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True)
+class Failed:
+    """An attempt without a definite answer."""
+
+    reason: str
+    may_have_run: bool
+    retry_after_seconds: float = 0.0
+
+
+class ApiClient:
+    """Talks to the replicas' API end points, in the order given.
+
+    `timeout_seconds` bounds a request over all its attempts, besides its own wait.
+    """
+
+    def __init__(self, endpoints: Sequence[Endpoint], timeout_seconds: float) -> None:
+        self._endpoints = list(endpoints)
+        self._timeout_seconds = timeout_seconds
+
+    async def call(self, request: ApiRequest, answer_type: type[AnswerType]) -> AnswerType:
+        """Send a request and decode its answer.
+
+        Raises `OperationRefused`, `ControlUnreachable` or `ChangeOutcomeUnknown`.
+        """
+        # Connections are not kept: aiohttp would resend by itself on one that has gone stale.
+        connector = aiohttp.TCPConnector(force_close=True)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            answered = await self._send_until_answered(session, request)
+        if answered.status >= HTTPStatus.BAD_REQUEST:
+            raise OperationRefused(problem=_decode_problem(answered))
+        try:
+            return msgspec.json.decode(answered.body, type=answer_type)
+        except msgspec.DecodeError as error:
+            failed = Failed(f"answer not understood: {error}", may_have_run=True)
+            raise _give_up(request, [failed], may_have_run=True) from error
+
+    async def _send_until_answered(
+        self, session: aiohttp.ClientSession, request: ApiRequest
+    ) -> Answered:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + self._timeout_seconds + request.wait_seconds
+        pause_seconds = FIRST_PAUSE_SECONDS
+        may_have_run = False
+        while True:
+            failures: list[Failed] = []
+            for endpoint in self._endpoints:
+                remaining = deadline - loop.time()
+                if failures and remaining <= 0:
+                    break
+                attempt = await _attempt(session, endpoint, request, remaining)
+                if isinstance(attempt, Answered):
+                    return attempt
+                failures.append(attempt)
+                may_have_run = may_have_run or attempt.may_have_run
+                if may_have_run and not request.repeatable:
+                    raise _give_up(request, failures, may_have_run)
+            asked = min(failure.retry_after_seconds for failure in failures)
+            pause = max(asked, pause_seconds)
+            if loop.time() + pause >= deadline:
+                raise _give_up(request, failures, may_have_run)
+            await asyncio.sleep(pause)
+            pause_seconds = min(2 * pause_seconds, LONGEST_PAUSE_SECONDS)
+
+
+async def _attempt(
+    session: aiohttp.ClientSession, endpoint: Endpoint, request: ApiRequest, remaining: float
+) -> Answered | Failed:
+    """Send the request to one replica, within `remaining` seconds."""
+    total = min(ATTEMPT_SECONDS + request.wait_seconds, remaining)
+    timeout = aiohttp.ClientTimeout(total=total, sock_connect=CONNECT_SECONDS)
+    try:
+        async with session.request(
+            request.method,
+            f"http://{endpoint}{request.path}",
+            params=request.query,
+            data=request.body,
+            headers=request.headers(),
+            timeout=timeout,
+            allow_redirects=False,
+        ) as response:
+            body = await response.read()
+            return _classify(endpoint, response, body)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        return Failed(f"{endpoint}: cannot connect ({_reason(error)})", may_have_run=False)
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        return Failed(f"{endpoint}: no answer ({_reason(error)})", may_have_run=True)
+
+
+def _classify(
+    endpoint: Endpoint, response: aiohttp.ClientResponse, body: bytes
+) -> Answered | Failed:
+    """Tell definite answers from those that send the client to another replica."""
+    answered = Answered(status=response.status, body=body)
+    if response.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+        return answered
+    reason = f"{endpoint}: {_decode_problem(answered).detail}"
+    if response.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        retry_after = _parse_seconds(response.headers.get(RETRY_AFTER, "0"))
+        return Failed(reason, may_have_run=False, retry_after_seconds=retry_after)
+    return Failed(reason, may_have_run=True)
+
+
+def _give_up(
+    request: ApiRequest, failures: Sequence[Failed], may_have_run: bool
+) -> ControlUnreachable | ChangeOutcomeUnknown:
+    attempts = tuple(failure.reason for failure in failures)
+    if request.method == "GET" or not may_have_run:
+        return ControlUnreachable(attempts=attempts)
+    return ChangeOutcomeUnknown(change_id=request.change_id, attempts=attempts)
+
+
+def _decode_problem(answered: Answered) -> Problem:
+    try:
+        return msgspec.json.decode(answered.body, type=Problem)
+    except msgspec.DecodeError:
+        detail = f"HTTP status {answered.status} without a problem body"
+        return Problem("about:blank", "", answered.status, "unexpected-answer", detail)
+
+
+def _parse_seconds(text: str) -> float:
+    """Read a Retry-After of seconds; a date or nonsense counts as none."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return 0.0
+    if not math.isfinite(seconds):
+        return 0.0
+    return max(seconds, 0.0)
+
+
+def _reason(error: BaseException) -> str:
+    if isinstance(error, aiohttp.ClientConnectorError):
+        return error.os_error.strerror or str(error.os_error)
+    return str(error) or type(error).__name__
--- /dev/null
+++ b/src/jasperwalk/cli/failures.py
@@ -0,0 +1,104 @@
+"""Failures of operators' commands, each with its exit code."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from jasperwalk.cli.exit_codes import ExitCode
+from jasperwalk.control.in_force import InForce
+from jasperwalk.control.problem import Problem
+from jasperwalk.errors import JasperwalkError
+
+
+@dataclass(eq=False)
+class CommandError(JasperwalkError):
+    """Root of the failures that a command ends with."""
+
+    kind: ClassVar[str] = "command-failed"
+    exit_code: ClassVar[ExitCode] = ExitCode.REFUSED
+
+
+@dataclass(eq=False)
+class OperationRefused(CommandError):
+    """Control answered with a problem: the operation did not take place."""
+
+    kind: ClassVar[str] = "operation-refused"
+    problem: Problem
+
+    def describe(self) -> str:
+        """Give control's own kind and words."""
+        return f"{self.problem.kind}: {self.problem.detail}"
+
+
+@dataclass(eq=False)
+class InvalidInput(CommandError):
+    """A file or value given to a command cannot be used; nothing was sent."""
+
+    kind: ClassVar[str] = "invalid-input"
+    exit_code: ClassVar[ExitCode] = ExitCode.USAGE
+    source: str
+    problem: str
+    mend: str
+
+    def describe(self) -> str:
+        """Name the source, the problem and the mend."""
+        return f"{self.source}: {self.problem}; {self.mend}"
+
+
+@dataclass(eq=False)
+class ControlUnreachable(CommandError):
+    """No replica answered; `attempts` has the last reason of each."""
+
+    kind: ClassVar[str] = "control-unreachable"
+    exit_code: ClassVar[ExitCode] = ExitCode.CONTROL_UNREACHABLE
+    attempts: tuple[str, ...]
+
+    def describe(self) -> str:
+        """List the replicas with the reason of each."""
+        return f"no control replica took the request: {'; '.join(self.attempts)}"
+
+
+@dataclass(eq=False)
+class ChangeOutcomeUnknown(CommandError):
+    """The request may have been carried out, but no answer came."""
+
+    kind: ClassVar[str] = "outcome-unknown"
+    exit_code: ClassVar[ExitCode] = ExitCode.OUTCOME_UNKNOWN
+    change_id: str | None
+    attempts: tuple[str, ...]
+
+    def describe(self) -> str:
+        """Name the mend: a resend, or a look at the state."""
+        mend = "look at the present state before you repeat it"
+        if self.change_id is not None:
+            mend = f"resend it with --change-id {self.change_id}"
+        return f"the outcome is not known ({'; '.join(self.attempts)}); {mend}"
+
+
+@dataclass(eq=False)
+class NotInForce(CommandError):
+    """An accepted change was not in force everywhere when the time was up."""
+
+    kind: ClassVar[str] = "not-in-force"
+    exit_code: ClassVar[ExitCode] = ExitCode.NOT_IN_FORCE
+    change_id: str
+    in_force: InForce
+
+    def describe(self) -> str:
+        """Give the counts and the laggards."""
+        return (
+            f"change {self.change_id} is accepted, but revision {self.in_force.revision} is not "
+            f"in force everywhere yet: {describe_in_force(self.in_force)}"
+        )
+
+
+def describe_in_force(report: InForce) -> str:
+    """Return counts and laggards of a report in one line."""
+    text = (
+        f"{report.in_force} of {report.balancers} balancers, "
+        f"{report.agents_in_force} of {report.agents} agents"
+    )
+    if report.laggards:
+        text += f"; behind: {', '.join(report.laggards)}"
+    return text
--- /dev/null
+++ b/src/jasperwalk/cli/operation.py
@@ -0,0 +1,196 @@
+"""What operators' commands share: flags, the API client, and how failures end a command."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass
+from typing import Any, TypeVar, cast
+
+import click
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.cli.api_client import ApiClient
+from jasperwalk.cli.exit_codes import ExitCode
+from jasperwalk.cli.output import Printer
+from jasperwalk.errors import InvalidAddress, JasperwalkError
+
+API_VARIABLE = "JASPERWALK_API"
+DEFAULT_TIMEOUT_SECONDS = 15.0
+URL_PREFIX = "http://"
+
+Command = TypeVar("Command", bound=Callable[..., object])
+Result = TypeVar("Result")
+
+
+class EndpointType(click.ParamType[Endpoint]):
+    """A flag's value of the shape `IPV4:PORT` or `http://IPV4:PORT`."""
+
+    name = "ipv4:port"
+
+    def convert(
+        self, value: Any, param: click.Parameter | None, ctx: click.Context | None
+    ) -> Endpoint:
+        """Parse the text; a wrong one ends the command with exit code 2."""
+        if isinstance(value, Endpoint):
+            return value
+        text = str(value).strip().removeprefix(URL_PREFIX).rstrip("/")
+        try:
+            return Endpoint.parse(text)
+        except InvalidAddress as error:
+            return self.fail(str(error), param, ctx)
+
+
+class ExampleCommand(click.Command):
+    """A command whose help ends with examples."""
+
+    def __init__(self, *arguments: Any, examples: Sequence[str] = (), **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self.examples = tuple(examples)
+
+    def format_epilog(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
+        """Write the examples, one a line."""
+        if not self.examples:
+            return
+        with formatter.section("Examples"):
+            for example in self.examples:
+                formatter.write(f"{' ' * formatter.current_indent}{example}\n")
+
+
+class OperatorCommand(ExampleCommand):
+    """A command that turns typed failures into one line and an exit code."""
+
+    def invoke(self, ctx: click.Context) -> Any:
+        """Run the command."""
+        printer = Printer(json_output=bool(ctx.params.get("json_output")))
+        try:
+            return super().invoke(ctx)
+        except JasperwalkError as error:
+            exit_code = getattr(error, "exit_code", ExitCode.USAGE)
+            printer.failure(error, exit_code)
+            ctx.exit(exit_code)
+        except KeyboardInterrupt:
+            printer.note("interrupted; a change that was sent may still be accepted")
+            ctx.exit(ExitCode.INTERRUPTED)
+
+
+@dataclass(frozen=True)
+class Operation:
+    """One run of an operator's command: its client and its printer."""
+
+    client: ApiClient
+    printer: Printer
+
+    def run(self, main: Coroutine[Any, Any, Result]) -> Result:
+        """Run the command's coroutine to its end."""
+        return asyncio.run(main)
+
+
+@dataclass(frozen=True)
+class ChangeFlags:
+    """Flags of commands that change something."""
+
+    change_id: str
+    is_resend: bool
+    expected_revision: int | None
+    wait_seconds: float | None
+
+    def announce(self, printer: Printer) -> None:
+        """Print the change ID before anything is sent, so that a resend can name it."""
+        printer.note(f"change ID: {self.change_id}")
+
+
+def api_options(command: Command) -> Command:
+    """Add --api, --timeout and --json; they arrive as one `operation` argument."""
+
+    def run(
+        *arguments: Any,
+        endpoints: tuple[Endpoint, ...],
+        timeout_seconds: float,
+        json_output: bool,
+        **options: Any,
+    ) -> object:
+        operation = Operation(
+            client=ApiClient(endpoints, timeout_seconds), printer=Printer(json_output)
+        )
+        return command(*arguments, operation=operation, **options)
+
+    return _with_options(
+        run,
+        command,
+        click.option(
+            "--api",
+            "endpoints",
+            type=EndpointType(),
+            multiple=True,
+            required=True,
+            envvar=API_VARIABLE,
+            help="API address of a control replica; give it once for each, they are tried in "
+            f"turn. Default: the addresses in ${API_VARIABLE}, with blanks between them.",
+        ),
+        click.option(
+            "--timeout",
+            "timeout_seconds",
+            type=click.FloatRange(min=0.1, max=3600.0),
+            default=DEFAULT_TIMEOUT_SECONDS,
+            show_default=True,
+            help="Seconds to keep trying the replicas.",
+        ),
+        click.option("--json", "json_output", is_flag=True, help="Print one JSON object."),
+    )
+
+
+def change_options(command: Command) -> Command:
+    """Add --change-id and --wait; they arrive as one `flags` argument."""
+
+    def run(
+        *arguments: Any, change_id: str | None, wait_seconds: float | None, **options: Any
+    ) -> object:
+        flags = ChangeFlags(
+            change_id=change_id or uuid.uuid4().hex,
+            is_resend=change_id is not None,
+            expected_revision=options.pop("expected_revision", None),
+            wait_seconds=wait_seconds,
+        )
+        return command(*arguments, flags=flags, **options)
+
+    return _with_options(
+        run,
+        command,
+        click.option(
+            "--change-id",
+            help="Resend an earlier change: it is applied once, and gets its first outcome.",
+        ),
+        click.option(
+            "--wait",
+            "wait_seconds",
+            type=click.FloatRange(min=0.0, max=3600.0),
+            help="Wait up to so many seconds until the change is in force everywhere.",
+        ),
+    )
+
+
+def expect_revision_option(command: Command) -> Command:
+    """Add --expect-revision; use it below `change_options`."""
+    option = click.option(
+        "--expect-revision",
+        "expected_revision",
+        type=click.IntRange(min=0),
+        help="Refuse the change unless this is the present revision (0: must not exist yet).",
+    )
+    return option(command)
+
+
+def _with_options(
+    run: Callable[..., object], command: Command, *options: Callable[[Command], Command]
+) -> Command:
+    """Give `run` the name, help and earlier options of `command`, and `options` on top."""
+    run.__name__ = getattr(command, "__name__", run.__name__)
+    run.__doc__ = command.__doc__
+    earlier = getattr(command, "__click_params__", [])
+    run.__click_params__ = list(earlier)  # type: ignore[attr-defined]
+    decorated = cast(Command, run)
+    for option in reversed(options):
+        decorated = option(decorated)
+    return decorated
--- /dev/null
+++ b/src/jasperwalk/settings/loading.py
@@ -0,0 +1,73 @@
+"""Reading a settings file: TOML, then overrides, then the model's checks."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Sequence
+from pathlib import Path
+from typing import TypeVar
+
+from pydantic import ValidationError
+
+from jasperwalk.settings.errors import WHOLE_FILE, SettingsError
+from jasperwalk.settings.explaining import explain
+from jasperwalk.settings.models import ProcessSettings
+from jasperwalk.settings.overrides import Override, apply_override, parse_override
+from jasperwalk.settings.types import BASE_FOLDER
+
+FLAGS_ONLY = "(flags)"
+"""Named as the source of the settings when there is no file."""
+
+SettingsType = TypeVar("SettingsType", bound=ProcessSettings)
+
+
+def load_settings(
+    path: Path | None, model: type[SettingsType], overrides: Sequence[str | Override] = ()
+) -> SettingsType:
+    """Load `path` as `model`, with `overrides` (or texts `key=value`) on top.
+
+    Without a path the overrides alone make the settings. Raises `SettingsError` when the
+    file, a key in it, or an override cannot be used.
+    """
+    document = {} if path is None else _read_document(path)
+    for item in overrides:
+        override = parse_override(item) if isinstance(item, str) else item
+        apply_override(document, override)
+    base_folder = Path.cwd() if path is None else path.absolute().parent
+    try:
+        return model.model_validate(document, context={BASE_FOLDER: base_folder})
+    except ValidationError as error:
+        raise explain(error, source=source_name(path), model=model) from error
+
+
+def source_name(path: Path | None) -> str:
+    """Return what error messages call the source of the settings."""
+    return FLAGS_ONLY if path is None else str(path)
+
+
+def _read_document(path: Path) -> dict[str, object]:
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise SettingsError(
+            source=str(path),
+            key=WHOLE_FILE,
+            problem=f"cannot be read ({error.strerror})",
+            mend="name an existing, readable TOML file with --settings",
+        ) from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(
+            source=str(path),
+            key=WHOLE_FILE,
+            problem="is not UTF-8 text",
+            mend="save the file as UTF-8",
+        ) from error
+    try:
+        return tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(
+            source=str(path),
+            key=WHOLE_FILE,
+            problem=f"is not TOML ({error})",
+            mend="write it as `key = value` lines; texts stand in quotes",
+        ) from error
