Agent: ends QUIC, admits, queues, drains by relay, tickets run at most once

Cause: only a process beside the back end knows what ran; there a request gets one of three answers: answered, not run, unknown.

Ruled out: a pool of back-end connections (a late answer could meet another caller; each request has its own connection, at the price of a TCP handshake on loopback); aiohttp's silent repeat of GET, PUT and DELETE after a cut, which has no public switch: a private one is set and a test fails without it.

--- /dev/null
+++ b/src/jasperwalk/agent/backend.py
@@ -0,0 +1,184 @@
+"""The HTTP/1.1 client towards the back end.
+
+Every request has a TCP connection of its own, closed when the request ends, however it ends.
+An answer that comes late therefore has nowhere to arrive, and can never be taken for the
+answer to another request. A loopback connection costs little; a mixed-up answer can't be
+mended.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from http import HTTPStatus
+
+import aiohttp
+from multidict import CIMultiDict
+from yarl import URL
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.agent.requests import (
+    DEADLINE_HEADER,
+    HOST_HEADER,
+    NOT_RUN_HEADER,
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    Answered,
+    HeaderFields,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    OutcomeKind,
+    Request,
+    ResponseSink,
+    Unknown,
+    UnknownReason,
+    end_to_end_fields,
+)
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+READ_BUFFER_BYTES = 32_768
+"""Response bytes read ahead of a slow caller."""
+LONGEST_HEADER_FIELD = 16_384
+LONGEST_RETRY_AFTER_DIGITS = 5
+DEFAULT_RETRY_AFTER_MS = 1000
+CLIENT_MADE_FIELDS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+"""Fields that aiohttp would add by itself."""
+
+
+class Backend:
+    """Runs requests on one back end. `host` is the member's name, shown to callers."""
+
+    def __init__(self, endpoint: Endpoint, host: str, clock: Callable[[], float]) -> None:
+        self._endpoint = endpoint
+        self._host = host
+        self._clock = clock
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            skip_auto_headers=CLIENT_MADE_FIELDS,
+            read_bufsize=READ_BUFFER_BYTES,
+            max_field_size=LONGEST_HEADER_FIELD,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS),
+        )
+        # aiohttp repeats PUT and DELETE by itself after a cut connection; a request that the
+        # back end may have run must not be sent twice. There is no public switch;
+        # tests/agent/test_backend.py fails if this one stops working.
+        self._session._retry_connection = False
+
+    async def close(self) -> None:
+        """Close the client."""
+        await self._session.close()
+
+    async def run(
+        self,
+        request: Request,
+        deadline_at: float,
+        sink: ResponseSink,
+        on_head: Callable[[], None],
+    ) -> Outcome:
+        """Run one request and pass its answer to `sink`; call `on_head` when its head is in.
+
+        Cancelling the task closes the connection, which tells the back end to stop.
+        """
+        started = _Progress()
+        try:
+            async with asyncio.timeout(deadline_at - self._clock()) as timeout:
+                return await self._exchange(request, deadline_at, sink, on_head, started, timeout)
+        except TimeoutError:
+            return Unknown(UnknownReason.DEADLINE, head_sent=started.head_sent)
+        except (aiohttp.ClientError, OSError):
+            return Unknown(UnknownReason.BACKEND_FAILED, head_sent=started.head_sent)
+
+    async def check(self, path: str, timeout_seconds: float) -> bool:
+        """Ask the health path; return whether the back end calls itself fit for work."""
+        url = URL.build(scheme="http", host=self._endpoint.host, port=self._endpoint.port)
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                async with self._session.get(url.with_path(path)) as response:
+                    return response.status == HTTPStatus.OK
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return False
+
+    async def _exchange(
+        self,
+        request: Request,
+        deadline_at: float,
+        sink: ResponseSink,
+        on_head: Callable[[], None],
+        started: _Progress,
+        timeout: asyncio.Timeout,
+    ) -> Outcome:
+        try:
+            response = await self._session.request(
+                request.method,
+                self._url(request),
+                headers=self._request_fields(request, deadline_at),
+                data=request.body or None,
+                allow_redirects=False,
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            # No connection came about, so not a byte of the request went out.
+            return NotRun(NotRunReason.BACKEND_UNREACHABLE)
+        try:
+            if _is_refusal(response):
+                return NotRun(NotRunReason.SHEDDING, _retry_after_ms(response))
+            if not request.deadline_by_caller:
+                timeout.reschedule(None)
+            on_head()
+            return await self._pass_on(response, sink, started)
+        finally:
+            response.close()
+
+    async def _pass_on(
+        self, response: aiohttp.ClientResponse, sink: ResponseSink, started: _Progress
+    ) -> Outcome:
+        started.head_sent = True
+        await sink.head(response.status, self._response_fields(response))
+        async for chunk in response.content.iter_any():
+            await sink.data(chunk)
+        await sink.end()
+        return Answered(response.status)
+
+    def _url(self, request: Request) -> URL:
+        origin = f"http://{self._endpoint}"
+        return URL(origin + request.path, encoded=True)
+
+    def _request_fields(self, request: Request, deadline_at: float) -> CIMultiDict[str]:
+        fields = CIMultiDict(end_to_end_fields(request.headers))
+        fields.popall("content-length", None)
+        fields["host"] = request.authority or str(self._endpoint)
+        fields[REQUEST_ID_HEADER] = request.request_id
+        if request.deadline_by_caller:
+            remaining_ms = max(1, int((deadline_at - self._clock()) * 1000))
+            fields[DEADLINE_HEADER] = str(remaining_ms)
+        return fields
+
+    def _response_fields(self, response: aiohttp.ClientResponse) -> HeaderFields:
+        fields = end_to_end_fields(list(response.headers.items()))
+        if response.method == "HEAD" or response.status == HTTPStatus.NOT_MODIFIED:
+            # The length is of a body that does not come; some callers take that for a cut.
+            fields = [(name, value) for name, value in fields if name != "content-length"]
+        fields.append((OUTCOME_HEADER, OutcomeKind.ANSWERED))
+        fields.append((HOST_HEADER, self._host))
+        return fields
+
+
+class _Progress:
+    """How far an exchange got."""
+
+    def __init__(self) -> None:
+        self.head_sent = False
+
+
+def _is_refusal(response: aiohttp.ClientResponse) -> bool:
+    if response.status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return False
+    return response.headers.get(NOT_RUN_HEADER) == "1"
+
+
+def _retry_after_ms(response: aiohttp.ClientResponse) -> int:
+    text = response.headers.get("retry-after", "")
+    valid = text.isascii() and text.isdigit() and len(text) <= LONGEST_RETRY_AFTER_DIGITS
+    return int(text) * 1000 if valid else DEFAULT_RETRY_AFTER_MS
--- /dev/null
+++ b/src/jasperwalk/agent/flow.py
@@ -0,0 +1,61 @@
+"""One flow: a QUIC connection with its HTTP/3 side and its timers (sans-IO)."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from jasperwalk.agent.connection import RoutableServerConnection
+from jasperwalk.agent.http3 import Http3Flow
+
+KEEPALIVE_SECONDS = 15.0
+"""Interval of pings while a request is open: a quiet stream must not hit an idle time-out."""
+HANDSHAKE_SECONDS = 10.0
+"""Time for a handshake; an Initial that nobody follows up on must not hold memory longer."""
+
+
+@dataclass(slots=True)
+class Flow:
+    """One QUIC connection.
+
+    `vip` is the packed end point that answers come from. `wakes_at` is the earliest entry for
+    the flow in the end point's timer heap. Times are in seconds.
+    """
+
+    number: int
+    service_id: int
+    vip: bytes
+    connection: RoutableServerConnection
+    http: Http3Flow
+    opened_at: float
+    pinged_at: float = -math.inf
+    handshake_complete: bool = False
+    connection_ids: set[bytes] = field(default_factory=set)
+    wakes_at: float = math.inf
+
+    def next_timer(self) -> float:
+        """Return when `run_timers` next has something to do, inf for never."""
+        due = self.connection.get_timer()
+        if due is None:
+            return math.inf
+        if not self.handshake_complete:
+            return min(due, self.opened_at + HANDSHAKE_SECONDS)
+        if self.http.open_requests:
+            return min(due, self._keepalive_at())
+        return due
+
+    def run_timers(self, now: float) -> None:
+        """Run the connection's timer, and ping while a request is open."""
+        due = self.connection.get_timer()
+        if due is not None and due <= now:
+            self.connection.handle_timer(now)
+        if self.http.open_requests and now >= self._keepalive_at():
+            self.connection.send_ping(self.number)
+            self.pinged_at = now
+
+    def handshake_overdue(self, now: float) -> bool:
+        """Tell whether the caller did not complete the handshake in time."""
+        return not self.handshake_complete and now >= self.opened_at + HANDSHAKE_SECONDS
+
+    def _keepalive_at(self) -> float:
+        return max(self.opened_at, self.pinged_at) + KEEPALIVE_SECONDS
--- /dev/null
+++ b/src/jasperwalk/agent/ports.py
@@ -0,0 +1,66 @@
+"""The agent's two ports of one number: UDP for forwarded datagrams, TCP for relays."""
+
+from __future__ import annotations
+
+import contextlib
+from dataclasses import dataclass
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.agent.datagram_port import DatagramPort, open_datagram_port
+from jasperwalk.agent.endpoint import AgentEndpoint
+from jasperwalk.agent.relay import RelayHandler, serve_relay
+from jasperwalk.transport.framed import ConnectionKind, FramedConnection, Hello
+from jasperwalk.transport.server import FramedServer
+
+PORT_ATTEMPTS = 16
+"""Numbers tried where the system chooses: its free UDP port may be taken on TCP."""
+
+
+@dataclass(frozen=True)
+class AgentPorts:
+    """Both open ports and their common end point."""
+
+    address: Endpoint
+    datagrams: DatagramPort
+    relay: FramedServer
+
+    async def close(self) -> None:
+        """Close both."""
+        await self.relay.close()
+        self.datagrams.close()
+
+
+async def open_ports(
+    listen: Endpoint,
+    fabric: Endpoint,
+    endpoint: AgentEndpoint,
+    hello: Hello,
+    handler: RelayHandler,
+) -> AgentPorts:
+    """Open both ports; raise `OSError` when they can't be had."""
+    attempts = PORT_ATTEMPTS if listen.port == 0 else 1
+    for _ in range(attempts - 1):
+        with contextlib.suppress(OSError):
+            return await _open_once(listen, fabric, endpoint, hello, handler)
+    return await _open_once(listen, fabric, endpoint, hello, handler)
+
+
+async def _open_once(
+    listen: Endpoint,
+    fabric: Endpoint,
+    endpoint: AgentEndpoint,
+    hello: Hello,
+    handler: RelayHandler,
+) -> AgentPorts:
+    datagrams, address = await open_datagram_port(endpoint, listen, fabric)
+
+    async def serve(connection: FramedConnection) -> None:
+        await serve_relay(connection, handler)
+
+    relay = FramedServer(address, hello, {ConnectionKind.RELAY: serve})
+    try:
+        await relay.start()
+    except OSError:
+        datagrams.close()
+        raise
+    return AgentPorts(address, datagrams, relay)
--- /dev/null
+++ b/src/jasperwalk/agent/relay.py
@@ -0,0 +1,203 @@
+"""Relaying a request to another agent of the service, one framed TCP connection a request.
+
+Closing the connection cancels the request. The target answers with its own admission's
+decision and never relays further, so a request can't go round in circles.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.agent.requests import (
+    Answered,
+    CallerGone,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Request,
+    ResponseSink,
+    Unknown,
+    UnknownReason,
+)
+from jasperwalk.errors import JasperwalkError
+from jasperwalk.messages.codec import Decoder, encode
+from jasperwalk.transport.client import connect
+from jasperwalk.transport.errors import TransportError
+from jasperwalk.transport.framed import ConnectionKind, FramedConnection, make_hello
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+ANSWER_MARGIN_SECONDS = 0.25
+"""Time beyond the deadline for the target's own verdict on it to arrive."""
+
+
+class RelayRequest(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """First frame: the request, for an agent of this service only."""
+
+    service_id: int
+    request: Request
+
+
+class RelayHead(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """The answer's status and header fields."""
+
+    status: int
+    headers: list[tuple[str, str]]
+
+
+class RelayData(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """A piece of the answer's body."""
+
+    data: bytes
+
+
+class RelayEnd(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """The answer is whole."""
+
+
+class RelayNotRun(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """The target did not run the request."""
+
+    reason: NotRunReason
+    retry_after_ms: int
+
+
+class RelayUnknown(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """The request may have run at the target."""
+
+    reason: UnknownReason
+
+
+RelayAnswer = RelayHead | RelayData | RelayEnd | RelayNotRun | RelayUnknown
+
+REQUEST_DECODER: Decoder[RelayRequest] = Decoder(RelayRequest)
+ANSWER_DECODER: Decoder[RelayAnswer] = Decoder(RelayAnswer)
+
+RelayHandler = Callable[[RelayRequest, ResponseSink], Awaitable[Outcome]]
+"""Runs a relayed request here."""
+
+
+class RelayClient:
+    """Sends requests to other agents."""
+
+    def __init__(self, name: str, cluster_id: str) -> None:
+        self._hello = make_hello(ConnectionKind.RELAY, name, cluster_id)
+
+    async def run(
+        self, target: Endpoint, service_id: int, request: Request, sink: ResponseSink
+    ) -> Outcome:
+        """Run a request at `target`; cancelling the task cancels it there."""
+        try:
+            connection = await connect(target, self._hello, CONNECT_TIMEOUT_SECONDS)
+        except JasperwalkError:
+            return NotRun(NotRunReason.RELAY_UNREACHABLE)
+        progress = _Progress()
+        try:
+            seconds = request.deadline_ms / 1000 + ANSWER_MARGIN_SECONDS
+            async with asyncio.timeout(seconds) as timeout:
+                await connection.send(encode(RelayRequest(service_id, request)))
+                return await self._pass_on(connection, request, sink, timeout, progress)
+        except TimeoutError:
+            return Unknown(UnknownReason.DEADLINE, head_sent=progress.head_sent)
+        except JasperwalkError as error:
+            if isinstance(error, CallerGone):
+                raise
+            return Unknown(UnknownReason.RELAY_FAILED, head_sent=progress.head_sent)
+        finally:
+            connection.abort()
+
+    async def _pass_on(
+        self,
+        connection: FramedConnection,
+        request: Request,
+        sink: ResponseSink,
+        timeout: asyncio.Timeout,
+        progress: _Progress,
+    ) -> Outcome:
+        status = 0
+        while True:
+            answer = ANSWER_DECODER.decode(await connection.receive())
+            match answer:
+                case RelayHead():
+                    if not request.deadline_by_caller:
+                        timeout.reschedule(None)
+                    status = answer.status
+                    progress.head_sent = True
+                    await sink.head(status, answer.headers)
+                case RelayData(data=data):
+                    await sink.data(data)
+                case RelayEnd():
+                    await sink.end()
+                    return Answered(status)
+                case RelayNotRun(reason=reason, retry_after_ms=retry_after_ms):
+                    return NotRun(reason, retry_after_ms)
+                case RelayUnknown(reason=reason):
+                    return Unknown(reason, head_sent=progress.head_sent)
+
+
+class _Progress:
+    """How far an answer got."""
+
+    def __init__(self) -> None:
+        self.head_sent = False
+
+
+class RelaySink:
+    """Passes an answer back over the connection; raises `CallerGone` when it is lost."""
+
+    def __init__(self, connection: FramedConnection) -> None:
+        self._connection = connection
+
+    async def head(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Send the head."""
+        await self._send(RelayHead(status, headers))
+
+    async def data(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        await self._send(RelayData(data))
+
+    async def end(self) -> None:
+        """Send the end."""
+        await self._send(RelayEnd())
+
+    async def _send(self, answer: RelayAnswer) -> None:
+        try:
+            await self._connection.send(encode(answer))
+        except TransportError as error:
+            raise CallerGone from error
+
+
+async def serve_relay(connection: FramedConnection, handler: RelayHandler) -> None:
+    """Serve one relayed request; the handler is cancelled when the connection ends."""
+    relayed = REQUEST_DECODER.decode(await connection.receive())
+    sink = RelaySink(connection)
+    running = asyncio.ensure_future(handler(relayed, sink))
+    ended = asyncio.ensure_future(_until_closed(connection))
+    try:
+        await asyncio.wait((running, ended), return_when=asyncio.FIRST_COMPLETED)
+        if running.done():
+            await _send_outcome(connection, running.result())
+    finally:
+        for task in (running, ended):
+            task.cancel()
+        with contextlib.suppress(asyncio.CancelledError, CallerGone):
+            await running
+
+
+async def _until_closed(connection: FramedConnection) -> None:
+    with contextlib.suppress(TransportError):
+        await connection.receive()
+
+
+async def _send_outcome(connection: FramedConnection, outcome: Outcome) -> None:
+    match outcome:
+        case NotRun(reason=reason, retry_after_ms=retry_after_ms):
+            await connection.send(encode(RelayNotRun(reason, retry_after_ms)))
+        case Unknown(reason=reason):
+            await connection.send(encode(RelayUnknown(reason)))
+        case Answered():
+            pass
--- /dev/null
+++ b/src/jasperwalk/agent/runner.py
@@ -0,0 +1,159 @@
+"""Deciding where a request runs: here, at another member, at its ticket's home, or nowhere."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.agent.backend import Backend
+from jasperwalk.agent.gate import SlotGate
+from jasperwalk.agent.health import BackendHealth
+from jasperwalk.agent.relay import RelayClient, RelayRequest
+from jasperwalk.agent.requests import (
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Request,
+    ResponseSink,
+)
+from jasperwalk.agent.retry_budget import RetryBudget
+from jasperwalk.agent.service_view import ServiceView
+from jasperwalk.agent.ticket_desk import TicketDesk
+from jasperwalk.agent.tickets import TICKET_PATH
+
+MOST_RELAY_TARGETS = 2
+"""Members that are asked for one request of a draining agent."""
+RETRIED_REASONS = frozenset(
+    {NotRunReason.BACKEND_UNREACHABLE, NotRunReason.SHEDDING, NotRunReason.QUEUE_FULL}
+)
+
+
+class RequestRunner:
+    """Runs requests of this agent's flows, and those that other agents relay to it."""
+
+    def __init__(
+        self,
+        backend: Backend,
+        gate: SlotGate,
+        health: BackendHealth,
+        relay: RelayClient,
+        view: Callable[[], ServiceView],
+        clock: Callable[[], float],
+        source: random.Random,
+    ) -> None:
+        self._backend = backend
+        self._gate = gate
+        self._health = health
+        self._relay = relay
+        self._view = view
+        self._clock = clock
+        self._random = source
+        self._budget = RetryBudget()
+        self._desk = TicketDesk(view, clock, source, self._run_here, self._relay_to)
+        self.relayed = 0
+        self.retried = 0
+
+    async def run(self, request: Request, sink: ResponseSink) -> Outcome:
+        """Run a request that came on a flow of this agent."""
+        deadline_at = self._clock() + request.deadline_ms / 1000
+        self._budget.earn()
+        if request.path == TICKET_PATH:
+            if self._view().draining:
+                # A ticket's home has to stay: let a member that does issue it.
+                return await self._relay_elsewhere(request, deadline_at, sink)
+            return await self._desk.issue(request, sink)
+        if request.ticket is not None:
+            return await self._desk.run(request, deadline_at, sink, relayed=False)
+        if self._view().draining:
+            return await self._relay_elsewhere(request, deadline_at, sink)
+        outcome = await self._run_here(request, deadline_at, sink)
+        if isinstance(outcome, NotRun) and outcome.reason in RETRIED_REASONS:
+            return await self._retry(request, deadline_at, sink, outcome)
+        return outcome
+
+    async def run_relayed(self, relayed: RelayRequest, sink: ResponseSink) -> Outcome:
+        """Run a request that another agent relays; it is never relayed further."""
+        request = relayed.request
+        view = self._view()
+        deadline_at = self._clock() + request.deadline_ms / 1000
+        if view.service is None or view.service.service_id != relayed.service_id:
+            return NotRun(NotRunReason.NO_SERVICE)
+        if request.path == TICKET_PATH and not view.draining:
+            return await self._desk.issue(request, sink)
+        if request.path != TICKET_PATH and request.ticket is not None:
+            return await self._desk.run(request, deadline_at, sink, relayed=True)
+        if view.draining:
+            return NotRun(NotRunReason.DRAINING)
+        return await self._run_here(request, deadline_at, sink)
+
+    async def _run_here(self, request: Request, deadline_at: float, sink: ResponseSink) -> Outcome:
+        not_run = await self._gate.acquire(request.request_id, deadline_at)
+        if not_run is not None:
+            return not_run
+
+        def head_arrived() -> None:
+            # The slot stands for the back end's work on the answer. Passing the body on
+            # takes as long as the caller takes, hours for a stream, and must hold no slot.
+            self._health.request_answered(self._clock())
+            self._gate.release(request.request_id)
+
+        try:
+            outcome = await self._backend.run(request, deadline_at, sink, head_arrived)
+        finally:
+            self._gate.release(request.request_id)
+        self._learn(outcome)
+        return outcome
+
+    def _learn(self, outcome: Outcome) -> None:
+        if not isinstance(outcome, NotRun):
+            return
+        if outcome.reason is NotRunReason.SHEDDING:
+            self._gate.admission.shed(self._clock())
+        if outcome.reason is NotRunReason.BACKEND_UNREACHABLE:
+            self._health.request_refused()
+
+    async def _retry(
+        self, request: Request, deadline_at: float, sink: ResponseSink, first: NotRun
+    ) -> Outcome:
+        """Try one other member, within the budget; the request provably did not run here."""
+        targets = self._targets()
+        if not targets or not self._budget.spend():
+            return first
+        self.retried += 1
+        outcome = await self._relay_to(targets[0], request, deadline_at, sink)
+        return first if isinstance(outcome, NotRun) else outcome
+
+    async def _relay_elsewhere(
+        self, request: Request, deadline_at: float, sink: ResponseSink
+    ) -> Outcome:
+        """Run a request of a draining agent's flow at another member."""
+        outcome: Outcome = NotRun(NotRunReason.DRAINING)
+        for target in self._targets()[:MOST_RELAY_TARGETS]:
+            outcome = await self._relay_to(target, request, deadline_at, sink)
+            if not isinstance(outcome, NotRun):
+                return outcome
+        return outcome
+
+    async def _relay_to(
+        self, target: Endpoint, request: Request, deadline_at: float, sink: ResponseSink
+    ) -> Outcome:
+        service = self._view().service
+        if service is None:
+            return NotRun(NotRunReason.NO_SERVICE)
+        remaining_ms = int((deadline_at - self._clock()) * 1000)
+        if remaining_ms <= 0:
+            return NotRun(NotRunReason.DEADLINE_TOO_SHORT)
+        self.relayed += 1
+        timed = msgspec.structs.replace(request, deadline_ms=remaining_ms)
+        return await self._relay.run(target, service.service_id, timed, sink)
+
+    def _targets(self) -> list[Endpoint]:
+        """Return the other eligible members in a random order, heavier ones rather first."""
+        members = self._view().other_members()
+        keyed = [
+            (self._random.random() ** (1 / member.weight), member.address) for member in members
+        ]
+        return [address for _, address in sorted(keyed, reverse=True)]
--- /dev/null
+++ b/src/jasperwalk/agent/service_view.py
@@ -0,0 +1,102 @@
+"""What an agent knows of its own service: its entry, the members and the fleet keys."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.config.table import (
+    AdminState,
+    KeyEntry,
+    KeyPurpose,
+    MemberEntry,
+    ServiceEntry,
+    TableEntry,
+    accepts_new_work,
+)
+
+
+@dataclass(frozen=True)
+class ServiceView:
+    """One revision of the table as the agent at `address` sees it.
+
+    `incarnation` is the agent's own, 0 while control has not registered this start.
+    `stopping` is set while the process ends its last requests. `removed` is set once a change
+    took this member out of its pool: the view then keeps what it last knew of the service, so
+    that open flows go on, and takes no new work.
+    """
+
+    address: Endpoint
+    revision: int = 0
+    incarnation: int = 0
+    service: ServiceEntry | None = None
+    member: MemberEntry | None = None
+    members: dict[Endpoint, MemberEntry] = field(default_factory=dict)
+    keys: tuple[KeyEntry, ...] = ()
+    stopping: bool = False
+    removed: bool = False
+
+    @classmethod
+    def build(
+        cls,
+        address: Endpoint,
+        revision: int,
+        incarnation: int,
+        entries: Iterable[TableEntry],
+    ) -> ServiceView:
+        """Pick the agent's own service, its members and the keys from table entries."""
+        services: dict[int, ServiceEntry] = {}
+        members: dict[Endpoint, MemberEntry] = {}
+        keys: list[KeyEntry] = []
+        for entry in entries:
+            match entry:
+                case ServiceEntry():
+                    services[entry.service_id] = entry
+                case MemberEntry():
+                    members[entry.address] = entry
+                case KeyEntry():
+                    keys.append(entry)
+        own = members.get(address)
+        service = services.get(own.service_id) if own is not None else None
+        same_service = {
+            endpoint: member
+            for endpoint, member in members.items()
+            if own is not None and member.service_id == own.service_id
+        }
+        return cls(address, revision, incarnation, service, own, same_service, tuple(keys))
+
+    def followed_by(self, newer: ServiceView) -> ServiceView:
+        """Return the view after `newer` arrived, which names no service after a removal."""
+        if newer.service is not None or self.service is None:
+            return dataclasses.replace(newer, stopping=self.stopping)
+        # Control sends a removed agent the keys alone. Dropping the service would cut every
+        # open flow at once, though the change was planned.
+        return dataclasses.replace(self, revision=newer.revision, keys=newer.keys, removed=True)
+
+    @property
+    def draining(self) -> bool:
+        """Tell whether this agent takes no new work."""
+        if self.stopping or self.removed:
+            return True
+        return self.member is not None and self.member.admin_state is AdminState.DRAINING
+
+    @property
+    def serving(self) -> bool:
+        """Tell whether this agent has what it needs to answer: service and incarnation."""
+        return self.service is not None and self.incarnation > 0
+
+    def keys_for(self, purpose: KeyPurpose) -> list[KeyEntry]:
+        """Return the keys of a purpose, the active one first."""
+        keys = [key for key in self.keys if key.purpose is purpose]
+        return sorted(keys, key=lambda key: (not key.active, key.rotation))
+
+    def other_members(self) -> list[MemberEntry]:
+        """Return the other members that accept new work, ordered by address."""
+        eligible = [
+            member
+            for member in self.members.values()
+            if member.address != self.address and accepts_new_work(member)
+        ]
+        return sorted(eligible, key=lambda member: member.address)
--- /dev/null
+++ b/src/jasperwalk/agent/stateless_reset.py
@@ -0,0 +1,36 @@
+"""Stateless reset tokens and packets (RFC 9000, section 10.3).
+
+A token derives from the connection ID and a fleet key, so an agent that restarted, and so
+has no state of a flow, can still end it at once.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import random
+
+TOKEN_LENGTH = 16
+SHORTEST_PACKET = 21
+"""Bytes of the smallest packet that can be told from a valid short-header packet."""
+LONGEST_PACKET = 43
+FIXED_BIT = 0x40
+FIXED_BIT_MASK = 0x3F
+
+
+def reset_token(secret: bytes, connection_id: bytes) -> bytes:
+    """Derive the token of a connection ID with HMAC-SHA-256, cut to 16 bytes."""
+    return hmac.new(secret, connection_id, hashlib.sha256).digest()[:TOKEN_LENGTH]
+
+
+def reset_packet(token: bytes, received_length: int, source: random.Random) -> bytes | None:
+    """Build a reset for a packet of `received_length` bytes; `None` where it is too short.
+
+    The reset is shorter than the packet that caused it, so two ends can't loop.
+    """
+    length = min(received_length - 1, LONGEST_PACKET)
+    if length < SHORTEST_PACKET:
+        return None
+    noise = source.randbytes(length - TOKEN_LENGTH)
+    first = FIXED_BIT | (noise[0] & FIXED_BIT_MASK)
+    return bytes([first]) + noise[1:] + token
--- /dev/null
+++ b/src/jasperwalk/agent/tickets.py
@@ -0,0 +1,243 @@
+"""Tickets for requests that may not be repeated (sans-IO).
+
+A ticket names its home: the agent, by address and incarnation, that issued it. Only the home
+may run a request under the ticket, and it does so at most once; every later arrival gets the
+stored outcome. The home's memory is the proof: once the home is gone, or its incarnation
+changed, nobody runs the request, and its outcome is unknown. Expiry is by the home's own
+monotonic clock, as nobody else judges it.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import hashlib
+import hmac
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import ClassVar
+
+import msgspec
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.agent.requests import HeaderFields, Request
+from jasperwalk.config.table import KeyEntry
+from jasperwalk.errors import JasperwalkError, MalformedMessage
+from jasperwalk.messages.codec import Decoder, encode
+
+TICKET_PATH = "/.well-known/jasperwalk/tickets"
+TICKET_LIFETIME_SECONDS = 3600.0
+MAC_LENGTH = 16
+LONGEST_TICKET = 512
+NONCE_LENGTH = 12
+MOST_TICKETS = 20_000
+MOST_STORED_BYTES = 64 * 1024 * 1024
+MOST_ANSWER_BYTES = 256 * 1024
+"""Longest body of an answer that is kept for a resend."""
+KEPT_AFTER_EXPIRY_SECONDS = 60.0
+
+
+@dataclass(eq=False)
+class InvalidTicket(JasperwalkError):
+    """An Idempotency-Key that is no ticket of this fleet."""
+
+    kind: ClassVar[str] = "invalid-ticket"
+
+    def describe(self) -> str:
+        """Tell where tickets come from."""
+        return f"not a ticket of this service; obtain one with POST {TICKET_PATH}"
+
+
+class Ticket(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Contents of a ticket. `expires_at_ms` counts on the home's monotonic clock."""
+
+    home: Endpoint
+    incarnation: int
+    service_id: int
+    expires_at_ms: int
+    nonce: bytes
+
+
+class TicketCodec:
+    """Seals tickets with the active fleet key and opens those of any accepted key."""
+
+    def __init__(self, keys: Iterable[KeyEntry]) -> None:
+        """Take the ticket keys, the active one first."""
+        self._keys = list(keys)
+        self._decoder: Decoder[Ticket] = Decoder(Ticket)
+
+    @property
+    def can_issue(self) -> bool:
+        """Tell whether an active key is known."""
+        return bool(self._keys) and self._keys[0].active
+
+    def seal(self, ticket: Ticket) -> str:
+        """Encode and sign a ticket as text for a header field."""
+        body = encode(ticket)
+        sealed = body + _mac(self._keys[0].secret, body)
+        return base64.urlsafe_b64encode(sealed).rstrip(b"=").decode()
+
+    def open(self, text: str) -> Ticket:
+        """Check and decode a ticket; raise `InvalidTicket`."""
+        if len(text) > LONGEST_TICKET or not text.isascii():
+            raise InvalidTicket
+        try:
+            sealed = base64.urlsafe_b64decode(text + "=" * (-len(text) % 4))
+        except (binascii.Error, ValueError) as error:
+            raise InvalidTicket from error
+        body, mac = sealed[:-MAC_LENGTH], sealed[-MAC_LENGTH:]
+        if not any(hmac.compare_digest(_mac(key.secret, body), mac) for key in self._keys):
+            raise InvalidTicket
+        try:
+            return self._decoder.decode(body)
+        except MalformedMessage as error:
+            raise InvalidTicket from error
+
+
+def _mac(secret: bytes, body: bytes) -> bytes:
+    return hmac.new(secret, body, hashlib.sha256).digest()[:MAC_LENGTH]
+
+
+def request_digest(request: Request) -> bytes:
+    """Digest what a ticket is bound to by its first use: method, path and body."""
+    digest = hashlib.sha256()
+    for part in (request.method.encode(), request.path.encode(), request.body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
+
+
+@dataclass(slots=True)
+class StoredAnswer:
+    """An answer as kept for resends; `body` is cut at `MOST_ANSWER_BYTES`."""
+
+    status: int
+    headers: HeaderFields
+    body: bytearray = field(default_factory=bytearray)
+    cut: bool = False
+
+    def append(self, data: bytes) -> None:
+        """Keep a piece of the body unless the answer grows too long."""
+        if self.cut or len(self.body) + len(data) > MOST_ANSWER_BYTES:
+            self.cut = True
+            self.body.clear()
+            return
+        self.body += data
+
+
+@dataclass(frozen=True, slots=True)
+class RunNow:
+    """The ticket was never used: the caller of the store must run the request."""
+
+
+@dataclass(frozen=True, slots=True)
+class WaitForFirst:
+    """The first use still runs; its outcome is this one's too."""
+
+
+@dataclass(frozen=True, slots=True)
+class Repeat:
+    """The first use has this answer."""
+
+    answer: StoredAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeUnknown:
+    """The request ran, or may have, and its answer was not kept."""
+
+
+@dataclass(frozen=True, slots=True)
+class Expired:
+    """The ticket is past its time; it is not run any more."""
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """The ticket was first used for a different request."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreFull:
+    """The store can't promise to remember one more use, so nothing was run."""
+
+
+Verdict = RunNow | WaitForFirst | Repeat | OutcomeUnknown | Expired | Conflict | StoreFull
+
+
+@dataclass(slots=True)
+class Use:
+    """The first use of a ticket; `finished` without an answer means unknown."""
+
+    digest: bytes
+    forget_at: float
+    finished: bool = False
+    answer: StoredAnswer | None = None
+
+
+class TicketStore:
+    """What the home remembers of used tickets. Nothing is forgotten before its expiry."""
+
+    def __init__(self, most_tickets: int = MOST_TICKETS) -> None:
+        self._most_tickets = most_tickets
+        self._uses: OrderedDict[bytes, Use] = OrderedDict()
+        self._stored_bytes = 0
+
+    def __len__(self) -> int:
+        """Count the remembered uses."""
+        return len(self._uses)
+
+    def use(self, ticket: Ticket, digest: bytes, now: float) -> Verdict:
+        """Decide on one arrival; after `RunNow` the use counts as begun."""
+        self._forget(now)
+        known = self._uses.get(ticket.nonce)
+        if known is not None:
+            return self._verdict_on(known, digest)
+        expires_at = ticket.expires_at_ms / 1000
+        if expires_at <= now:
+            return Expired()
+        if len(self._uses) >= self._most_tickets or self._stored_bytes >= MOST_STORED_BYTES:
+            return StoreFull()
+        self._uses[ticket.nonce] = Use(digest, expires_at + KEPT_AFTER_EXPIRY_SECONDS)
+        return RunNow()
+
+    def did_not_run(self, ticket: Ticket) -> None:
+        """Free the ticket: its request provably did not run, so a resend may run."""
+        self._uses.pop(ticket.nonce, None)
+
+    def finish(self, ticket: Ticket, answer: StoredAnswer | None) -> None:
+        """Store the first use's answer; `None`, or a cut one, makes resends unknown."""
+        use = self._uses.get(ticket.nonce)
+        if use is None:
+            return
+        use.finished = True
+        if answer is not None and not answer.cut:
+            use.answer = answer
+            self._stored_bytes += len(answer.body)
+
+    def answer_of(self, ticket: Ticket) -> StoredAnswer | None:
+        """Return the stored answer of a used ticket, if it was kept."""
+        use = self._uses.get(ticket.nonce)
+        return None if use is None else use.answer
+
+    @staticmethod
+    def _verdict_on(use: Use, digest: bytes) -> Verdict:
+        if use.digest != digest:
+            return Conflict()
+        if not use.finished:
+            return WaitForFirst()
+        if use.answer is None:
+            return OutcomeUnknown()
+        return Repeat(use.answer)
+
+    def _forget(self, now: float) -> None:
+        # Uses are in order of arrival and forget times differ by a lifetime at most, so an
+        # early entry may hold later ones back for that long: bounded by `most_tickets`.
+        while self._uses:
+            nonce, use = next(iter(self._uses.items()))
+            if use.forget_at > now or not use.finished:
+                return
+            if use.answer is not None:
+                self._stored_bytes -= len(use.answer.body)
+            del self._uses[nonce]
--- /dev/null
+++ b/tests/agent/test_endpoint.py
@@ -0,0 +1,205 @@
+"""Flows end to end over a lossy, reordering network, and the table of datagrams refused."""
+
+import msgspec
+import pytest
+
+from jasperwalk.agent.assembly import RequestAssembler, RequestReady
+from jasperwalk.agent.datagram_guard import DropReason
+from jasperwalk.agent.service_view import ServiceView
+from jasperwalk.config.table import AdminState
+from jasperwalk.messages.codec import Decoder
+from jasperwalk.messages.datagrams import ForwardedDatagram
+
+DOWNLOAD = bytes(range(256)) * 400
+
+
+def _echo(endpoint):
+    """Answer every whole request with its own body and a download."""
+    assembler = RequestAssembler("test")
+
+    def serve():
+        for event in endpoint.take_events():
+            for item in assembler.handle(event, 1000):
+                if isinstance(item, RequestReady):
+                    status = [(b":status", b"200"), (b"x-path", item.request.path.encode())]
+                    endpoint.send_headers(item.stream, status, ended=False)
+                    endpoint.send_data(item.stream, item.request.body + DOWNLOAD, ended=True)
+
+    return serve
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_whole_answers_over_a_lossy_reordering_network(kit, certificate, seed):
+    view = kit.make_view(kit.member_entry(kit.AGENT))
+    endpoint = kit.make_endpoint(certificate, view, seed)
+    caller = kit.Caller(0.0)
+    network = kit.Network(endpoint, caller, seed, loss=0.05)
+    network.serve = _echo(endpoint)
+    bodies = [bytes([number]) * (number * 9_000) for number in range(1, 6)]
+    streams = [caller.request("POST", f"/submit/{n}", body) for n, body in enumerate(bodies)]
+    responses = [caller.responses[stream] for stream in streams]
+    assert network.run(lambda: caller.quic._handshake_confirmed)
+    caller.quic.change_connection_id()
+    assert network.run(lambda: all(response.ended for response in responses))
+    for number, (response, body) in enumerate(zip(responses, bodies, strict=True)):
+        assert response.status == 200
+        assert response.headers["x-path"] == f"/submit/{number}"
+        assert response.body == body + DOWNLOAD
+    assert endpoint.open_flows == 1
+
+
+def _initial(kit):
+    return kit.Caller(0.0).datagrams(0.0)[0]
+
+
+def _short_packet(kit, first):
+    return bytes([0x40]) + first + b"\x00" * 40
+
+
+def _foreign_connection_id(kit, **changes):
+    from jasperwalk.routing.connection_ids import ConnectionIdCodec, RoutableId
+
+    fields = {"address": kit.AGENT, "service_id": kit.SERVICE_ID, "incarnation": 1, **changes}
+    return ConnectionIdCodec(kit.KEYS).encode(RoutableId(**fields), b"12345")
+
+
+REFUSED = {
+    "garbage": (lambda kit: b"\xff\x00garbage", DropReason.MALFORMED, 0),
+    "another service": (
+        lambda kit: kit.forwarded(_initial(kit), service_id=8),
+        DropReason.OTHER_SERVICE,
+        0,
+    ),
+    "another listener": (
+        lambda kit: kit.forwarded(_initial(kit), vip=kit.OTHER_AGENT),
+        DropReason.OTHER_LISTENER,
+        0,
+    ),
+    "connection ID of another agent": (
+        lambda kit: kit.forwarded(
+            _short_packet(kit, _foreign_connection_id(kit, address=kit.OTHER_AGENT))
+        ),
+        DropReason.OTHER_ADDRESS,
+        0,
+    ),
+    "connection ID of another service at this address": (
+        lambda kit: kit.forwarded(_short_packet(kit, _foreign_connection_id(kit, service_id=9))),
+        DropReason.OTHER_SERVICE,
+        0,
+    ),
+    "flow of an earlier incarnation is reset": (
+        lambda kit: kit.forwarded(_short_packet(kit, _foreign_connection_id(kit, incarnation=9))),
+        DropReason.UNKNOWN_FLOW,
+        1,
+    ),
+    "unroutable short packet": (
+        lambda kit: kit.forwarded(_short_packet(kit, b"\x00" * 17)),
+        DropReason.NOT_ROUTABLE,
+        0,
+    ),
+    "Initial too short to be a caller's": (
+        lambda kit: kit.forwarded(_initial(kit)[:600]),
+        DropReason.NOT_ROUTABLE,
+        0,
+    ),
+}
+
+
+@pytest.mark.parametrize("case", REFUSED)
+def test_refused_datagrams(kit, certificate, case):
+    build, reason, resets = REFUSED[case]
+    endpoint = kit.make_endpoint(certificate, kit.make_view(kit.member_entry(kit.AGENT)))
+    endpoint.datagram_received(build(kit), 0.0)
+    endpoint.flush(0.0)
+    assert dict(endpoint.drops) == {reason: 1}
+    assert len(endpoint.take_outgoing()) == resets
+    assert endpoint.open_flows == 0
+
+
+def test_a_restarted_agent_ends_the_flows_of_its_last_start(kit, certificate):
+    view = kit.make_view(kit.member_entry(kit.AGENT))
+    caller = kit.Caller(0.0)
+    network = kit.Network(kit.make_endpoint(certificate, view), caller, 5, 0.0)
+    assert network.run(lambda: caller.quic._handshake_confirmed)
+    network.run(lambda: False, 0.5)
+    second_start = kit.make_view(kit.member_entry(kit.AGENT, incarnation=2))
+    network.endpoint = kit.make_endpoint(certificate, second_start, seed=9)
+    caller.request("GET", "/lookup")
+    assert network.run(lambda: caller.reset_by_token, 1.0)
+    assert network.endpoint.resets_sent >= 1
+
+
+def test_a_quiet_open_stream_outlives_the_idle_time_outs(kit, certificate):
+    endpoint = kit.make_endpoint(certificate, kit.make_view(kit.member_entry(kit.AGENT)))
+    caller = kit.Caller(0.0)
+    network = kit.Network(endpoint, caller, 1, 0.05)
+    caller.request("GET", "/stream")
+    network.run(lambda: endpoint.has_events)
+    stream = endpoint.take_events()[0].stream
+    network.run(lambda: caller.terminated is not None, 150.0)
+    assert caller.terminated is None
+    assert endpoint.send_headers(stream, [(b":status", b"200")], ended=True)
+    assert network.run(lambda: caller.responses[0].ended)
+
+
+def test_an_initial_that_nobody_follows_up_on_is_forgotten(kit, certificate):
+    endpoint = kit.make_endpoint(certificate, kit.make_view(kit.member_entry(kit.AGENT)))
+    endpoint.datagram_received(kit.forwarded(_initial(kit)), 0.0)
+    endpoint.flush(0.0)
+    while endpoint.open_flows:
+        due = endpoint.next_timer()
+        assert due is not None
+        assert due <= 10.0
+        endpoint.handle_timers(due)
+        endpoint.flush(due)
+    assert due == 10.0
+
+
+def test_a_flow_is_not_reached_through_another_service(kit, certificate):
+    endpoint = kit.make_endpoint(certificate, kit.make_view(kit.member_entry(kit.AGENT)))
+    initial = _initial(kit)
+    endpoint.datagram_received(kit.forwarded(initial), 0.0)
+    assert endpoint.open_flows == 1
+    service = msgspec.structs.replace(kit.service_entry(), service_id=8)
+    member = msgspec.structs.replace(kit.member_entry(kit.AGENT), service_id=8)
+    view = ServiceView.build(kit.AGENT, 6, 2, [service, member, *kit.KEYS])
+    endpoint.set_view(view)
+    endpoint.datagram_received(kit.forwarded(initial, service_id=8), 0.0)
+    assert dict(endpoint.drops) == {DropReason.OTHER_SERVICE: 1}
+
+
+HANDOVERS = {
+    # own member's changes, other members, incarnation, expected target
+    "draining, second candidate": ({"admin_state": AdminState.DRAINING}, (7_002,), 1, 7_002),
+    "no incarnation yet": ({}, (7_002,), 0, 7_002),
+    "second candidate not eligible": ({"admin_state": AdminState.DRAINING}, (7_003,), 1, 7_003),
+    "draining and alone: accepted": ({"admin_state": AdminState.DRAINING}, (), 1, None),
+    "ready: accepted": ({}, (7_002,), 1, None),
+}
+
+
+@pytest.mark.parametrize("case", HANDOVERS)
+def test_new_flows_of_an_agent_that_takes_none(kit, certificate, case):
+    changes, ports, incarnation, target = HANDOVERS[case]
+    others = [kit.member_entry(kit.Endpoint("127.0.0.1", port)) for port in ports]
+    own = kit.member_entry(kit.AGENT, **changes)
+    view = kit.make_view(own, *others, incarnation=incarnation)
+    endpoint = kit.make_endpoint(certificate, view)
+    initial = _initial(kit)
+    datagram = kit.forwarded(initial, (kit.AGENT, kit.OTHER_AGENT))
+    endpoint.datagram_received(datagram, 0.0)
+    endpoint.set_view(kit.make_view(kit.member_entry(kit.AGENT), *others))
+    endpoint.datagram_received(datagram, 9.0)  # a retransmission follows the first choice
+    endpoint.flush(9.0)
+    handed = [out for out in endpoint.take_outgoing() if isinstance(out, kit.ToAgent)]
+    assert [out.address.port for out in handed] == ([] if target is None else [target] * 2)
+    assert endpoint.open_flows == (1 if target is None else 0)
+    for out in handed:
+        passed_on = Decoder(ForwardedDatagram).decode(out.data)
+        assert (passed_on.hops, passed_on.payload) == (1, initial)
+        second = kit.make_endpoint(
+            certificate, kit.make_view(own, *others), seed=4
+        )  # draining too, but one hop is the most
+        second.datagram_received(out.data, 9.0)
+        second.flush(9.0)
+        assert not any(isinstance(out, kit.ToAgent) for out in second.take_outgoing())
