Control: the replica process, operators' interface, publishing and in-force counts

Cause: the control's state machine and consensus stood without a process; nothing served operators or subscribers.

The process runs the Raft core on framed TCP links between replicas, serves HTTP/JSON with problem+json errors, ETag/If-Match and Idempotency-Key, publishes tables to balancers and agents, judges agents, follows the platform's list and counts in how many subscribers a revision is in force.

Ruled out: answering a change before its quorum commit (an answer could be taken back); reading from a replica without quorum contact (stale reads).

--- /dev/null
+++ b/src/jasperwalk/control/api_requests.py
@@ -0,0 +1,85 @@
+"""Reading what a request of the operators' interface says; anything else is a `BadRequest`."""
+
+from __future__ import annotations
+
+import re
+import uuid
+from typing import TypeVar
+
+import msgspec
+from aiohttp import web
+
+from jasperwalk.control.problem import BadRequest
+
+IF_MATCH_PATTERN = re.compile(r'^"([0-9]{1,18})"$')
+CHANGE_ID_HEADER = "Idempotency-Key"
+LARGEST_WAIT_MS = 60_000
+"""Longest wait that a request may ask for, in milliseconds."""
+
+BodyType = TypeVar("BodyType")
+
+
+def change_id_of(request: web.Request) -> str:
+    """Return the operator's change ID, a random one where none was given."""
+    return request.headers.get(CHANGE_ID_HEADER) or uuid.uuid4().hex
+
+
+def expected_revision_of(request: web.Request) -> int | None:
+    """Return the revision that If-Match names, None without that header."""
+    header = request.headers.get("If-Match")
+    if header is None:
+        return None
+    match = IF_MATCH_PATTERN.match(header.strip())
+    if match is None:
+        raise BadRequest(reason=f'If-Match {header!r} must be a revision in quotes, such as "17"')
+    return int(match.group(1))
+
+
+async def json_body_of(request: web.Request, body_type: type[BodyType]) -> BodyType:
+    """Decode the JSON body into its documented type."""
+    try:
+        return msgspec.json.decode(await request.read(), type=body_type, strict=True)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise BadRequest(reason=f"the JSON body does not fit: {error}") from error
+
+
+async def text_body_of(request: web.Request) -> str:
+    """Return the body as UTF-8 text."""
+    try:
+        return (await request.read()).decode("utf-8")
+    except UnicodeDecodeError as error:
+        raise BadRequest(reason=f"the body is not UTF-8 text: {error.reason}") from error
+
+
+def integer_query_of(request: web.Request, name: str) -> int | None:
+    """Return a query parameter that is a number of at least 0, None where it is left out."""
+    text = request.query.get(name)
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdecimal()):
+        raise BadRequest(reason=f"{name} must be a whole number of at least 0, not {text!r}")
+    return int(text)
+
+
+def wait_seconds_of(request: web.Request) -> float:
+    """Return how long the request wants to wait, in seconds."""
+    wait_ms = integer_query_of(request, "wait_ms") or 0
+    if wait_ms > LARGEST_WAIT_MS:
+        raise BadRequest(reason=f"wait_ms may be at most {LARGEST_WAIT_MS}")
+    return wait_ms / 1000
+
+
+def accepts_stale(request: web.Request) -> bool:
+    """Tell whether the request takes an answer that may be old."""
+    text = request.query.get("stale", "false")
+    if text not in ("true", "false"):
+        raise BadRequest(reason=f"stale must be true or false, not {text!r}")
+    return text == "true"
+
+
+def replica_id_of(request: web.Request) -> int:
+    """Return the replica ID in the path."""
+    text = request.match_info["replica_id"]
+    if not (text.isascii() and text.isdecimal()):
+        raise BadRequest(reason=f"replica ID {text!r} is not a number")
+    return int(text)
--- /dev/null
+++ b/src/jasperwalk/control/applied.py
@@ -0,0 +1,102 @@
+"""Who waits for which log entry to be applied, and what the latest entries came to."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from jasperwalk.control.proposal_errors import OutcomeUnknown, ProposalError, ProposalLost
+from jasperwalk.control.state.outcomes import Outcome
+
+REMEMBERED_ENTRIES = 1024
+"""Latest entries whose results are kept: a forwarded entry may be applied here before the
+leader's reply with its index arrives."""
+
+
+@dataclass(frozen=True)
+class AppliedEntry:
+    """One applied entry; `outcome` is None where the entry was no command."""
+
+    index: int
+    term: int
+    outcome: Outcome | None
+
+
+@dataclass(frozen=True)
+class Waiter:
+    """A proposal that waits for the entry of `term` at its index."""
+
+    term: int
+    future: asyncio.Future[AppliedEntry]
+
+
+class AppliedEntries:
+    """Results of applied entries, by index, and the proposals that wait for them."""
+
+    def __init__(self) -> None:
+        self.index = 0
+        self._latest: OrderedDict[int, AppliedEntry] = OrderedDict()
+        self._waiters: dict[int, list[Waiter]] = {}
+
+    def record(self, entry: AppliedEntry) -> None:
+        """Note an applied entry and answer those who wait for its index."""
+        self.index = entry.index
+        self._latest[entry.index] = entry
+        if len(self._latest) > REMEMBERED_ENTRIES:
+            self._latest.popitem(last=False)
+        for waiter in self._waiters.pop(entry.index, []):
+            _settle(waiter, entry)
+
+    def skip_to(self, index: int) -> None:
+        """Note that a snapshot replaced all entries up to `index`, whose results stay unknown."""
+        self.index = index
+        for waited_index in [each for each in self._waiters if each <= index]:
+            for waiter in self._waiters.pop(waited_index):
+                _fail(waiter, OutcomeUnknown())
+
+    async def wait(self, index: int, term: int, timeout_seconds: float) -> AppliedEntry:
+        """Return the entry once applied.
+
+        Raises `ProposalLost` when an entry of another term took its place, and
+        `OutcomeUnknown` when it was not applied in time or was covered by a snapshot.
+        """
+        waiter = Waiter(term=term, future=asyncio.get_running_loop().create_future())
+        if index <= self.index:
+            self._settle_late(index, waiter)
+        else:
+            self._waiters.setdefault(index, []).append(waiter)
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                return await waiter.future
+        except TimeoutError as error:
+            raise OutcomeUnknown() from error
+        finally:
+            self._discard(index, waiter)
+
+    def _settle_late(self, index: int, waiter: Waiter) -> None:
+        entry = self._latest.get(index)
+        if entry is None:
+            _fail(waiter, OutcomeUnknown())
+        else:
+            _settle(waiter, entry)
+
+    def _discard(self, index: int, waiter: Waiter) -> None:
+        """Forget a waiter that gave up, so that a stalled log does not collect them."""
+        waiters = self._waiters.get(index)
+        if waiters is not None and waiter in waiters:
+            waiters.remove(waiter)
+            if not waiters:
+                del self._waiters[index]
+
+
+def _settle(waiter: Waiter, entry: AppliedEntry) -> None:
+    if waiter.term != entry.term:
+        _fail(waiter, ProposalLost())
+    elif not waiter.future.done():
+        waiter.future.set_result(entry)
+
+
+def _fail(waiter: Waiter, error: ProposalError) -> None:
+    if not waiter.future.done():
+        waiter.future.set_exception(error)
--- /dev/null
+++ b/src/jasperwalk/control/leader_duties.py
@@ -0,0 +1,167 @@
+"""What the leader does besides answering: one loop of small named steps.
+
+Each step looks at the committed state and proposes what is missing, so that it may be repeated
+at any time. A leader that was deposed without knowing it cannot commit; what it proposed
+before is guarded by the state machine (statuses name an incarnation, the first key stands).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+from dataclasses import dataclass, field
+
+import structlog
+
+from jasperwalk.config.table import AdminState, KeyPurpose
+from jasperwalk.control.in_force import InForceLedger, SeenSubscriber
+from jasperwalk.control.platform_poller import PlatformPoller
+from jasperwalk.control.proposal_errors import ProposalError
+from jasperwalk.control.proposals import Proposals
+from jasperwalk.control.raft_runner import RaftRunner
+from jasperwalk.control.state.commands import (
+    Command,
+    InstallKey,
+    PlatformState,
+    SetMemberStatus,
+    SetPlatformStates,
+)
+from jasperwalk.membership.liveness import AgentObservation, LivenessConfig, LivenessTracker
+from jasperwalk.membership.platform import PlatformReconciler, ReconcilerConfig
+from jasperwalk.messages.distribution import SubscriberRole
+
+STEP_INTERVAL_SECONDS = 0.2
+QUORUM_CONTACT_SECONDS = 1.0
+"""A leader whose quorum contact is older than this decides nothing."""
+FIRST_ROTATION = 0
+SECRET_BYTES = 16
+"""Length of every fleet key: AES-128 for connection IDs, 128 bits for the MAC keys."""
+
+logger = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True)
+class DutiesConfig:
+    """Settings of the leader's duties."""
+
+    liveness: LivenessConfig = field(default_factory=LivenessConfig)
+    reconciler: ReconcilerConfig = field(default_factory=ReconcilerConfig)
+    step_interval_seconds: float = STEP_INTERVAL_SECONDS
+
+
+class LeaderDuties:
+    """Runs the steps while this replica leads with quorum contact."""
+
+    def __init__(
+        self,
+        config: DutiesConfig,
+        runner: RaftRunner,
+        proposals: Proposals,
+        ledger: InForceLedger,
+        poller: PlatformPoller | None,
+    ) -> None:
+        self._config = config
+        self._runner = runner
+        self._proposals = proposals
+        self._ledger = ledger
+        self._poller = poller
+        self._led_term: int | None = None
+        self._liveness = LivenessTracker(config.liveness)
+        self._reconciler = PlatformReconciler(config.reconciler)
+
+    async def run(self) -> None:
+        """Run the steps at an interval until cancelled."""
+        while True:
+            leads = self._note_leadership()
+            if self._poller is not None:
+                self._poller.wanted = leads
+            if leads:
+                await self._run_steps()
+            await asyncio.sleep(self._config.step_interval_seconds)
+
+    async def _run_steps(self) -> None:
+        try:
+            await self._install_missing_keys()
+            await self._judge_members()
+            await self._follow_platform_list()
+        except ProposalError as error:
+            # The next round starts from what has been committed by then.
+            logger.info("leader-step-failed", kind=error.kind)
+
+    def _note_leadership(self) -> bool:
+        """Tell whether this replica leads; start anew with every term that it leads."""
+        if not self._runner.is_leader or self._runner.quorum_age() > QUORUM_CONTACT_SECONDS:
+            if not self._runner.is_leader:
+                self._led_term = None
+            return False
+        if self._led_term != self._runner.term:
+            self._led_term = self._runner.term
+            self._liveness = LivenessTracker(self._config.liveness)
+            self._liveness.leader_started(time.monotonic())
+            self._reconciler = PlatformReconciler(self._config.reconciler)
+            logger.info("leadership-taken", term=self._runner.term)
+        return True
+
+    async def _install_missing_keys(self) -> None:
+        """Install the first key of each purpose that has none."""
+        keys = self._runner.state.table.keys()
+        present = {key.purpose for key in keys}
+        for purpose in KeyPurpose:
+            if purpose not in present:
+                await self._propose(
+                    InstallKey(
+                        purpose=purpose,
+                        rotation=FIRST_ROTATION,
+                        secret=secrets.token_bytes(SECRET_BYTES),
+                        active=True,
+                    )
+                )
+
+    async def _judge_members(self) -> None:
+        """Set the statuses of members that came, went silent or reported their back end down."""
+        now = time.monotonic()
+        for seen in self._ledger.current(now):
+            if seen.sighting.role is SubscriberRole.AGENT:
+                self._liveness.observe(_observation_of(seen, now), now)
+        statuses = self._liveness.evaluate(self._runner.state.members(), now)
+        if statuses:
+            await self._propose(SetMemberStatus(statuses=statuses))
+
+    async def _follow_platform_list(self) -> None:
+        """Drain the hosts that the platform takes away, and take back those that stay."""
+        platform_list = None if self._poller is None else self._poller.take()
+        if platform_list is None:
+            return
+        states = self._reconciler.reconcile(platform_list, self._runner.state.members())
+        states = self._changed_only(states)
+        if not states:
+            return
+        try:
+            await self._propose(SetPlatformStates(states=states))
+        except ProposalError:
+            self._reconciler.repeat(state.host for state in states)
+            raise
+
+    def _changed_only(self, states: list[PlatformState]) -> list[PlatformState]:
+        """Leave out states that are committed already: a new leader's first poll names all."""
+        draining = set(self._runner.state.platform_draining())
+        return [
+            state
+            for state in states
+            if (state.admin_state is AdminState.DRAINING) != (state.host in draining)
+        ]
+
+    async def _propose(self, command: Command) -> None:
+        outcome = await self._proposals.propose(command)
+        if not outcome.accepted:
+            logger.warning("leader-proposal-refused", kind=outcome.kind, detail=outcome.describe())
+
+
+def _observation_of(seen: SeenSubscriber, now: float) -> AgentObservation:
+    return AgentObservation(
+        address=seen.sighting.address,
+        incarnation=seen.sighting.incarnation,
+        healthy=seen.sighting.healthy,
+        silence_seconds=now - seen.seen_at,
+    )
--- /dev/null
+++ b/src/jasperwalk/control/peer_links.py
@@ -0,0 +1,178 @@
+"""Links between control replicas: one outgoing framed TCP connection to every peer.
+
+A link drops what it cannot send (not connected, or its queue is full): the consensus core
+repeats what matters, and waiting proposals have deadlines.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Mapping
+
+import structlog
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.control.peer_messages import PEER_DECODER, LinkAlive, PeerMessage
+from jasperwalk.errors import JasperwalkError
+from jasperwalk.messages import codec
+from jasperwalk.transport.client import connect
+from jasperwalk.transport.framed import ConnectionKind, FramedConnection, make_hello
+
+QUEUE_LIMIT_MESSAGES = 1024
+RECONNECT_SECONDS = 0.2
+"""Pause before a lost link is opened again."""
+ALIVE_INTERVAL_SECONDS = 0.5
+SILENCE_LIMIT_SECONDS = 3.0
+"""A link on which nothing came back for this long is opened anew."""
+
+MessageHandler = Callable[[int, PeerMessage], None]
+"""Takes the sender's replica ID and the message."""
+
+logger = structlog.get_logger(__name__)
+
+
+class PeerLink:
+    """The outgoing link to one peer; `run` keeps it open until cancelled."""
+
+    def __init__(self, endpoint: Endpoint, name: str, replica_id: int, cluster_id: str) -> None:
+        self.endpoint = endpoint
+        self.connected = False
+        self.dropped_messages = 0
+        self._hello = make_hello(ConnectionKind.PEER, name, cluster_id, replica_id)
+        self._queue: asyncio.Queue[bytes] = asyncio.Queue(maxsize=QUEUE_LIMIT_MESSAGES)
+
+    def send(self, payload: bytes) -> bool:
+        """Queue one message; False when it was dropped."""
+        if not self.connected or self._queue.full():
+            self.dropped_messages += 1
+            return False
+        self._queue.put_nowait(payload)
+        return True
+
+    async def run(self) -> None:
+        """Keep the link open."""
+        while True:
+            try:
+                await self._serve(await connect(self.endpoint, self._hello))
+            except JasperwalkError as error:
+                logger.debug("peer-link-lost", peer=str(self.endpoint), kind=error.kind)
+            await asyncio.sleep(RECONNECT_SECONDS)
+
+    async def _serve(self, connection: FramedConnection) -> None:
+        """Send until the link fails; raise the failure."""
+        self.connected = True
+        jobs = {
+            asyncio.create_task(self._send_queued(connection)),
+            asyncio.create_task(_watch_for_silence(connection)),
+        }
+        try:
+            done, _ = await asyncio.wait(jobs, return_when=asyncio.FIRST_COMPLETED)
+            for job in done:
+                job.result()
+        finally:
+            self.connected = False
+            # What waited for the old connection is out of date on the next one.
+            while not self._queue.empty():
+                self._queue.get_nowait()
+            for job in jobs:
+                job.cancel()
+            await asyncio.gather(*jobs, return_exceptions=True)
+            connection.abort()
+
+    async def _send_queued(self, connection: FramedConnection) -> None:
+        while True:
+            await connection.send(await self._queue.get())
+
+
+async def _watch_for_silence(connection: FramedConnection) -> None:
+    """Return when the peer has been silent for too long; raise when the link is lost."""
+    with contextlib.suppress(TimeoutError):
+        while True:
+            async with asyncio.timeout(SILENCE_LIMIT_SECONDS):
+                await connection.receive()
+
+
+class PeerNetwork:
+    """All links of one replica, and the handler of the links that peers opened to it."""
+
+    def __init__(
+        self, name: str, replica_id: int, cluster_id: str, on_message: MessageHandler
+    ) -> None:
+        self._name = name
+        self._replica_id = replica_id
+        self._cluster_id = cluster_id
+        self.on_message = on_message
+        self._links: dict[int, PeerLink] = {}
+        self._tasks: dict[int, asyncio.Task[None]] = {}
+        self.malformed_messages = 0
+
+    def set_peers(self, peers: Mapping[int, Endpoint]) -> None:
+        """Open links to new or moved peers and close those to peers that left."""
+        wanted = {each: peers[each] for each in peers if each != self._replica_id}
+        for replica_id in list(self._links):
+            if wanted.get(replica_id) != self._links[replica_id].endpoint:
+                self._close(replica_id)
+        for replica_id, endpoint in wanted.items():
+            if replica_id not in self._links:
+                self._open(replica_id, endpoint)
+
+    def send(self, replica_id: int, message: PeerMessage) -> bool:
+        """Send one message to a peer; False when it was certainly not sent."""
+        link = self._links.get(replica_id)
+        if link is None:
+            return False
+        return link.send(codec.encode(message))
+
+    def broadcast(self, message: PeerMessage) -> None:
+        """Send one message to every peer."""
+        payload = codec.encode(message)
+        for link in self._links.values():
+            link.send(payload)
+
+    def dropped_messages(self) -> int:
+        """Count the messages that were dropped on the links that stand now."""
+        return sum(link.dropped_messages for link in self._links.values())
+
+    async def serve(self, connection: FramedConnection) -> None:
+        """Take messages from a link that a peer opened, until it ends."""
+        beacon = asyncio.create_task(_send_alive(connection))
+        try:
+            while True:
+                self._take(connection, await connection.receive())
+        finally:
+            beacon.cancel()
+
+    async def close(self) -> None:
+        """Close all links."""
+        tasks = list(self._tasks.values())
+        for replica_id in list(self._links):
+            self._close(replica_id)
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _take(self, connection: FramedConnection, payload: bytes) -> None:
+        sender = connection.peer.sender_id if connection.peer is not None else 0
+        try:
+            message = PEER_DECODER.decode(payload)
+        except JasperwalkError as error:
+            self.malformed_messages += 1
+            logger.warning("peer-message-refused", sender=sender, detail=error.describe())
+            return
+        self.on_message(sender, message)
+
+    def _open(self, replica_id: int, endpoint: Endpoint) -> None:
+        link = PeerLink(endpoint, self._name, self._replica_id, self._cluster_id)
+        self._links[replica_id] = link
+        self._tasks[replica_id] = asyncio.create_task(link.run())
+
+    def _close(self, replica_id: int) -> None:
+        del self._links[replica_id]
+        self._tasks.pop(replica_id).cancel()
+
+
+async def _send_alive(connection: FramedConnection) -> None:
+    payload = codec.encode(LinkAlive())
+    with contextlib.suppress(JasperwalkError):
+        while True:
+            await connection.send(payload)
+            await asyncio.sleep(ALIVE_INTERVAL_SECONDS)
--- /dev/null
+++ b/src/jasperwalk/control/peer_messages.py
@@ -0,0 +1,110 @@
+"""Messages between control replicas, each framed on a TCP link opened by the sender.
+
+Links are one-way: an answer travels on the answering replica's own link. The sender is known
+from the link's Hello. Every request carries a number that its sender does not use twice while
+it runs.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.control.in_force import SubscriberSighting
+from jasperwalk.messages.codec import Decoder
+
+
+class RaftPayload(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """An encoded message of the consensus core."""
+
+    payload: bytes
+
+
+class ForwardProposal(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """A follower's request that the leader append `command` to the log."""
+
+    request_number: int
+    command: bytes
+
+
+class ReplicaAddition(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """A new replica, which joins as a learner."""
+
+    replica_id: int
+    address: Endpoint
+
+
+class ReplicaPromotion(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """A learner that shall vote."""
+
+    replica_id: int
+
+
+class ReplicaRemoval(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """A replica that leaves for good; its ID is never used again."""
+
+    replica_id: int
+
+
+ReplicaChange = ReplicaAddition | ReplicaPromotion | ReplicaRemoval
+
+
+class ForwardReplicaChange(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """A follower's request that the leader propose a change of the replicas."""
+
+    request_number: int
+    change: ReplicaChange
+
+
+class ProposalVerdict(enum.StrEnum):
+    """What the leader did with a forwarded request."""
+
+    APPENDED = "appended"
+    NOT_LEADER = "not-leader"
+    OVERLOADED = "overloaded"
+    TOO_LARGE = "too-large"
+    REFUSED = "refused"
+
+
+class ForwardReply(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """The leader's answer: the entry's term and index when it was appended.
+
+    Appended is not accepted: the sender waits until its own log has applied the index, and
+    the entry was lost if that index holds another term. `detail` explains a refusal.
+    """
+
+    request_number: int
+    verdict: ProposalVerdict
+    term: int
+    index: int
+    detail: str = ""
+
+
+class SubscriberReport(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """The subscribers that replica `origin` serves, and its table's revision when it looked.
+
+    The leader relays every report to the other replicas, because a replica may be in contact
+    with the leader and yet not with another follower.
+    """
+
+    origin: int
+    revision: int
+    sightings: list[SubscriberSighting]
+
+
+class LinkAlive(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Sent back on an otherwise one-way link, so that its opener notices a silent cut."""
+
+
+PeerMessage = (
+    RaftPayload
+    | ForwardProposal
+    | ForwardReplicaChange
+    | ForwardReply
+    | SubscriberReport
+    | LinkAlive
+)
+
+PEER_DECODER: Decoder[PeerMessage] = Decoder(PeerMessage)
--- /dev/null
+++ b/src/jasperwalk/control/proposal_errors.py
@@ -0,0 +1,72 @@
+"""Failures of proposing a change to the replicated log."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from jasperwalk.errors import JasperwalkError
+
+
+@dataclass(eq=False)
+class ProposalError(JasperwalkError):
+    """Root of the failures of a proposal."""
+
+    kind: ClassVar[str] = "proposal-failed"
+
+
+@dataclass(eq=False)
+class NoLeader(ProposalError):
+    """No leader can be reached from here; the change was not taken."""
+
+    kind: ClassVar[str] = "no-leader"
+    leader_id: int | None = None
+
+    def describe(self) -> str:
+        """Say that nothing was taken."""
+        return "no leader can be reached from this replica; nothing was changed, try again"
+
+
+@dataclass(eq=False)
+class Overloaded(ProposalError):
+    """The leader has too many changes in progress; the change was not taken."""
+
+    kind: ClassVar[str] = "overloaded"
+
+    def describe(self) -> str:
+        """Say that nothing was taken."""
+        return "too many changes are in progress; nothing was changed, try again"
+
+
+@dataclass(eq=False)
+class ProposalLost(ProposalError):
+    """A new leader's entry took the place of the change, which will never be applied."""
+
+    kind: ClassVar[str] = "proposal-lost"
+
+    def describe(self) -> str:
+        """Say that nothing was taken."""
+        return "the leader changed and the change was lost; nothing was changed, try again"
+
+
+@dataclass(eq=False)
+class OutcomeUnknown(ProposalError):
+    """The change may or may not be applied; its outcome did not come in time."""
+
+    kind: ClassVar[str] = "outcome-unknown"
+
+    def describe(self) -> str:
+        """Name the mend."""
+        return "the outcome is not known yet; resend with the same change ID to learn it"
+
+
+@dataclass(eq=False)
+class MembershipRefused(ProposalError):
+    """The leader refused a change of the replicas."""
+
+    kind: ClassVar[str] = "membership-refused"
+    reason: str
+
+    def describe(self) -> str:
+        """Give the reason."""
+        return f"change of the replicas refused: {self.reason}"
--- /dev/null
+++ b/src/jasperwalk/control/raft_runner.py
@@ -0,0 +1,308 @@
+"""The asyncio adapter of the consensus core: its clock, its disk and its peers.
+
+One task drives the core. It persists what the core hands out on a thread of its own, and only
+then sends messages and applies entries. Proposals and messages that arrive while the disk
+syncs are taken in by the core at once and go to disk together in the next batch.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Protocol
+
+import structlog
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.consensus.config import RaftConfig
+from jasperwalk.consensus.core import RaftNode
+from jasperwalk.consensus.durable import PersistBatch, SnapshotData
+from jasperwalk.consensus.entries import EntryKind, LogEntry, Membership
+from jasperwalk.consensus.members import (
+    AddLearner,
+    MembershipChange,
+    PromoteLearner,
+    RemoveReplica,
+)
+from jasperwalk.consensus.messages import RaftMessage
+from jasperwalk.consensus.outcomes import (
+    InvariantBroken,
+    MembershipOutcome,
+    Outgoing,
+    ProposalOutcome,
+    Ready,
+)
+from jasperwalk.consensus.storage import FileStorage
+from jasperwalk.control.applied import AppliedEntries, AppliedEntry
+from jasperwalk.control.peer_links import PeerNetwork
+from jasperwalk.control.peer_messages import (
+    RaftPayload,
+    ReplicaAddition,
+    ReplicaChange,
+    ReplicaPromotion,
+    ReplicaRemoval,
+)
+from jasperwalk.control.state.machine import ControlState
+from jasperwalk.errors import InvalidAddress, JasperwalkError
+from jasperwalk.messages import codec
+
+HEARTBEAT_INTERVAL_SECONDS = 0.15
+ELECTION_TIMEOUT_SECONDS = 0.9
+"""Least time without a leader before a campaign; the longest is twice that. A busy machine
+delays a process by a few hundred milliseconds, which must not look like a lost leader."""
+SNAPSHOT_INTERVAL_ENTRIES = 1024
+"""Applied entries after which the state is written as a snapshot."""
+LONGEST_WAIT_SECONDS = 1.0
+"""Longest sleep between two ticks of the core."""
+DISK_ID_BYTES = 16
+"""Length of the random name of a new data folder."""
+
+RAFT_DECODER: codec.Decoder[RaftMessage] = codec.Decoder(RaftMessage)
+
+logger = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True)
+class RaftRunnerConfig:
+    """Settings of the adapter; `peers` are the end points known from the settings file."""
+
+    cluster_id: str
+    replica_id: int
+    folder: Path
+    raft: RaftConfig
+    peers: dict[int, Endpoint] = field(default_factory=dict)
+    snapshot_interval_entries: int = SNAPSHOT_INTERVAL_ENTRIES
+
+
+class AppliedListener(Protocol):
+    """What is told of the state machine's progress."""
+
+    def entry_applied(self, entry: AppliedEntry) -> None:
+        """Take note of one applied entry."""
+
+    def batch_applied(self) -> None:
+        """Take note that a batch of applied entries is complete."""
+
+    def state_replaced(self) -> None:
+        """Take note that a snapshot replaced the state machine."""
+
+
+class RaftRunner:
+    """Runs one replica's core on a disk and a network, and feeds the state machine.
+
+    `state` is the state machine; a snapshot of the leader replaces the object. `run` ends only
+    by cancellation or with the failure of the disk or of an invariant of the core.
+    """
+
+    def __init__(
+        self,
+        config: RaftRunnerConfig,
+        network: PeerNetwork,
+        listener: AppliedListener,
+        random: Random,
+    ) -> None:
+        self._config = config
+        self._network = network
+        self._listener = listener
+        self._failure: JasperwalkError | None = None
+        self._displacement_logged = False
+        self._wake = asyncio.Event()
+        self._disk = ThreadPoolExecutor(max_workers=1, thread_name_prefix="raft-disk")
+        self._snapshot_index = 0
+        self._linked_membership: Membership | None = None
+        self.state = ControlState()
+        self.applied = AppliedEntries()
+        self.malformed_messages = 0
+        # Loading blocks, but nothing else runs before the log has been read.
+        self._storage = FileStorage(
+            config.folder,
+            config.cluster_id,
+            config.replica_id,
+            new_disk_id=secrets.token_hex(DISK_ID_BYTES),
+        )
+        durable = self._storage.load()
+        if durable.snapshot is not None:
+            self._restore(durable.snapshot)
+        self._node = RaftNode(config.raft, durable, random, time.monotonic())
+        self._link_members()
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this replica leads, as far as it knows."""
+        return self._node.is_leader
+
+    @property
+    def leader_id(self) -> int | None:
+        """The leader's replica ID, None when this replica knows of none."""
+        return self._node.leader_id
+
+    @property
+    def term(self) -> int:
+        """The current term."""
+        return self._node.term
+
+    @property
+    def commit_index(self) -> int:
+        """Index of the newest entry known to be committed."""
+        return self._node.commit_index
+
+    @property
+    def is_displaced(self) -> bool:
+        """Tell whether the cluster knows this replica by another disk: it must be replaced."""
+        return self._node.is_displaced
+
+    @property
+    def membership(self) -> Membership:
+        """The replicas, voters and learners."""
+        return self._node.membership
+
+    def quorum_age(self) -> float:
+        """Return seconds since contact with a quorum (through the leader), inf if unknown."""
+        return self._node.quorum_age(time.monotonic())
+
+    def propose(self, command: bytes) -> ProposalOutcome:
+        """Append a command to the log, if this replica leads."""
+        outcome = self._node.propose(command, time.monotonic())
+        self._wake.set()
+        return outcome
+
+    def propose_replica_change(self, change: ReplicaChange) -> MembershipOutcome:
+        """Append a change of the replicas to the log, if this replica leads."""
+        outcome = self._node.propose_membership(_core_change(change), time.monotonic())
+        self._wake.set()
+        return outcome
+
+    def take(self, sender: int, message: RaftPayload) -> None:
+        """Hand a peer's message to the core; malformed ones are counted and dropped."""
+        try:
+            decoded = RAFT_DECODER.decode(message.payload)
+        except JasperwalkError as error:
+            self.malformed_messages += 1
+            logger.warning("raft-message-refused", sender=sender, detail=error.describe())
+            return
+        try:
+            self._node.receive(sender, decoded, time.monotonic())
+        except InvariantBroken as error:
+            # `run` must end with it; the link that brought the message is not at fault.
+            self._failure = error
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Drive the core until cancelled."""
+        while True:
+            self._wake.clear()
+            if self._failure is not None:
+                raise self._failure
+            self._node.tick(time.monotonic())
+            await self._work_off()
+            self._warn_when_displaced()
+            wait_seconds = self._node.next_deadline() - time.monotonic()
+            try:
+                async with asyncio.timeout(min(max(wait_seconds, 0.0), LONGEST_WAIT_SECONDS)):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    def close(self) -> None:
+        """Wait for the disk and let go of the log's files."""
+        self._disk.shutdown(wait=True)
+        self._storage.close()
+
+    def _warn_when_displaced(self) -> None:
+        if self.is_displaced and not self._displacement_logged:
+            self._displacement_logged = True
+            logger.error(
+                "replica-displaced",
+                replica_id=self._config.replica_id,
+                mend="the cluster knows this replica by another disk; remove it and join anew "
+                "under a new replica_id",
+            )
+
+    async def _work_off(self) -> None:
+        while not (ready := self._node.ready()).is_empty():
+            if ready.persist is not None:
+                await self._persist(ready.persist)
+            self._send(ready.messages)
+            self._advance_state(ready)
+            self._link_members()
+
+    async def _persist(self, batch: PersistBatch) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(self._disk, self._storage.persist, batch)
+        self._node.persisted()
+
+    def _send(self, messages: list[Outgoing]) -> None:
+        for outgoing in messages:
+            self._network.send(outgoing.to, RaftPayload(payload=codec.encode(outgoing.message)))
+
+    def _advance_state(self, ready: Ready) -> None:
+        if ready.install_snapshot is not None:
+            self._restore(ready.install_snapshot)
+            self._listener.state_replaced()
+        for entry in ready.committed:
+            self._apply(entry)
+        if ready.committed:
+            self._listener.batch_applied()
+            self._take_snapshot_when_due()
+
+    def _restore(self, snapshot: SnapshotData) -> None:
+        self.state = ControlState.restore(snapshot.state)
+        self._snapshot_index = snapshot.index
+        self.applied.skip_to(snapshot.index)
+
+    def _apply(self, entry: LogEntry) -> None:
+        outcome = None
+        if entry.kind is EntryKind.COMMAND:
+            outcome = self.state.apply_encoded(entry.index, entry.data)
+        applied = AppliedEntry(index=entry.index, term=entry.term, outcome=outcome)
+        self._listener.entry_applied(applied)
+        self.applied.record(applied)
+
+    def _take_snapshot_when_due(self) -> None:
+        index = self.applied.index
+        if index - self._snapshot_index >= self._config.snapshot_interval_entries:
+            self._node.take_snapshot(index, self.state.serialise())
+            self._snapshot_index = index
+
+    def _link_members(self) -> None:
+        """Keep a link to every member; those of the settings file stand in until it is known."""
+        membership = self._node.membership
+        if membership == self._linked_membership:
+            return
+        self._linked_membership = membership
+        self._network.set_peers(self.endpoints())
+
+    def endpoints(self) -> dict[int, Endpoint]:
+        """Return the end points of the replicas by ID."""
+        membership = self._node.membership
+        own_id = self._config.replica_id
+        # Not (yet, or no longer) a member: only the settings tell where the others are.
+        is_member = membership.find(own_id) is not None
+        endpoints = {} if is_member else dict(self._config.peers)
+        for member in membership.members:
+            endpoint = _parse_endpoint(member.address) or self._config.peers.get(member.replica_id)
+            if endpoint is not None:
+                endpoints[member.replica_id] = endpoint
+        return endpoints
+
+
+def _parse_endpoint(address: str) -> Endpoint | None:
+    try:
+        return Endpoint.parse(address)
+    except InvalidAddress:
+        return None
+
+
+def _core_change(change: ReplicaChange) -> MembershipChange:
+    match change:
+        case ReplicaAddition():
+            return AddLearner(replica_id=change.replica_id, address=str(change.address))
+        case ReplicaPromotion():
+            return PromoteLearner(replica_id=change.replica_id)
+        case ReplicaRemoval():
+            return RemoveReplica(replica_id=change.replica_id)
--- /dev/null
+++ b/src/jasperwalk/control/replica.py
@@ -0,0 +1,276 @@
+"""One control replica: its parts, and which message goes to which of them."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+import structlog
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.consensus.config import InitialMember, RaftConfig
+from jasperwalk.control.applied import AppliedEntry
+from jasperwalk.control.in_force import InForce, InForceLedger, SubscriberSighting
+from jasperwalk.control.leader_duties import DutiesConfig, LeaderDuties
+from jasperwalk.control.peer_links import PeerNetwork
+from jasperwalk.control.peer_messages import (
+    ForwardProposal,
+    ForwardReplicaChange,
+    ForwardReply,
+    LinkAlive,
+    PeerMessage,
+    RaftPayload,
+    ReplicaChange,
+    SubscriberReport,
+)
+from jasperwalk.control.platform_poller import PlatformPoller
+from jasperwalk.control.problem import StaleReplica
+from jasperwalk.control.proposal_errors import NoLeader, ProposalError
+from jasperwalk.control.proposals import Proposals
+from jasperwalk.control.publishing import Publishing
+from jasperwalk.control.raft_runner import (
+    ELECTION_TIMEOUT_SECONDS,
+    HEARTBEAT_INTERVAL_SECONDS,
+    SNAPSHOT_INTERVAL_ENTRIES,
+    RaftRunner,
+    RaftRunnerConfig,
+)
+from jasperwalk.control.replica_metrics import ReplicaMetrics
+from jasperwalk.control.state.commands import OperatorCommand
+from jasperwalk.control.state.machine import ControlState
+from jasperwalk.control.state.outcomes import Outcome, Registered
+from jasperwalk.distribution.publisher_events import PublisherConfig
+from jasperwalk.messages.distribution import SubscriberRole
+from jasperwalk.observability import MetricsRegistry
+from jasperwalk.transport.framed import ConnectionKind, make_hello
+from jasperwalk.transport.server import FramedServer
+
+STALE_SECONDS = 2.0
+"""A replica whose quorum contact is older than this answers no reads and takes no changes."""
+REPORT_INTERVAL_SECONDS = 0.5
+"""Interval at which replicas tell each other of their subscribers."""
+
+logger = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True)
+class ReplicaConfig:
+    """Settings of a replica, all times in seconds.
+
+    `peers` are the end points of the initial replicas by ID, the same on each of them.
+    """
+
+    name: str
+    cluster_id: str
+    replica_id: int
+    data_folder: Path
+    peer_listen: Endpoint
+    peers: dict[int, Endpoint]
+    heartbeat_interval_seconds: float = HEARTBEAT_INTERVAL_SECONDS
+    election_timeout_seconds: float = ELECTION_TIMEOUT_SECONDS
+    snapshot_interval_entries: int = SNAPSHOT_INTERVAL_ENTRIES
+    stale_seconds: float = STALE_SECONDS
+    platform_list_url: str | None = None
+    platform_poll_seconds: float = 1.0
+    publisher: PublisherConfig = field(default_factory=PublisherConfig)
+    duties: DutiesConfig = field(default_factory=DutiesConfig)
+
+    def runner_config(self) -> RaftRunnerConfig:
+        """Return the settings of the consensus adapter."""
+        members = tuple(
+            InitialMember(replica_id=replica_id, address=str(endpoint))
+            for replica_id, endpoint in sorted(self.peers.items())
+        )
+        raft = RaftConfig(
+            initial_members=members,
+            heartbeat_interval_seconds=self.heartbeat_interval_seconds,
+            election_timeout_seconds=self.election_timeout_seconds,
+        )
+        return RaftRunnerConfig(
+            cluster_id=self.cluster_id,
+            replica_id=self.replica_id,
+            folder=self.data_folder,
+            raft=raft,
+            peers=self.peers,
+            snapshot_interval_entries=self.snapshot_interval_entries,
+        )
+
+
+class ControlReplica:
+    """Owns the parts of one replica; `run` serves until cancelled or a part fails."""
+
+    def __init__(self, config: ReplicaConfig, registry: MetricsRegistry, random: Random) -> None:
+        """Read the log and bind nothing yet; raises `StorageError` for a damaged data folder."""
+        self._config = config
+        self.replica_id = config.replica_id
+        self.network = PeerNetwork(
+            config.name, config.replica_id, config.cluster_id, self._take_message
+        )
+        self.runner = RaftRunner(config.runner_config(), self.network, self, random)
+        self.proposals = Proposals(self.runner, self.network)
+        self.publishing = Publishing(
+            self.state.table, config.publisher, self.proposals, self.runner.quorum_age
+        )
+        self.ledger = InForceLedger(time.monotonic())
+        self._poller = _make_poller(config)
+        self._duties = LeaderDuties(
+            config.duties, self.runner, self.proposals, self.ledger, self._poller
+        )
+        self._server = FramedServer(
+            config.peer_listen,
+            make_hello(ConnectionKind.PEER, config.name, config.cluster_id, config.replica_id),
+            {
+                ConnectionKind.PEER: self.network.serve,
+                ConnectionKind.SUBSCRIBER: self.publishing.serve,
+            },
+        )
+        self._metrics = ReplicaMetrics(registry, self)
+        self._register_known_agents()
+
+    @property
+    def state(self) -> ControlState:
+        """The state machine; the object changes when a snapshot is installed."""
+        return self.runner.state
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """The end point for replicas and subscribers, with its real port once `start` ran."""
+        return self._server.endpoint
+
+    async def start(self) -> None:
+        """Open the peer port; raises `OSError` when it cannot be had."""
+        await self._server.start()
+
+    async def run(self) -> None:
+        """Run all parts until cancelled; raises the failure of the part that ended first."""
+        jobs = [
+            self.runner.run(),
+            self.publishing.run(),
+            self._duties.run(),
+            self._report_subscribers(),
+        ]
+        if self._poller is not None:
+            jobs.append(self._poller.run())
+        tasks = [asyncio.create_task(job) for job in jobs]
+        try:
+            await asyncio.gather(*tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def close(self) -> None:
+        """Close connections and files; what was accepted is on disk already."""
+        await self._server.close()
+        await self.publishing.close()
+        await self.network.close()
+        self.runner.close()
+
+    async def change(self, command: OperatorCommand) -> Outcome:
+        """Propose an operator's change; raises as `Proposals.propose` does."""
+        if not self.has_quorum():
+            # Answered at once: a proposal here could only run into its time-out.
+            self._metrics.count_proposal(NoLeader.kind)
+            raise NoLeader(leader_id=self.runner.leader_id)
+        try:
+            outcome = await self.proposals.propose(command)
+        except ProposalError as error:
+            self._metrics.count_proposal(error.kind)
+            raise
+        self._metrics.count_proposal(outcome.kind)
+        return outcome
+
+    async def change_replicas(self, change: ReplicaChange) -> int:
+        """Propose a change of the replicas; returns the log index that carries it."""
+        if not self.has_quorum():
+            raise NoLeader(leader_id=self.runner.leader_id)
+        return await self.proposals.propose_replica_change(change)
+
+    def has_quorum(self) -> bool:
+        """Tell whether this replica knows of recent contact with a quorum."""
+        return self.runner.quorum_age() <= self._config.stale_seconds
+
+    def require_quorum(self) -> None:
+        """Raise `StaleReplica` when this replica may be behind."""
+        if not self.has_quorum():
+            quorum_age = self.runner.quorum_age()
+            age_ms = int(quorum_age * 1000) if math.isfinite(quorum_age) else None
+            raise StaleReplica(quorum_age_ms=age_ms, leader_id=self.runner.leader_id)
+
+    def in_force(self, revision: int) -> InForce:
+        """Tell where a revision is in force, as far as this replica knows."""
+        now = time.monotonic()
+        self.ledger.merge(self.publishing.sightings(), now)
+        return self.ledger.in_force(revision, self._peer_ids(), now)
+
+    def agent_sighting(self, address: Endpoint) -> SubscriberSighting | None:
+        """Return the newest sighting of the agent at an address."""
+        for seen in self.ledger.current(time.monotonic()):
+            sighting = seen.sighting
+            if sighting.role is SubscriberRole.AGENT and sighting.address == address:
+                return sighting
+        return None
+
+    def entry_applied(self, entry: AppliedEntry) -> None:
+        """Tell the publisher of committed registrations."""
+        if isinstance(entry.outcome, Registered):
+            record = self.state.agent(Endpoint.parse(entry.outcome.address))
+            if record is not None:
+                self.publishing.agent_registered(record)
+
+    def batch_applied(self) -> None:
+        """Publish what a batch of entries changed."""
+        self.publishing.table_advanced(self.state.table)
+
+    def state_replaced(self) -> None:
+        """Publish from the state machine that a snapshot brought."""
+        self._register_known_agents()
+        self.publishing.table_replaced(self.state.table)
+
+    def _register_known_agents(self) -> None:
+        for record in self.state.agents():
+            self.publishing.agent_registered(record)
+
+    def _take_message(self, sender: int, message: PeerMessage) -> None:
+        match message:
+            case RaftPayload():
+                self.runner.take(sender, message)
+            case ForwardProposal() | ForwardReplicaChange():
+                self.proposals.take_request(sender, message)
+            case ForwardReply():
+                self.proposals.take_reply(message)
+            case SubscriberReport():
+                self._take_report(sender, message)
+            case LinkAlive():
+                pass
+
+    def _take_report(self, sender: int, report: SubscriberReport) -> None:
+        now = time.monotonic()
+        self.ledger.report(report.origin, report.revision, report.sightings, now)
+        if self.runner.is_leader and sender == report.origin:
+            for replica_id in self._peer_ids():
+                if replica_id != sender:
+                    self.network.send(replica_id, report)
+
+    def _peer_ids(self) -> list[int]:
+        members = self.runner.membership.replica_ids()
+        return [each for each in members if each != self.replica_id]
+
+    async def _report_subscribers(self) -> None:
+        while True:
+            sightings = self.publishing.sightings()
+            self.ledger.merge(sightings, time.monotonic())
+            self.network.broadcast(
+                SubscriberReport(self.replica_id, self.state.revision, sightings)
+            )
+            await asyncio.sleep(REPORT_INTERVAL_SECONDS)
+
+
+def _make_poller(config: ReplicaConfig) -> PlatformPoller | None:
+    if config.platform_list_url is None:
+        return None
+    return PlatformPoller(config.platform_list_url, config.platform_poll_seconds)
