--- a/tests/balancer/test_core.py
+++ b/tests/balancer/test_core.py
@@ -9,6 +9,7 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.balancer.core import LARGEST_DATAGRAM, BalancerCore
 from jasperwalk.balancer.outcomes import DropReason, Forward
+from jasperwalk.balancer.refusals import REFUSAL_SECONDS
 from jasperwalk.config.table import (
     AdminState,
     HealthMonitor,
@@ -363,3 +364,26 @@
         assert decode(sealed.datagram).candidates == decode(plain.data).candidates
         for _ in range(2):
             assert isinstance(decode(core.handle(GOOD, NOW).data), ForwardedDatagram)
+
+
+def test_a_new_flow_avoids_for_a_while_every_agent_that_refused():
+    core = make_core()
+    opening = wrap(long())
+    usual = core.handle(opening, NOW)
+    core.agent_refused(usual.destination, NOW)
+    second = core.handle(opening, NOW + 0.5)
+    assert second.destination == usual.alternative
+    core.agent_refused(second.destination, NOW + 0.5)
+    third = core.handle(opening, NOW + 0.5)
+    assert third.destination not in (usual.destination, second.destination)
+    core.agent_refused(third.destination, NOW + 0.5)
+    assert core.handle(opening, NOW + 0.5) == usual
+    assert core.handle(opening, NOW + REFUSAL_SECONDS).destination == usual.destination
+
+
+def test_a_refusal_has_no_say_over_established_flows_nor_over_the_only_candidate():
+    core = make_core()
+    for datagram in (wrap(short(connection_id())), wrap(long(), EXPORT)):
+        usual = core.handle(datagram, NOW)
+        core.agent_refused(usual.destination, NOW)
+        assert core.handle(datagram, NOW) == usual
--- a/tests/control/test_api_errors.py
+++ b/tests/control/test_api_errors.py
@@ -1,6 +1,8 @@
 """Bad requests, in a table: each is refused with its kind and leaves control serving."""
 
+import asyncio
 import json
+import re
 
 import pytest
 
@@ -16,6 +18,11 @@
     return {"body": text}
 
 
+def values_body(value):
+    """A tenant whose values no replica takes into its log."""
+    return {"template": "proofs", "values": {"weight": value}}
+
+
 # method, path, options of the request, status, kind
 CASES = [
     ("PUT", PROOFS, toml("name = "), 422, "invalid-template"),
@@ -26,6 +33,10 @@
     ("PUT", TENANT, toml("{"), 400, "bad-request"),
     ("PUT", TENANT, toml("[1]"), 400, "bad-request"),
     ("PUT", TENANT, toml("[" * 100_000), 400, "bad-request"),
+    ("PUT", TENANT, toml('{"template": "proofs", "values": {"a": "\\ud800"}}'), 400, "bad-request"),
+    ("PUT", TENANT, {"body": values_body(2**63)}, 400, "bad-request"),
+    ("PUT", TENANT, {"body": values_body(2**80)}, 400, "bad-request"),
+    ("PUT", TENANT, {"body": values_body([[[[[[[[[]]]]]]]]])}, 400, "bad-request"),
     ("PUT", TENANT, {"body": {"template": 5}}, 400, "bad-request"),
     ("PUT", TENANT, {"body": {"template": "proofs", "extra": 1}}, 400, "bad-request"),
     ("PUT", TENANT, {"body": UNKNOWN_TENANT_BODY}, 404, "unknown-template"),
@@ -119,3 +130,36 @@
             assert (await one.call("GET", "/v1/changes/c")).body == first.body
 
     run(scenario())
+
+
+# Bytes that are not UTF-8 where a text is expected; aiohttp's client would not send them.
+RAW_CASES = [
+    (b"DELETE /v1/tenants/mreza", b"Idempotency-Key: a\xff", b"400", b"bad-request"),
+    (b"DELETE /v1/tenants/mreza", b"If-Match: \xff", b"400", b"bad-request"),
+    (b"GET /v1/changes/%ff", b"Accept: */*", b"404", b"unknown-change"),
+    (b"GET /v1/changes/%ed%a0%80", b"Accept: */*", b"404", b"unknown-change"),
+    (b"GET /v1/tenants/%ff", b"Accept: */*", b"404", b"unknown-tenant"),
+    (b"DELETE /v1/tenants/%ff", b"Accept: */*", b"404", b"unknown-tenant"),
+    (b"POST /v1/hosts/%ff/drain", b"Accept: */*", b"404", b"unknown-host"),
+]
+
+
+def test_bytes_that_are_no_text_are_refused(cluster, run):
+    async def scenario():
+        async with cluster(size=1, **QUICK) as one:
+            await one.configure()
+            found = [await send_raw(one, line, header) for line, header, _, _ in RAW_CASES]
+            wanted = [(status, kind) for _, _, status, kind in RAW_CASES]
+            assert found == wanted
+
+    async def send_raw(one, line, header):
+        endpoint = one.processes[1].api_endpoint
+        reader, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+        request = line + b" HTTP/1.1\r\nHost: control\r\nConnection: close\r\n" + header
+        writer.write(request + b"\r\n\r\n")
+        answer = await reader.read()
+        writer.close()
+        kind = re.search(rb'"kind":"([a-z-]+)"', answer)
+        return answer.split(b" ", 2)[1], kind and kind.group(1)
+
+    run(scenario())
--- a/tests/control/test_openapi.py
+++ b/tests/control/test_openapi.py
@@ -22,6 +22,7 @@
     "incarnations-exhausted",
     "invalid-key",
     "key-already-installed",
+    "unknown-key",
     "malformed-command",
 }
 
--- /dev/null
+++ b/tests/control/test_subscriber_reports.py
@@ -0,0 +1,139 @@
+"""Reports of subscribers, from random worlds to the leader's counts."""
+
+import random
+
+import pytest
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.control.in_force import REPORT_GAP_SECONDS, InForceLedger
+from jasperwalk.control.subscriber_reports import SubscriberReporter
+from jasperwalk.distribution.publisher_events import PublisherConfig
+from jasperwalk.distribution.subscriber_link import SubscriberLink
+from jasperwalk.messages import codec
+from jasperwalk.messages.distribution import Acknowledge, Subscribe, SubscriberRole
+
+REPLICAS = (1, 2, 3)
+CONTACT_AGES = dict.fromkeys(REPLICAS, 0.1)
+STEP_SECONDS = 0.5
+AWAY_STEPS = 6
+"""Longest time from one replica to the next: less than a forgotten subscriber is away."""
+
+
+def subscribe(number, revision=0):
+    role = SubscriberRole.BALANCER if number % 2 else SubscriberRole.AGENT
+    address = Endpoint("127.0.0.1", 7000 + number)
+    return Subscribe(f"node-{number}", role, "zone", address, f"boot-{number}", revision)
+
+
+class World:
+    """Subscribers that acknowledge, fall silent and move between three reporting replicas."""
+
+    def __init__(self, seed, size=12):
+        self.random = random.Random(seed)
+        self.now = 100.0
+        self.term = 1
+        self.ledger = InForceLedger(self.now)
+        self.reporters = {
+            each: SubscriberReporter(self.now - 60.0, first_sequence=0) for each in REPLICAS
+        }
+        self.links = {each: {} for each in REPLICAS}
+        self.revision = 10
+        self.next_link = 1
+        self.nodes = {number: {"revision": 0, "away": 0, "seen": -1e9} for number in range(size)}
+        for number in self.nodes:
+            self.connect(number)
+        self.ledger.lead(self.term, self.now)
+        for origin in REPLICAS:
+            self.report(origin, lost=False)
+
+    def connect(self, number):
+        node = self.nodes[number]
+        node["at"], node["link"] = self.random.choice(REPLICAS), self.next_link
+        self.next_link += 1
+        config = PublisherConfig()
+        link = SubscriberLink(node["link"], subscribe(number, node["revision"]), config, self.now)
+        self.links[node["at"]][node["link"]] = link
+        node["seen"] = node["since"] = self.now
+
+    def settled(self):
+        """Those that did not come to their replica just now: its report may be lost."""
+        nodes = self.nodes.values()
+        return [node for node in nodes if self.now - node["since"] > REPORT_GAP_SECONDS]
+
+    def step(self, quiet=False):
+        self.now += STEP_SECONDS
+        if not quiet and self.random.random() < 0.3:
+            self.revision += 1
+        for number, node in self.nodes.items():
+            self.live(number, node, quiet)
+        if not quiet and self.random.random() < 0.05:
+            self.term += 1
+            self.ledger.lead(self.term, self.now)
+        for origin in REPLICAS:
+            self.report(origin, lost=not quiet and self.random.random() < 0.1)
+
+    def live(self, number, node, quiet):
+        if node["away"]:
+            node["away"] -= 1
+            if not node["away"]:
+                self.connect(number)
+            return
+        if not quiet and self.random.random() < 0.1:
+            node["away"] = self.random.randint(1, AWAY_STEPS)
+            del self.links[node["at"]][node["link"]]
+            return
+        if quiet or self.random.random() < 0.8:
+            node["revision"] = self.random.randint(node["revision"], self.revision)
+            if quiet:
+                node["revision"] = self.revision
+            link = self.links[node["at"]][node["link"]]
+            flows = self.random.choice([0, 100, 105, 200])
+            link.acknowledge(Acknowledge(node["revision"], True, flows), self.now)
+            node["seen"] = self.now
+
+    def report(self, origin, lost):
+        reporter = self.reporters[origin]
+        links = self.links[origin].values()
+        made = reporter.report(links, 1, self.term, self.revision, self.now)
+        if lost:
+            return 0
+        if not self.ledger.take(origin, made, self.now):
+            reporter.restart()
+        return len(codec.encode(made))
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_nothing_false_is_claimed_and_counts_end_exact(seed):
+    world = World(seed)
+    claims = 0
+    for _ in range(200):
+        world.step()
+        for revision in range(world.revision - 6, world.revision + 1):
+            found = world.ledger.in_force(revision, CONTACT_AGES, world.now)
+            claims += found.complete
+            if found.complete:
+                heard = [n for n in world.settled() if world.now - n["seen"] < 5.0]
+                assert all(node["revision"] >= revision for node in heard)
+            if found.balancers is not None:
+                connected = sum(not node["away"] for node in world.settled())
+                assert found.balancers + found.agents >= connected
+    assert claims, "the check above has to have had something to check"
+    for _ in range(16):
+        world.step(quiet=True)
+    found = world.ledger.in_force(world.revision, CONTACT_AGES, world.now)
+    assert (found.balancers, found.agents, found.complete) == (6, 6, True)
+
+
+def test_a_steady_report_does_not_grow_with_the_subscribers():
+    sizes = []
+    for size in (10, 1000):
+        world = World(1, size)
+        for _ in range(3):
+            world.step(quiet=True)
+        for node in world.nodes.values():
+            link = world.links[node["at"]][node["link"]]
+            link.acknowledge(Acknowledge(world.revision, True, 100), world.now)
+        sizes.append([world.report(origin, lost=False) for origin in REPLICAS])
+        sizes[-1] = [world.report(origin, lost=False) for origin in REPLICAS]
+    assert sizes[0] == sizes[1]
+    assert max(sizes[0]) < 40
--- a/tests/lab/test_caller.py
+++ b/tests/lab/test_caller.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+import socket
 from collections import Counter
 
 import pytest
@@ -14,6 +16,7 @@
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk_lab import answers
+from jasperwalk_lab import caller as caller_module
 from jasperwalk_lab.caller import TICKET_PATH, Caller
 from jasperwalk_lab.certificates import write_certificates
 from jasperwalk_lab.operations import (
@@ -120,3 +123,21 @@
     record, requests = call(tmp_path, "unknown", Submission(body=b"Ana"))
     assert record.outcome == Unknown(status=504)
     assert requests == {(TICKET_PATH, None): 1, ("/submit", b"t-1"): 1}
+
+
+def test_giving_up_on_a_silent_listener_leaves_no_unretrieved_exception(tmp_path, monkeypatch):
+    monkeypatch.setattr(caller_module, "CONNECT_TIMEOUT_SECONDS", 0.2)
+    files = write_certificates(tmp_path)
+    complaints = []
+
+    async def scenario(listener):
+        asyncio.get_running_loop().set_exception_handler(lambda _, fact: complaints.append(fact))
+        caller = Caller("a", files.ca_file, CallHistory())
+        async with caller.connect("urednik", listener) as connection:
+            assert connection is None
+        gc.collect()
+
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as silent:
+        silent.bind(("127.0.0.1", 0))
+        asyncio.run(scenario(Endpoint(*silent.getsockname())))
+    assert not complaints
--- a/tests/lab/test_fabric.py
+++ b/tests/lab/test_fabric.py
@@ -13,7 +13,7 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.messages.proxy_protocol import HEADER_LENGTH, decode_header, encode_header
 from jasperwalk_lab.fabric import Fabric
-from jasperwalk_lab.fabric_core import DelayLine, FabricBalancer, Sprayer
+from jasperwalk_lab.fabric_core import AgentSightings, DelayLine, FabricBalancer, Sprayer
 
 SEED = 20_261
 BURST = 20
@@ -132,3 +132,10 @@
             return opened.recvfrom(2048)
         except BlockingIOError:
             await asyncio.sleep(0)
+
+
+def test_a_port_that_is_used_again_is_seen_again():
+    sightings = AgentSightings()
+    for at in (1.0, 1.9, 2.5, 4.0):
+        sightings.saw(5000, ("127.0.0.1", 7100), at)
+    assert [seen.at for seen in sightings.all()] == [1.0, 4.0]
