--- a/bench/agent.py
+++ b/bench/agent.py
@@ -161,17 +161,19 @@
 
 def _start_agent(stack: contextlib.ExitStack, files: CertificateFiles) -> tuple[Server, Server]:
     surroundings, process = stack.enter_context(_process(run_surroundings))
-    replica, backend = _receive(surroundings)
+    replica, backend = _receive_endpoint(surroundings), _receive_endpoint(surroundings)
     fabric, _ = stack.enter_context(_process(run_fabric))
-    arguments = (replica, backend, _receive(fabric), files)
+    arguments = (replica, backend, _receive_endpoint(fabric), files)
     measured = stack.enter_context(_started(run_measured_agent, *arguments))
-    agent = Server(psutil.Process(measured.pid), _receive(surroundings), through_balancer=True)
+    agent = Server(
+        psutil.Process(measured.pid), _receive_endpoint(surroundings), through_balancer=True
+    )
     return agent, Server(psutil.Process(process.pid), backend, through_balancer=False)
 
 
 def _start_bare(stack: contextlib.ExitStack, files: CertificateFiles) -> Server:
     control, process = stack.enter_context(_process(run_bare_server, files))
-    return Server(psutil.Process(process.pid), _receive(control), through_balancer=False)
+    return Server(psutil.Process(process.pid), _receive_endpoint(control), through_balancer=False)
 
 
 @contextlib.contextmanager
@@ -202,6 +204,12 @@
     return control.recv()
 
 
+def _receive_endpoint(control: Connection) -> Endpoint:
+    endpoint = _receive(control)
+    assert isinstance(endpoint, Endpoint)
+    return endpoint
+
+
 def _receive_result(control: Connection) -> CallerResult:
     result = _receive(control)
     assert isinstance(result, CallerResult)
--- a/bench/agent_servers.py
+++ b/bench/agent_servers.py
@@ -12,7 +12,8 @@
 import structlog
 import uvloop
 from aiohttp import web
-from aioquic.asyncio import QuicConnectionProtocol, serve
+from aioquic.asyncio.protocol import QuicConnectionProtocol
+from aioquic.asyncio.server import serve
 from aioquic.h3.connection import H3Connection
 from aioquic.h3.events import HeadersReceived
 from aioquic.quic.configuration import QuicConfiguration
@@ -75,7 +76,7 @@
 
 
 def run_surroundings(control: Connection) -> None:
-    """Run control and a back end; send both end points, then that of the agent."""
+    """Run control and a back end; send their end points, then that of the agent."""
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(_surround(control))
 
@@ -99,7 +100,8 @@
     await backend.setup()
     await web.TCPSite(backend, ANY_PORT.host, ANY_PORT.port).start()
     host, port = backend.addresses[0][:2]
-    control.send((server.endpoint, Endpoint(host, port)))
+    control.send(server.endpoint)
+    control.send(Endpoint(host, port))
     await asyncio.Event().wait()
 
 
@@ -176,5 +178,6 @@
         ANY_PORT.host, ANY_PORT.port, configuration=configuration, create_protocol=BareProtocol
     )
     # aioquic has no public way to ask for the port that the system chose.
+    assert server._transport is not None
     control.send(Endpoint(*server._transport.get_extra_info("sockname")))
     await asyncio.Event().wait()
--- a/bench/callers.py
+++ b/bench/callers.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 from multiprocessing.connection import Connection
+from typing import cast
 
 import aiohttp
 import uvloop
@@ -84,8 +85,8 @@
     def get_extra_info(self, name: str, default: object = None) -> object:
         return self._transport.get_extra_info(name, default)
 
-    def sendto(self, data: bytes, addr: object = None) -> None:
-        outcome = self._core.handle(self._header + data, time.monotonic())
+    def sendto(self, data: bytes | bytearray | memoryview, addr: object = None) -> None:
+        outcome = self._core.handle(self._header + bytes(data), time.monotonic())
         if isinstance(outcome, Forward):
             self._transport.sendto(outcome.data, outcome.destination)
 
@@ -106,10 +107,11 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         if self._core is not None:
-            transport = _BalancedTransport(transport, self._core)
+            datagrams = cast(asyncio.DatagramTransport, transport)
+            transport = _BalancedTransport(datagrams, self._core)
         super().connection_made(transport)
 
-    def datagram_received(self, data: bytes, addr: object) -> None:
+    def datagram_received(self, data: bytes | str, addr: object) -> None:
         # Whoever carried the answer, it comes from where the caller sent its packets to.
         # Before the opening only packets of a flow that had this port before can come.
         if self._opened:
@@ -123,7 +125,8 @@
 
     def end(self) -> None:
         self.close()
-        self._transport.close()
+        if self._transport is not None:
+            self._transport.close()
 
 
 def run_caller(control: Connection, plan: CallerPlan) -> None:
--- a/src/jasperwalk/addresses.py
+++ b/src/jasperwalk/addresses.py
@@ -15,7 +15,7 @@
 HIGHEST_PORT = 65_535
 
 
-class Endpoint(msgspec.Struct, frozen=True, array_like=True, order=True):
+class Endpoint(msgspec.Struct, frozen=True, gc=False, array_like=True, order=True):
     """An IPv4 address and a port (0 to 65535)."""
 
     host: str
--- a/src/jasperwalk/balancer/core.py
+++ b/src/jasperwalk/balancer/core.py
@@ -29,7 +29,13 @@
     encode_prefix,
 )
 from jasperwalk.balancer.limiter import TokenBucket
-from jasperwalk.balancer.outcomes import DatagramCounters, DropReason, Forward, SocketAddress
+from jasperwalk.balancer.outcomes import (
+    DatagramCounters,
+    DropReason,
+    Forward,
+    Outcomes,
+    SocketAddress,
+)
 from jasperwalk.balancer.refusals import Refusals
 from jasperwalk.config.table import (
     KeyEntry,
@@ -190,29 +196,47 @@
         self._refusals.note(agent, now)
 
     def handle(self, datagram: bytes, now: float) -> Forward | DropReason:
-        """Decide for one datagram from the fabric; never raises.
+        """Decide for one datagram from the fabric; never raises."""
+        outcomes = self.handle_all((datagram,), now)
+        for destination, datagrams in outcomes.by_agent.items():
+            return Forward(destination, datagrams[0])
+        return outcomes.others[0]
+
+    def handle_all(self, datagrams: Iterable[bytes], now: float) -> Outcomes:
+        """Decide for datagrams from the fabric, in their order; never raises.
 
         This is the short path, for packets of established flows whose service and agent
         were met before: each step is one lookup or one call, and whatever fails goes to
         `_decide`, which gives the same answer at leisure or the reason for a drop.
         """
-        try:
-            header, vip_host, vip_port, first_octet, rotation_octet, block = unpack_short(datagram)
-            if header == HEADER_PREFIX and FIXED_BIT <= first_octet < LONG_HEADER_BIT:
-                route = self._routes[vip_host, vip_port]
-                server_id = self._decryptors[rotation_octet].update(block)
-                destination = route.destinations[server_id[:SERVICE_ID_END]]
-                parts = (
-                    route.prefix,
-                    datagram[ADDRESS_BLOCK_START:HEADER_LENGTH],
-                    ESTABLISHED_HEADS[len(datagram) - HEADER_LENGTH],
-                    datagram[HEADER_LENGTH:],
-                )
-                self.counters.established += 1
-                return Forward(destination, b"".join(parts))
-        except (struct.error, LookupError):
-            pass
-        return self._decide(datagram, now)
+        outcomes = Outcomes()
+        by_agent = outcomes.by_agent
+        routes = self._routes
+        decryptors = self._decryptors
+        for datagram in datagrams:
+            try:
+                prefix, vip_host, vip_port, first_octet, rotation, block = unpack_short(datagram)
+                if prefix == HEADER_PREFIX and FIXED_BIT <= first_octet < LONG_HEADER_BIT:
+                    route = routes[vip_host, vip_port]
+                    server_id = decryptors[rotation].update(block)
+                    destination = route.destinations[server_id[:SERVICE_ID_END]]
+                    parts = (
+                        route.prefix,
+                        datagram[ADDRESS_BLOCK_START:HEADER_LENGTH],
+                        ESTABLISHED_HEADS[len(datagram) - HEADER_LENGTH],
+                        datagram[HEADER_LENGTH:],
+                    )
+                    waiting = by_agent.get(destination)
+                    if waiting is None:
+                        by_agent[destination] = [b"".join(parts)]
+                    else:
+                        waiting.append(b"".join(parts))
+                    self.counters.established += 1
+                    continue
+            except (struct.error, LookupError):
+                pass
+            outcomes.add(self._decide(datagram, now))
+        return outcomes
 
     def _decide(self, datagram: bytes, now: float) -> Forward | DropReason:
         """Decide for any datagram."""
--- a/src/jasperwalk/balancer/outcomes.py
+++ b/src/jasperwalk/balancer/outcomes.py
@@ -42,6 +42,27 @@
     alternative: SocketAddress | None = None
 
 
+class Outcomes:
+    """What a balancer does with several datagrams.
+
+    `by_agent` holds the datagrams for each agent in their order. In `others` are those that
+    an alternative agent may take as well, and the reasons for drops.
+    """
+
+    __slots__ = ("by_agent", "others")
+
+    def __init__(self) -> None:
+        self.by_agent: dict[SocketAddress, list[bytes]] = {}
+        self.others: list[Forward | DropReason] = []
+
+    def add(self, outcome: Forward | DropReason) -> None:
+        """Put one more outcome where it belongs."""
+        if isinstance(outcome, Forward) and outcome.alternative is None:
+            self.by_agent.setdefault(outcome.destination, []).append(outcome.data)
+        else:
+            self.others.append(outcome)
+
+
 class DatagramCounters:
     """Datagrams by class since the start; plain integers, read by the metrics now and then.
 
--- a/src/jasperwalk/balancer/receiver.py
+++ b/src/jasperwalk/balancer/receiver.py
@@ -11,13 +11,13 @@
 import errno
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final, Protocol
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.balancer.agent_sockets import AgentSockets
 from jasperwalk.balancer.core import LARGEST_DATAGRAM
-from jasperwalk.balancer.outcomes import DropReason, Forward, SocketAddress
+from jasperwalk.balancer.outcomes import DropReason, Forward, Outcomes, SocketAddress
 from jasperwalk.balancer.queues import DatagramQueues, QueueDrop
 from jasperwalk.balancer.segments import runs_of, send_run
 
@@ -35,10 +35,14 @@
 
 
 class DatagramHandler(Protocol):
-    """Decides for one datagram."""
+    """Decides for datagrams."""
 
     def handle(self, datagram: bytes, now: float) -> Forward | DropReason:
-        """Return where to send what, or why the datagram was dropped."""
+        """Return where to send one datagram, or why it was dropped."""
+        ...
+
+    def handle_all(self, datagrams: Sequence[bytes], now: float) -> Outcomes:
+        """Return what to send where, and why datagrams were dropped."""
         ...
 
     def agent_refused(self, agent: SocketAddress, now: float) -> None:
@@ -109,30 +113,21 @@
         Packets of established flows are sent at the end, those to one agent together.
         """
         receive = queue.recv
-        handle = handler.handle
+        datagrams: list[bytes] = []
+        try:
+            while len(datagrams) < most:
+                datagrams.append(receive(RECEIVE_BYTES))
+        except OSError:
+            # Nothing waits any more, or a pending ICMP error, which recv has now cleared.
+            pass
         now = self._clock()
-        together: dict[SocketAddress, list[bytes]] = {}
-        more_may_wait = True
-        for _ in range(most):
-            try:
-                datagram = receive(RECEIVE_BYTES)
-            except OSError:
-                # Nothing waits any more, or a pending ICMP error, which recv has now cleared.
-                more_may_wait = False
-                break
-            outcome = handle(datagram, now)
-            if not isinstance(outcome, Forward):
-                continue
-            destination = outcome.destination
-            if outcome.alternative is not None:
+        outcomes = handler.handle_all(datagrams, now)
+        for destination, forwarded in outcomes.by_agent.items():
+            self._send_together(destination, forwarded, handler, now)
+        for outcome in outcomes.others:
+            if isinstance(outcome, Forward):
                 self._send(outcome, handler, now)
-            elif destination in together:
-                together[destination].append(outcome.data)
-            else:
-                together[destination] = [outcome.data]
-        for destination, datagrams in together.items():
-            self._send_together(destination, datagrams, handler, now)
-        return more_may_wait
+        return len(datagrams) == most
 
     def _send_together(
         self,
--- a/src/jasperwalk/config/conflicts.py
+++ b/src/jasperwalk/config/conflicts.py
@@ -10,7 +10,7 @@
 from jasperwalk.config.rendering import RenderedService
 
 
-class Owner(msgspec.Struct, frozen=True, order=True):
+class Owner(msgspec.Struct, frozen=True, gc=False, order=True):
     """The service of a tenant that claims something."""
 
     tenant: str
--- /dev/null
+++ b/src/jasperwalk/config/member_states.py
@@ -0,0 +1,27 @@
+"""What is said of members and hosts before it becomes part of the table.
+
+The leader's sightings become a `MemberStatus`, the platform's list a `PlatformState`. Both
+travel in commands of the replicated log.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.config.table import AdminState, OperatingStatus
+
+
+class MemberStatus(msgspec.Struct, frozen=True, array_like=True):
+    """What was seen of one incarnation of the agent at `address`."""
+
+    address: Endpoint
+    incarnation: int
+    operating_status: OperatingStatus
+
+
+class PlatformState(msgspec.Struct, frozen=True, array_like=True):
+    """The platform's wish for `host`, a host name or an agent's `IPV4:PORT`."""
+
+    host: str
+    admin_state: AdminState
--- a/src/jasperwalk/config/rendering.py
+++ b/src/jasperwalk/config/rendering.py
@@ -21,7 +21,7 @@
 from jasperwalk.config.tenants import Tenant, resolve_values
 
 
-class RenderedMember(msgspec.Struct, frozen=True, array_like=True):
+class RenderedMember(msgspec.Struct, frozen=True, gc=False, array_like=True):
     """A member of a rendered service."""
 
     address: Endpoint
--- a/src/jasperwalk/config/routing_table.py
+++ b/src/jasperwalk/config/routing_table.py
@@ -66,14 +66,14 @@
     revision: int
 
 
-class VersionedEntry(msgspec.Struct, frozen=True, array_like=True):
+class VersionedEntry(msgspec.Struct, frozen=True, gc=False, array_like=True):
     """An entry with the revision at which it last changed."""
 
     revision: int
     entry: TableEntry
 
 
-class Tombstone(msgspec.Struct, frozen=True, array_like=True):
+class Tombstone(msgspec.Struct, frozen=True, gc=False, array_like=True):
     """A removed key with the revision at which it was removed."""
 
     revision: int
--- a/src/jasperwalk/config/table.py
+++ b/src/jasperwalk/config/table.py
@@ -2,6 +2,9 @@
 
 Control renders accepted configuration into entries. Balancers and agents hold copies, kept
 current by snapshots and deltas, and never take a revision older than their own.
+
+Entries hold no references to each other, so they are kept out of Python's cycle collection
+(`gc=False`): looking through a region's tens of thousands of them would stop a process.
 """
 
 from __future__ import annotations
@@ -44,7 +47,7 @@
     DATAGRAM = "datagram"
 
 
-class HealthMonitor(msgspec.Struct, frozen=True, array_like=True):
+class HealthMonitor(msgspec.Struct, frozen=True, gc=False, array_like=True):
     """How an agent checks its back end: path of the GET, interval and time-out in ms."""
 
     path: str
@@ -53,7 +56,7 @@
     failures_to_offline: int
 
 
-class ServiceLimits(msgspec.Struct, frozen=True, array_like=True):
+class ServiceLimits(msgspec.Struct, frozen=True, gc=False, array_like=True):
     """Admission limits at each member of the service.
 
     `queue_length` requests may wait for a slot, each at most `queue_wait_ms`.
@@ -67,7 +70,7 @@
     slow_start_ms: int
 
 
-class ServiceEntry(msgspec.Struct, frozen=True, array_like=True, tag=1):
+class ServiceEntry(msgspec.Struct, frozen=True, gc=False, array_like=True, tag=1):
     """One service: a listener (VIP and port) and the rules for its pool of members.
 
     `service_id` (1 to 2**24 - 1) is allotted once by control and never used again.
@@ -82,7 +85,7 @@
     health_monitor: HealthMonitor
 
 
-class MemberEntry(msgspec.Struct, frozen=True, array_like=True, tag=2):
+class MemberEntry(msgspec.Struct, frozen=True, gc=False, array_like=True, tag=2):
     """One member of a service's pool: an agent with the back end beside it.
 
     `address` is the agent's forwarding end point. `incarnation` (1 to 65535) names the
@@ -100,7 +103,7 @@
     incarnation: int
 
 
-class KeyEntry(msgspec.Struct, frozen=True, array_like=True, tag=3):
+class KeyEntry(msgspec.Struct, frozen=True, gc=False, array_like=True, tag=3):
     """One fleet key. `rotation` (0 to 6) is the QUIC-LB config rotation for connection IDs.
 
     The `active` key of a purpose is used for new values; others are only accepted.
@@ -120,19 +123,19 @@
 TableEntry = ServiceEntry | MemberEntry | KeyEntry
 
 
-class ServiceKey(msgspec.Struct, frozen=True, array_like=True, tag=1):
+class ServiceKey(msgspec.Struct, frozen=True, gc=False, array_like=True, tag=1):
     """Key of a `ServiceEntry`."""
 
     service_id: int
 
 
-class MemberKey(msgspec.Struct, frozen=True, array_like=True, tag=2):
+class MemberKey(msgspec.Struct, frozen=True, gc=False, array_like=True, tag=2):
     """Key of a `MemberEntry`."""
 
     address: Endpoint
 
 
-class FleetKeyKey(msgspec.Struct, frozen=True, array_like=True, tag=3):
+class FleetKeyKey(msgspec.Struct, frozen=True, gc=False, array_like=True, tag=3):
     """Key of a `KeyEntry`."""
 
     purpose: KeyPurpose
--- a/src/jasperwalk/consensus/core.py
+++ b/src/jasperwalk/consensus/core.py
@@ -39,6 +39,7 @@
     InstallSnapshot,
     RaftMessage,
     RequestVote,
+    TimeoutNow,
     VoteReply,
 )
 from jasperwalk.consensus.outcomes import (
@@ -81,6 +82,12 @@
         """Whether this replica leads in its term, as far as it knows."""
         return self._state.role is Role.LEADER
 
+    @property
+    def is_handing_over(self) -> bool:
+        """Whether this leader hands its leadership over and takes no proposals."""
+        leadership = self._leading()
+        return leadership is not None and leadership.transfer.is_active
+
     @property
     def role(self) -> Role:
         """The role of this replica."""
@@ -181,6 +188,9 @@
         elif isinstance(message, VoteReply):
             if self._election.on_reply(sender, message, now):
                 self._start_leading()
+        elif isinstance(message, TimeoutNow):
+            if self._election.on_timeout_now(sender, message, now):
+                self._start_leading()
         elif isinstance(message, AppendEntries):
             self._following.on_append(sender, message, now)
         elif isinstance(message, InstallSnapshot):
@@ -211,6 +221,8 @@
         self._state.now = now
         if not self.is_leader:
             return NotLeader(leader_id=self._state.leader_id)
+        if self.is_handing_over:
+            return NotLeader(leader_id=None)
         limit_bytes = self._state.config.max_command_bytes
         if len(command) > limit_bytes:
             return CommandTooLarge(size_bytes=len(command), limit_bytes=limit_bytes)
@@ -227,8 +239,19 @@
         leadership = self._leading()
         if leadership is None:
             return NotLeader(leader_id=self._state.leader_id)
+        if self.is_handing_over:
+            return NotLeader(leader_id=None)
         return leadership.propose(change)
 
+    def hand_over(self, now: float) -> bool:
+        """Begin to hand leadership to another voter; return False where there is none to take it.
+
+        Proposals are refused until it is done, or given up after an election timeout.
+        """
+        self._state.now = now
+        leadership = self._leading()
+        return leadership is not None and leadership.transfer.begin(now)
+
     def take_snapshot(self, index: int, state: bytes) -> None:
         """Keep the host's state machine as it is after applying entry `index`.
 
--- a/src/jasperwalk/consensus/election.py
+++ b/src/jasperwalk/consensus/election.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from jasperwalk.consensus.messages import RequestVote, VoteReply
+from jasperwalk.consensus.messages import RequestVote, TimeoutNow, VoteReply
 from jasperwalk.consensus.state import ReplicaState, Role
 
 
@@ -31,19 +31,30 @@
         self._state.leader_id = None
         return self._ask_for_votes(now, term=self._state.term + 1, pre_vote=True)
 
-    def _start_campaign(self, now: float) -> bool:
+    def on_timeout_now(self, sender: int, message: TimeoutNow, now: float) -> bool:
+        """Campaign because the leader asks for it; return True when the election is won."""
+        state = self._state
+        is_leaders = sender == state.leader_id and message.term == state.term
+        if state.role is not Role.FOLLOWER or not is_leaders or not state.holds_vote():
+            return False
+        return self._start_campaign(now, transferred=True)
+
+    def _start_campaign(self, now: float, transferred: bool = False) -> bool:
         """Move to the next term with a vote for oneself; it is persisted before asking."""
         state = self._state
         state.set_hard_state(state.term + 1, state.replica_id)
         state.role = Role.CANDIDATE
         state.reset_election_timer(now)
-        return self._ask_for_votes(now, term=state.term, pre_vote=False)
+        state.leader_id = None
+        return self._ask_for_votes(now, state.term, False, transferred)
 
-    def _ask_for_votes(self, now: float, term: int, pre_vote: bool) -> bool:
+    def _ask_for_votes(
+        self, now: float, term: int, pre_vote: bool, transferred: bool = False
+    ) -> bool:
         self.started_at = now
         self._granted = {self._state.replica_id}
         log = self._state.log
-        request = RequestVote(term, log.last_index, log.last_term, pre_vote)
+        request = RequestVote(term, log.last_index, log.last_term, pre_vote, transferred)
         for replica_id in self._state.membership.voter_ids():
             if replica_id != self._state.replica_id:
                 self._state.send(replica_id, request)
@@ -64,7 +75,8 @@
             return
         # A replica that hears its leader refuses without taking the term over, so that a
         # replica that was cut off or removed cannot depose a working leader.
-        if request.term < state.term or self._hears_leader(now):
+        hears_leader = self._hears_leader(now) and not request.transferred
+        if request.term < state.term or hears_leader:
             self._reply(sender, state.term, False, request.pre_vote)
             return
         if request.pre_vote:
--- a/src/jasperwalk/consensus/leadership.py
+++ b/src/jasperwalk/consensus/leadership.py
@@ -10,6 +10,7 @@
 from jasperwalk.consensus.outcomes import MembershipRefused, Proposed, RefusalReason
 from jasperwalk.consensus.progress import Progress, ProgressMode
 from jasperwalk.consensus.state import ReplicaState, Role
+from jasperwalk.consensus.transfer import LeadershipTransfer
 
 
 class Leadership:
@@ -20,6 +21,7 @@
         self.progress: dict[int, Progress] = {}
         self.displaced_replicas: set[int] = set()
         """Members that answered from another disk than the listed one; they need replacing."""
+        self.transfer = LeadershipTransfer(state, self.progress)
         state.role = Role.LEADER
         state.leader_id = state.replica_id
         self._leading_since = state.now
@@ -76,6 +78,7 @@
         if now < self._heartbeat_deadline:
             return
         self._heartbeat_deadline = now + self._state.config.heartbeat_interval_seconds
+        self.transfer.tick(now)
         for replica_id, progress in self.progress.items():
             progress.awaiting_reply = False
             self._feed(replica_id, progress)
@@ -207,6 +210,8 @@
             return
         progress.matched(match_index)
         self.advance_commit()
+        if self.transfer.is_active:
+            self.transfer.advance()
 
     def on_install_reply(self, sender: int, reply: InstallReply) -> None:
         """Send the next chunk, or go on with entries after the snapshot."""
--- a/src/jasperwalk/consensus/messages.py
+++ b/src/jasperwalk/consensus/messages.py
@@ -15,12 +15,16 @@
 
 
 class RequestVote(msgspec.Struct, frozen=True, array_like=True, tag=101):
-    """A candidate asks for a vote; with `pre_vote`, whether it would get one in `term`."""
+    """A candidate asks for a vote; with `pre_vote`, whether it would get one in `term`.
+
+    `transferred` tells that the leader itself asked for this campaign.
+    """
 
     term: int
     last_index: int
     last_term: int
     pre_vote: bool
+    transferred: bool = False
 
 
 class VoteReply(msgspec.Struct, frozen=True, array_like=True, tag=102):
@@ -106,6 +110,12 @@
     founding: Membership | None
 
 
+class TimeoutNow(msgspec.Struct, frozen=True, array_like=True, tag=109):
+    """The leader of `term` asks a voter to campaign at once."""
+
+    term: int
+
+
 RaftMessage = (
     RequestVote
     | VoteReply
@@ -115,5 +125,6 @@
     | InstallReply
     | FoundingProbe
     | FoundingReply
+    | TimeoutNow
 )
 """Every message that one replica's core sends to another's."""
--- a/src/jasperwalk/control/api_reads.py
+++ b/src/jasperwalk/control/api_reads.py
@@ -18,8 +18,9 @@
 from jasperwalk.control.peer_messages import AgentFact
 from jasperwalk.control.problem import UnknownChange, problem_response
 from jasperwalk.control.replica import ControlReplica
+from jasperwalk.control.state.configuration_refusals import UnknownTemplate, UnknownTenant
 from jasperwalk.control.state.fleet_keys import keys_of, waiting_keys
-from jasperwalk.control.state.outcomes import Accepted, UnknownTemplate, UnknownTenant
+from jasperwalk.control.state.outcomes import Accepted
 from jasperwalk.control.views import (
     HostList,
     KeyList,
--- a/src/jasperwalk/control/in_force.py
+++ b/src/jasperwalk/control/in_force.py
@@ -62,7 +62,7 @@
     complete: bool = False
 
 
-class SubscriberSighting(msgspec.Struct, frozen=True):
+class SubscriberSighting(msgspec.Struct, frozen=True, gc=False):
     """What the leader knows of a subscriber; `revision` is the newest that it acknowledged.
 
     `seen_at` is when it was last heard, in seconds; it may be up to `VOUCHED_SECONDS` too late
--- a/src/jasperwalk/control/leader_duties.py
+++ b/src/jasperwalk/control/leader_duties.py
@@ -14,6 +14,7 @@
 
 import structlog
 
+from jasperwalk.config.member_states import PlatformState
 from jasperwalk.config.table import AdminState
 from jasperwalk.control.in_force import SubscriberSighting
 from jasperwalk.control.key_duties import (
@@ -29,7 +30,6 @@
 from jasperwalk.control.region_view import RegionView
 from jasperwalk.control.state.commands import (
     Command,
-    PlatformState,
     SetMemberStatus,
     SetPlatformStates,
 )
@@ -38,6 +38,8 @@
 from jasperwalk.messages.distribution import SubscriberRole
 
 STEP_INTERVAL_SECONDS = 0.2
+JUDGE_INTERVAL_SECONDS = 0.5
+"""Replicas report as often; judging 24,000 members takes the leader most of 100 ms."""
 QUORUM_CONTACT_SECONDS = 1.0
 """A leader whose quorum contact is older than this decides nothing."""
 NANOSECONDS_PER_MILLISECOND = 1_000_000
@@ -71,6 +73,7 @@
         self._region = region
         self._poller = poller
         self._led_term: int | None = None
+        self._judge_at = 0.0
         self._liveness = LivenessTracker(config.liveness)
         self._reconciler = PlatformReconciler(config.reconciler)
 
@@ -130,6 +133,9 @@
     async def _judge_members(self) -> None:
         """Set the statuses of members that came, went silent or reported their back end down."""
         now = time.monotonic()
+        if now < self._judge_at:
+            return
+        self._judge_at = now + JUDGE_INTERVAL_SECONDS
         for sighting in self._region.sightings():
             if sighting.role is SubscriberRole.AGENT:
                 self._liveness.observe(_observation_of(sighting, now), now)
--- a/src/jasperwalk/control/publishing.py
+++ b/src/jasperwalk/control/publishing.py
@@ -14,8 +14,8 @@
 from jasperwalk.control.proposal_errors import ProposalError
 from jasperwalk.control.proposals import Proposals
 from jasperwalk.control.state.commands import RegisterAgent
+from jasperwalk.control.state.fleet_refusals import SupersededBoot
 from jasperwalk.control.state.incarnations import AgentRecord
-from jasperwalk.control.state.outcomes import SupersededBoot
 from jasperwalk.distribution.publisher import PublisherCore
 from jasperwalk.distribution.publisher_events import (
     CloseSubscriber,
@@ -115,6 +115,10 @@
         self._revision = table.revision
         self._perform(self._core.table_replaced(table, time.monotonic()))
 
+    def replicas_changed(self, index: int, endpoints: list[Endpoint]) -> None:
+        """Tell subscribers of the voting replicas as committed at log index `index`."""
+        self._perform(self._core.replicas_changed(index, endpoints))
+
     def agent_registered(self, record: AgentRecord) -> None:
         """Tell the agent, if it is connected here, of its committed incarnation."""
         effects = self._core.agent_registered(
--- a/src/jasperwalk/control/raft_runner.py
+++ b/src/jasperwalk/control/raft_runner.py
@@ -23,12 +23,6 @@
 from jasperwalk.consensus.core import RaftNode
 from jasperwalk.consensus.durable import PersistBatch
 from jasperwalk.consensus.entries import Membership
-from jasperwalk.consensus.members import (
-    AddLearner,
-    MembershipChange,
-    PromoteLearner,
-    RemoveReplica,
-)
 from jasperwalk.consensus.messages import RaftMessage
 from jasperwalk.consensus.outcomes import (
     InvariantBroken,
@@ -42,14 +36,12 @@
 from jasperwalk.control.peer_links import PeerNetwork
 from jasperwalk.control.peer_messages import (
     RaftPayload,
-    ReplicaAddition,
     ReplicaChange,
-    ReplicaPromotion,
-    ReplicaRemoval,
 )
+from jasperwalk.control.replica_members import core_change, endpoints_of
 from jasperwalk.control.state.machine import ControlState
 from jasperwalk.control.state_applier import AppliedListener, StateApplier
-from jasperwalk.errors import InvalidAddress, JasperwalkError
+from jasperwalk.errors import JasperwalkError
 from jasperwalk.messages import codec
 
 HEARTBEAT_INTERVAL_SECONDS = 0.15
@@ -60,6 +52,7 @@
 """Applied entries after which the state is written as a snapshot."""
 LONGEST_WAIT_SECONDS = 1.0
 """Longest sleep between two ticks of the core."""
+HAND_OVER_POLL_SECONDS = 0.01
 DISK_ID_BYTES = 16
 """Length of the random name of a new data folder."""
 
@@ -182,10 +175,23 @@
 
     def propose_replica_change(self, change: ReplicaChange) -> MembershipOutcome:
         """Append a change of the replicas to the log, if this replica leads."""
-        outcome = self._node.propose_membership(_core_change(change), time.monotonic())
+        outcome = self._node.propose_membership(core_change(change), time.monotonic())
         self._wake.set()
         return outcome
 
+    async def hand_over(self) -> None:
+        """Let another replica lead, if this one does, and wait until it is known to.
+
+        Gives up after an election timeout; the others elect a leader by themselves then.
+        """
+        own_id = self._config.replica_id
+        deadline = time.monotonic() + self._config.raft.election_timeout_seconds
+        if not self.is_leader or not self._node.hand_over(time.monotonic()):
+            return
+        self._wake.set()
+        while self.leader_id in (None, own_id) and time.monotonic() < deadline:
+            await asyncio.sleep(HAND_OVER_POLL_SECONDS)
+
     def take(self, sender: int, message: RaftPayload) -> None:
         """Hand a peer's message to the core; malformed ones are counted and dropped."""
         try:
@@ -276,32 +282,17 @@
         self._linked_membership = membership
         self._network.set_peers(self.endpoints())
 
+    def committed_voters(self) -> list[Endpoint]:
+        """Return the end points of the voting replicas by the newest committed list."""
+        members = self._node.committed_membership.members
+        voters = (member for member in members if member.voting)
+        return list(endpoints_of(voters, self._config.peers).values())
+
     def endpoints(self) -> dict[int, Endpoint]:
         """Return the end points of the replicas by ID."""
         membership = self._node.membership
-        own_id = self._config.replica_id
-        # Not (yet, or no longer) a member: only the settings tell where the others are.
-        is_member = membership.find(own_id) is not None
-        endpoints = {} if is_member else dict(self._config.peers)
-        for member in membership.members:
-            endpoint = _parse_endpoint(member.address) or self._config.peers.get(member.replica_id)
-            if endpoint is not None:
-                endpoints[member.replica_id] = endpoint
+        endpoints = endpoints_of(membership.members, self._config.peers)
+        if membership.find(self._config.replica_id) is None:
+            # Not (yet, or no longer) a member: the settings tell where the others are.
+            return {**self._config.peers, **endpoints}
         return endpoints
-
-
-def _parse_endpoint(address: str) -> Endpoint | None:
-    try:
-        return Endpoint.parse(address)
-    except InvalidAddress:
-        return None
-
-
-def _core_change(change: ReplicaChange) -> MembershipChange:
-    match change:
-        case ReplicaAddition():
-            return AddLearner(replica_id=change.replica_id, address=str(change.address))
-        case ReplicaPromotion():
-            return PromoteLearner(replica_id=change.replica_id)
-        case ReplicaRemoval():
-            return RemoveReplica(replica_id=change.replica_id)
--- a/src/jasperwalk/control/replica.py
+++ b/src/jasperwalk/control/replica.py
@@ -216,11 +216,17 @@
     def batch_applied(self) -> None:
         """Publish what a batch of entries changed."""
         self.publishing.table_advanced(self.state.table)
+        self._publish_replicas()
 
     def state_replaced(self) -> None:
         """Publish from the state machine that a snapshot brought."""
         self._register_known_agents()
         self.publishing.table_replaced(self.state.table)
+        self._publish_replicas()
+
+    def _publish_replicas(self) -> None:
+        endpoints = self.runner.committed_voters()
+        self.publishing.replicas_changed(self.runner.commit_index, endpoints)
 
     def _register_known_agents(self) -> None:
         for record in self.state.agents():
--- a/src/jasperwalk/control/state/commands.py
+++ b/src/jasperwalk/control/state/commands.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from jasperwalk.addresses import Endpoint
-from jasperwalk.config.table import AdminState, KeyPurpose, OperatingStatus
+from jasperwalk.config.member_states import MemberStatus, PlatformState
+from jasperwalk.config.table import AdminState, KeyPurpose
 from jasperwalk.errors import MalformedMessage
 from jasperwalk.messages import codec
 
@@ -64,27 +65,12 @@
     zone: str
 
 
-class MemberStatus(msgspec.Struct, frozen=True, array_like=True):
-    """What was seen of one incarnation of the agent at `address`."""
-
-    address: Endpoint
-    incarnation: int
-    operating_status: OperatingStatus
-
-
 class SetMemberStatus(msgspec.Struct, frozen=True, array_like=True, tag=6):
     """Statuses seen by the leader; those of superseded incarnations are ignored."""
 
     statuses: list[MemberStatus]
 
 
-class PlatformState(msgspec.Struct, frozen=True, array_like=True):
-    """The platform's wish for `host`, a host name or an agent's `IPV4:PORT`."""
-
-    host: str
-    admin_state: AdminState
-
-
 class SetPlatformStates(msgspec.Struct, frozen=True, array_like=True, tag=7):
     """Changes of the platform's list of leaving machines; hosts not named keep theirs."""
 
--- a/src/jasperwalk/control/state/configuration.py
+++ b/src/jasperwalk/control/state/configuration.py
@@ -18,19 +18,18 @@
 from jasperwalk.config.templates import Template, parse_template
 from jasperwalk.config.tenants import Tenant
 from jasperwalk.control.state.commands import ApplyTemplate, RemoveTenant, SetTenant
-from jasperwalk.control.state.outcomes import (
+from jasperwalk.control.state.configuration_refusals import (
     ConflictingAddress,
     ConflictingListener,
     InvalidIdentifier,
     InvalidTemplate,
     InvalidValues,
-    LimitReached,
-    Outcome,
     RevisionMismatch,
     TenantRenderingFailed,
     UnknownTemplate,
     UnknownTenant,
 )
+from jasperwalk.control.state.outcomes import LimitReached, Outcome
 
 HIGHEST_TEMPLATE_COUNT = 1_000
 HIGHEST_TENANT_COUNT = 20_000
--- a/src/jasperwalk/control/state/fleet_keys.py
+++ b/src/jasperwalk/control/state/fleet_keys.py
@@ -19,13 +19,13 @@
     RetireKey,
     RotateKey,
 )
-from jasperwalk.control.state.outcomes import (
+from jasperwalk.control.state.fleet_refusals import (
     InvalidKey,
     KeyAlreadyInstalled,
-    LimitReached,
     RotationInProgress,
     UnknownKey,
 )
+from jasperwalk.control.state.outcomes import LimitReached
 
 HIGHEST_ROTATION = 6
 """Rotation 7 is reserved by the QUIC-LB draft for connection IDs that are not routable."""
--- /dev/null
+++ b/src/jasperwalk/control/state/host_changes.py
@@ -0,0 +1,81 @@
+"""Changes of hosts and agents: admin states, registrations, statuses; members follow them."""
+
+from __future__ import annotations
+
+from jasperwalk.control.state.commands import (
+    RegisterAgent,
+    SetHostState,
+    SetMemberStatus,
+    SetPlatformStates,
+)
+from jasperwalk.control.state.fleet_refusals import UnknownHost
+from jasperwalk.control.state.host_states import HIGHEST_HOST_COUNT, HostStates
+from jasperwalk.control.state.incarnations import AgentRecord, Incarnations, RegistrationRefusal
+from jasperwalk.control.state.installer import Installer
+from jasperwalk.control.state.outcomes import LimitReached
+
+LONGEST_SHOWN_HOST = 80
+"""Characters of an unknown host that an outcome repeats."""
+
+
+class HostChanges:
+    """Applies what is said of hosts; each method returns its refusal, None where it is done."""
+
+    def __init__(
+        self, installer: Installer, incarnations: Incarnations, host_states: HostStates
+    ) -> None:
+        self._installer = installer
+        self._incarnations = incarnations
+        self._host_states = host_states
+
+    def set_host_state(
+        self, index: int, command: SetHostState
+    ) -> UnknownHost | LimitReached | None:
+        """Drain a host by an operator's wish, or let it take new work."""
+        if not self._is_known_host(command.host):
+            return UnknownHost(host=command.host[:LONGEST_SHOWN_HOST])
+        if not self._host_states.set_by_operator(command.host, command.admin_state):
+            return LimitReached(subject="draining hosts", limit=HIGHEST_HOST_COUNT)
+        self._refresh_hosts({command.host}, index)
+        return None
+
+    def set_platform_states(self, index: int, command: SetPlatformStates) -> LimitReached | None:
+        """Take over what changed in the platform's list."""
+        has_room = True
+        for state in command.states:
+            stored = self._host_states.set_by_platform(state.host, state.admin_state)
+            has_room = has_room and stored
+        self._refresh_hosts({state.host for state in command.states}, index)
+        if not has_room:
+            return LimitReached(subject="leaving hosts", limit=HIGHEST_HOST_COUNT)
+        return None
+
+    def register_agent(
+        self, index: int, command: RegisterAgent
+    ) -> AgentRecord | RegistrationRefusal:
+        """Register the start of an agent; return its record, or the refusal."""
+        record = self._incarnations.register(command)
+        if isinstance(record, AgentRecord):
+            self._installer.refresh_member(command.address, index)
+        return record
+
+    def set_member_status(self, index: int, command: SetMemberStatus) -> None:
+        """Take over what the leader has seen of members."""
+        for status in command.statuses:
+            if self._incarnations.set_status(status):
+                self._installer.refresh_member(status.address, index)
+
+    def _refresh_hosts(self, hosts: set[str], index: int) -> None:
+        """Bring the members on the named hosts in step with their admin state."""
+        members = sorted(self._installer.table.members(), key=lambda member: member.address)
+        for member in members:
+            if member.host in hosts or str(member.address) in hosts:
+                self._installer.refresh_member(member.address, index)
+
+    def _is_known_host(self, host: str) -> bool:
+        """Tell whether a host name or address is a member's, an agent's, or drained now."""
+        is_drained = host in self._host_states.operator_draining()
+        if is_drained or self._incarnations.has_host(host):
+            return True
+        members = self._installer.table.members()
+        return any(host in (member.host, str(member.address)) for member in members)
--- a/src/jasperwalk/control/state/incarnations.py
+++ b/src/jasperwalk/control/state/incarnations.py
@@ -9,9 +9,11 @@
 import msgspec
 
 from jasperwalk.addresses import Endpoint
+from jasperwalk.config.member_states import MemberStatus
 from jasperwalk.config.table import OperatingStatus
-from jasperwalk.control.state.commands import MemberStatus, RegisterAgent
-from jasperwalk.control.state.outcomes import IncarnationsExhausted, LimitReached, SupersededBoot
+from jasperwalk.control.state.commands import RegisterAgent
+from jasperwalk.control.state.fleet_refusals import IncarnationsExhausted, SupersededBoot
+from jasperwalk.control.state.outcomes import LimitReached
 
 HIGHEST_INCARNATION = 65_535
 """An incarnation has two bytes in a connection ID."""
@@ -23,7 +25,7 @@
 """Addresses that may ever register; a bound on memory."""
 
 
-class AgentRecord(msgspec.Struct, frozen=True, array_like=True):
+class AgentRecord(msgspec.Struct, frozen=True, gc=False, array_like=True):
     """An address that has registered; the last of `boot_ids` is the current start."""
 
     address: Endpoint
--- a/src/jasperwalk/control/state/machine.py
+++ b/src/jasperwalk/control/state/machine.py
@@ -43,21 +43,19 @@
     StoredTemplate,
     StoredTenant,
 )
+from jasperwalk.control.state.configuration_refusals import InvalidIdentifier, ServiceIdsExhausted
 from jasperwalk.control.state.fleet_keys import change_keys, rotate_key
 from jasperwalk.control.state.frozen_state import FrozenState
-from jasperwalk.control.state.host_states import HIGHEST_HOST_COUNT, HostStates
+from jasperwalk.control.state.host_changes import HostChanges
+from jasperwalk.control.state.host_states import HostStates
 from jasperwalk.control.state.incarnations import AgentRecord, Incarnations
 from jasperwalk.control.state.installer import Installer
 from jasperwalk.control.state.outcomes import (
     Accepted,
     ChangeIdReused,
-    InvalidIdentifier,
-    LimitReached,
     MalformedCommand,
     Outcome,
     Registered,
-    ServiceIdsExhausted,
-    UnknownHost,
 )
 from jasperwalk.control.state.service_ids import ServiceIds
 from jasperwalk.control.state.state_image import (
@@ -102,6 +100,7 @@
             self._incarnations,
             self._host_states,
         )
+        self._hosts = HostChanges(self._installer, self._incarnations, self._host_states)
 
     @property
     def table(self) -> VersionedTable:
@@ -125,14 +124,15 @@
             case ApplyTemplate() | SetTenant() | RemoveTenant() | SetHostState() | RotateKey():
                 return self._apply_once(index, command, plan)
             case RegisterAgent():
-                return self._register_agent(index, command)
+                record = self._hosts.register_agent(index, command)
+                return self._registered(record) if isinstance(record, AgentRecord) else record
             case SetMemberStatus():
-                return self._set_member_status(index, command)
+                self._hosts.set_member_status(index, command)
+                return self._accepted()
             case SetPlatformStates():
-                return self._set_platform_states(index, command)
+                return self._finish(self._hosts.set_platform_states(index, command))
             case InstallKey() | ActivateKey() | RetireKey():
-                refusal = change_keys(self.table, command, index)
-                return self._accepted() if refusal is None else refusal
+                return self._finish(change_keys(self.table, command, index))
 
     def apply_encoded(self, index: int, data: bytes, plan: Plan | Outcome | None = None) -> Outcome:
         """Apply a command as the log holds it; bytes that are none change nothing."""
@@ -233,6 +233,7 @@
             state._incarnations,
             state._host_states,
         )
+        state._hosts = HostChanges(state._installer, state._incarnations, state._host_states)
         return state
 
     def _apply_once(
@@ -275,7 +276,7 @@
                     del self._configuration.tenants[command.name]
                 return outcome
             case SetHostState():
-                return self._set_host_state(index, command)
+                return self._finish(self._hosts.set_host_state(index, command))
             case RotateKey():
                 refusal = rotate_key(self.table, command, index)
                 return self._accepted() if refusal is None else refusal
@@ -290,50 +291,13 @@
         self._installer.install(plan.renderings, index)
         return self._accepted(subject_revision=subject_revision)
 
-    def _set_host_state(self, index: int, command: SetHostState) -> Outcome:
-        if not self._is_known_host(command.host):
-            return UnknownHost(host=command.host[:80])
-        if not self._host_states.set_by_operator(command.host, command.admin_state):
-            return LimitReached(subject="draining hosts", limit=HIGHEST_HOST_COUNT)
-        self._refresh_hosts({command.host}, index)
-        return self._accepted()
-
-    def _set_platform_states(self, index: int, command: SetPlatformStates) -> Outcome:
-        has_room = True
-        for state in command.states:
-            stored = self._host_states.set_by_platform(state.host, state.admin_state)
-            has_room = has_room and stored
-        self._refresh_hosts({state.host for state in command.states}, index)
-        if not has_room:
-            return LimitReached(subject="leaving hosts", limit=HIGHEST_HOST_COUNT)
-        return self._accepted()
-
-    def _register_agent(self, index: int, command: RegisterAgent) -> Outcome:
-        record = self._incarnations.register(command)
-        if not isinstance(record, AgentRecord):
-            return record
-        self._installer.refresh_member(command.address, index)
+    def _accepted(self, subject_revision: int = 0) -> Accepted:
+        return Accepted(revision=self.revision, subject_revision=subject_revision)
+
+    def _finish(self, refusal: Outcome | None) -> Outcome:
+        return self._accepted() if refusal is None else refusal
+
+    def _registered(self, record: AgentRecord) -> Registered:
         return Registered(
             address=str(record.address), incarnation=record.incarnation, revision=self.revision
         )
-
-    def _set_member_status(self, index: int, command: SetMemberStatus) -> Outcome:
-        for status in command.statuses:
-            if self._incarnations.set_status(status):
-                self._installer.refresh_member(status.address, index)
-        return self._accepted()
-
-    def _refresh_hosts(self, hosts: set[str], index: int) -> None:
-        """Bring the members on the named hosts in step with their admin state."""
-        for member in self.members():
-            if member.host in hosts or str(member.address) in hosts:
-                self._installer.refresh_member(member.address, index)
-
-    def _is_known_host(self, host: str) -> bool:
-        """Tell whether a host name or address is a member's, an agent's, or drained now."""
-        if host in self.operator_draining() or self._incarnations.has_host(host):
-            return True
-        return any(host in (member.host, str(member.address)) for member in self.table.members())
-
-    def _accepted(self, subject_revision: int = 0) -> Accepted:
-        return Accepted(revision=self.revision, subject_revision=subject_revision)
--- a/src/jasperwalk/control/state/outcomes.py
+++ b/src/jasperwalk/control/state/outcomes.py
@@ -11,19 +11,28 @@
 
 import msgspec
 
-from jasperwalk.config.problems import Problem, describe_problems
-
-
-@dataclass(frozen=True, slots=True)
-class BaseOutcome:
-    """What every outcome has: `kind`, and whether the command took effect."""
-
-    kind: ClassVar[str] = "outcome"
-    accepted: ClassVar[bool] = False
-
-    def describe(self) -> str:
-        """Describe the outcome in one line."""
-        return self.kind
+from jasperwalk.control.state.configuration_refusals import (
+    ConflictingAddress,
+    ConflictingListener,
+    InvalidIdentifier,
+    InvalidTemplate,
+    InvalidValues,
+    RevisionMismatch,
+    ServiceIdsExhausted,
+    TenantRenderingFailed,
+    UnknownTemplate,
+    UnknownTenant,
+)
+from jasperwalk.control.state.fleet_refusals import (
+    IncarnationsExhausted,
+    InvalidKey,
+    KeyAlreadyInstalled,
+    RotationInProgress,
+    SupersededBoot,
+    UnknownHost,
+    UnknownKey,
+)
+from jasperwalk.control.state.outcome_base import BaseOutcome
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,151 +65,6 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class RevisionMismatch(BaseOutcome):
-    """The subject changed since the operator read it; `current` is 0 if it does not exist."""
-
-    kind: ClassVar[str] = "revision-mismatch"
-    subject: str
-    expected: int
-    current: int
-
-    def describe(self) -> str:
-        """Name both revisions and the mend."""
-        return (
-            f"{self.subject} is at revision {self.current}, not {self.expected}; "
-            "read it again and decide anew"
-        )
-
-
-@dataclass(frozen=True, slots=True)
-class ConflictingListener(BaseOutcome):
-    """Two tenants' services claim the same VIP and port."""
-
-    kind: ClassVar[str] = "conflicting-listener"
-    listener: str
-    tenant: str
-    service: str
-    other_tenant: str
-    other_service: str
-
-    def describe(self) -> str:
-        """Name both claims."""
-        return (
-            f"listener {self.listener} of tenant {self.tenant} ({self.service}) is already taken "
-            f"by tenant {self.other_tenant} ({self.other_service}); choose another VIP or port"
-        )
-
-
-@dataclass(frozen=True, slots=True)
-class ConflictingAddress(BaseOutcome):
-    """Two tenants' services claim the same agent address."""
-
-    kind: ClassVar[str] = "conflicting-address"
-    address: str
-    tenant: str
-    service: str
-    other_tenant: str
-    other_service: str
-
-    def describe(self) -> str:
-        """Name both claims."""
-        return (
-            f"member address {self.address} of tenant {self.tenant} ({self.service}) is already "
-            f"taken by tenant {self.other_tenant} ({self.other_service}); "
-            "run a second agent on another port"
-        )
-
-
-@dataclass(frozen=True, slots=True)
-class UnknownTemplate(BaseOutcome):
-    """No template has that name."""
-
-    kind: ClassVar[str] = "unknown-template"
-    template: str
-
-    def describe(self) -> str:
-        """Name the template."""
-        return f"no template is named {self.template!r}; apply it first"
-
-
-@dataclass(frozen=True, slots=True)
-class UnknownTenant(BaseOutcome):
-    """No tenant has that name."""
-
-    kind: ClassVar[str] = "unknown-tenant"
-    tenant: str
-
-    def describe(self) -> str:
-        """Name the tenant."""
-        return f"no tenant is named {self.tenant!r}"
-
-
-@dataclass(frozen=True, slots=True)
-class UnknownHost(BaseOutcome):
-    """No member or registered agent has that host name or address."""
-
-    kind: ClassVar[str] = "unknown-host"
-    host: str
-
-    def describe(self) -> str:
-        """Name the host."""
-        return f"no member is on host {self.host!r}; give a host name or an agent's IPV4:PORT"
-
-
-@dataclass(frozen=True, slots=True)
-class InvalidTemplate(BaseOutcome):
-    """The text is not a valid template."""
-
-    kind: ClassVar[str] = "invalid-template"
-    problems: tuple[Problem, ...]
-
-    def describe(self) -> str:
-        """List the problems."""
-        return describe_problems(self.problems)
-
-
-@dataclass(frozen=True, slots=True)
-class InvalidValues(BaseOutcome):
-    """The tenant's values do not fit its template."""
-
-    kind: ClassVar[str] = "invalid-values"
-    problems: tuple[Problem, ...]
-
-    def describe(self) -> str:
-        """List the problems."""
-        return describe_problems(self.problems)
-
-
-@dataclass(frozen=True, slots=True)
-class TenantRenderingFailed(BaseOutcome):
-    """A changed template does not fit the values of `tenant`, which uses it."""
-
-    kind: ClassVar[str] = "tenant-rendering-failed"
-    template: str
-    tenant: str
-    problems: tuple[Problem, ...]
-
-    def describe(self) -> str:
-        """Name the tenant and list the problems."""
-        problems = describe_problems(self.problems)
-        return f"template {self.template} does not fit tenant {self.tenant}: {problems}"
-
-
-@dataclass(frozen=True, slots=True)
-class InvalidIdentifier(BaseOutcome):
-    """A name or change ID of a wrong shape; `subject` says which."""
-
-    kind: ClassVar[str] = "invalid-identifier"
-    subject: str
-    text: str
-    mend: str
-
-    def describe(self) -> str:
-        """Name the text and the mend."""
-        return f"{self.subject} {self.text!r} is not valid; {self.mend}"
-
-
 @dataclass(frozen=True, slots=True)
 class ChangeIdReused(BaseOutcome):
     """The change ID was used before for another change, whose outcome stands."""
@@ -213,38 +77,6 @@
         return f"change ID {self.change_id!r} belongs to another change; use a new one"
 
 
-@dataclass(frozen=True, slots=True)
-class SupersededBoot(BaseOutcome):
-    """A late registration of a start that a newer start at the address has replaced."""
-
-    kind: ClassVar[str] = "superseded-boot"
-    address: str
-    incarnation: int
-
-    def describe(self) -> str:
-        """Name the address and the current incarnation."""
-        return f"{self.address} has been taken over by incarnation {self.incarnation}"
-
-
-@dataclass(frozen=True, slots=True)
-class IncarnationsExhausted(BaseOutcome):
-    """The address has used every incarnation; it may not be used again."""
-
-    kind: ClassVar[str] = "incarnations-exhausted"
-    address: str
-
-    def describe(self) -> str:
-        """Name the address and the mend."""
-        return f"{self.address} has used all its incarnations; start the agent on another port"
-
-
-@dataclass(frozen=True, slots=True)
-class ServiceIdsExhausted(BaseOutcome):
-    """Every service ID has been allotted."""
-
-    kind: ClassVar[str] = "service-ids-exhausted"
-
-
 @dataclass(frozen=True, slots=True)
 class LimitReached(BaseOutcome):
     """The state may hold no more than `limit` of `subject`."""
@@ -258,57 +90,6 @@
         return f"no more than {self.limit} {self.subject} are held"
 
 
-@dataclass(frozen=True, slots=True)
-class InvalidKey(BaseOutcome):
-    """A fleet key of a wrong rotation or length."""
-
-    kind: ClassVar[str] = "invalid-key"
-    purpose: str
-    rotation: int
-    secret_length: int
-
-    def describe(self) -> str:
-        """Name the key and the bounds."""
-        return (
-            f"{self.purpose} key of rotation {self.rotation} and {self.secret_length} bytes; "
-            "rotation must be 0 to 6, the secret 16 to 64 bytes (16 for connection IDs)"
-        )
-
-
-@dataclass(frozen=True, slots=True)
-class KeyAlreadyInstalled(BaseOutcome):
-    """Another secret was installed first under that purpose and rotation; it stands."""
-
-    kind: ClassVar[str] = "key-already-installed"
-    purpose: str
-    rotation: int
-
-
-@dataclass(frozen=True, slots=True)
-class RotationInProgress(BaseOutcome):
-    """The former rotation of that purpose has not come to its activation yet."""
-
-    kind: ClassVar[str] = "rotation-in-progress"
-    purpose: str
-
-    def describe(self) -> str:
-        """Name the purpose and the mend."""
-        return (
-            f"the {self.purpose} key is being rotated; wait until `jasperwalk keys show` "
-            "names the newer key active"
-        )
-
-
-@dataclass(frozen=True, slots=True)
-class UnknownKey(BaseOutcome):
-    """No key of that purpose, rotation and generation awaits this step; nothing changed."""
-
-    kind: ClassVar[str] = "unknown-key"
-    purpose: str
-    rotation: int
-    generation: int
-
-
 @dataclass(frozen=True, slots=True)
 class MalformedCommand(BaseOutcome):
     """Bytes of the log that are no command; they change nothing."""
--- a/src/jasperwalk/control/state/service_ids.py
+++ b/src/jasperwalk/control/state/service_ids.py
@@ -10,7 +10,7 @@
 """A service ID has three bytes in a connection ID."""
 
 
-class ServiceIdImage(msgspec.Struct, frozen=True, array_like=True):
+class ServiceIdImage(msgspec.Struct, frozen=True, gc=False, array_like=True):
     """Serialised form of one service's ID."""
 
     tenant: str
--- a/src/jasperwalk/control/state_applier.py
+++ b/src/jasperwalk/control/state_applier.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 from collections import deque
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
@@ -63,7 +64,7 @@
 
     def load(self, snapshot: SnapshotData) -> None:
         """Start from a snapshot, before anything runs; raises `MalformedState`."""
-        self._replace(snapshot, ControlState.restore(snapshot.state))
+        self._replace(snapshot, _restore(snapshot.state))
 
     def submit_snapshot(self, snapshot: SnapshotData) -> None:
         """Go on from a leader's snapshot, after what was submitted before."""
@@ -96,7 +97,7 @@
     async def _work_off(self, work: SnapshotData | Sequence[LogEntry]) -> None:
         if isinstance(work, SnapshotData):
             loop = asyncio.get_running_loop()
-            state = await loop.run_in_executor(self._workers, ControlState.restore, work.state)
+            state = await loop.run_in_executor(self._workers, _restore, work.state)
             self._replace(work, state)
             self._listener.state_replaced()
             return
@@ -138,3 +139,16 @@
         task = self._snapshot_task
         if task is not None and task.done() and not task.cancelled():
             task.result()
+
+
+def _restore(data: bytes) -> ControlState:
+    """Restore a state; raises `MalformedState`.
+
+    The cycle collection is off meanwhile: it would look through the half-built state again and
+    again, which stops all threads and finds nothing.
+    """
+    gc.disable()
+    try:
+        return ControlState.restore(data)
+    finally:
+        gc.enable()
--- a/src/jasperwalk/control/subscriber_reports.py
+++ b/src/jasperwalk/control/subscriber_reports.py
@@ -31,7 +31,7 @@
 MILLISECONDS_PER_SECOND = 1000
 
 
-class SubscriberKey(msgspec.Struct, frozen=True, array_like=True):
+class SubscriberKey(msgspec.Struct, frozen=True, gc=False, array_like=True):
     """What tells subscribers apart; a host may run agents at several addresses."""
 
     role: SubscriberRole
@@ -39,7 +39,7 @@
     address: Endpoint
 
 
-class SubscriberCondition(msgspec.Struct, frozen=True, array_like=True):
+class SubscriberCondition(msgspec.Struct, frozen=True, gc=False, array_like=True):
     """What a subscriber says of itself; all but its revision, and its open flows roughly.
 
     Zero open flows are exactly none. The generations are those of the oldest keys that the
@@ -53,7 +53,7 @@
     stateless_reset_generation: int = 0
 
 
-class ReportedSubscriber(msgspec.Struct, frozen=True, array_like=True):
+class ReportedSubscriber(msgspec.Struct, frozen=True, gc=False, array_like=True):
     """A subscriber that is new, or whose condition changed; `number` names it in its origin."""
 
     number: int
@@ -68,7 +68,7 @@
     numbers: list[int]
 
 
-class SilentSubscriber(msgspec.Struct, frozen=True, array_like=True):
+class SilentSubscriber(msgspec.Struct, frozen=True, gc=False, array_like=True):
     """A subscriber that was not heard for a while, or whose connection ended."""
 
     number: int
--- a/src/jasperwalk/distribution/follower.py
+++ b/src/jasperwalk/distribution/follower.py
@@ -27,6 +27,7 @@
 )
 from jasperwalk.distribution.follower_table import FollowerTable
 from jasperwalk.distribution.replica_choice import ReplicaChoice
+from jasperwalk.distribution.replica_contact import ReplicaContact
 from jasperwalk.distribution.snapshot_assembly import SnapshotAssembly
 from jasperwalk.messages.distribution import (
     Acknowledge,
@@ -34,6 +35,7 @@
     FromPublisher,
     Heartbeat,
     Reject,
+    ReplicaEndpoints,
     Snapshot,
     Subscribe,
 )
@@ -82,11 +84,7 @@
         self._phase = FollowerPhase.WAITING
         self._phase_since = 0.0
         self._assembly = SnapshotAssembly()
-        self._last_heard = 0.0
-        self._behind_since: float | None = None
-        self._quorum_contact_at: float | None = None
-        self._replica_revision = 0
-        self._fresh_at = -math.inf
+        self._contact = ReplicaContact(config.replica_stale_seconds)
         self._next_acknowledge = math.inf
 
     @property
@@ -98,11 +96,11 @@
         """Tell whether the table was the newest of a quorum within the stale limit."""
         if self._phase is FollowerPhase.REPLACED:
             return False
-        return now - self._fresh_at <= self._config.replica_stale_seconds
+        return self._contact.freshness_age(now) <= self._config.replica_stale_seconds
 
     def freshness_age(self, now: float) -> float:
         """Return the seconds since the table was known to be the newest; inf for never."""
-        return now - self._fresh_at
+        return self._contact.freshness_age(now)
 
     def next_deadline(self) -> float:
         """Return the time at which `tick` next has something to do."""
@@ -112,7 +110,7 @@
             case FollowerPhase.CONNECTING:
                 return self._phase_since + self._config.connect_timeout_seconds
             case FollowerPhase.FOLLOWING:
-                return min(self._next_acknowledge, self._leave_at())
+                return min(self._next_acknowledge, self._contact.leave_at())
             case FollowerPhase.REPLACED:
                 return math.inf
 
@@ -135,9 +133,7 @@
         if self._phase is not FollowerPhase.CONNECTING or replica != self.replica:
             return []
         self._enter(FollowerPhase.FOLLOWING, now)
-        self._last_heard = now
-        self._quorum_contact_at = None
-        self._behind_since = None
+        self._contact.connected(now)
         self._next_acknowledge = now + self._config.acknowledge_interval_seconds
         subscribe = Subscribe(
             name=self.facts.name,
@@ -160,11 +156,13 @@
         """Take in one message of the replica."""
         if self._phase is not FollowerPhase.FOLLOWING:
             return []
-        if now - self._last_heard >= self._config.replica_stale_seconds:
+        if not self._contact.heard(now):
             # This process stood still: what waited in the socket may be arbitrarily old, and
             # taking it for news would make a thawed process believe that it is fresh.
             return self._leave(LeaveReason.SILENT, now)
-        self._last_heard = now
+        return self._take(message, now)
+
+    def _take(self, message: FromPublisher, now: float) -> list[FollowerEffect]:
         match message:
             case Heartbeat():
                 return self._heartbeat(message, now)
@@ -174,6 +172,9 @@
                 return self._snapshot(message, now)
             case Reject():
                 return self._reject(message, now)
+            case ReplicaEndpoints():
+                self._choice.learn(message.index, message.endpoints)
+                return []
 
     def _try_connecting(self, now: float) -> list[FollowerEffect]:
         replica = self._choice.choose(now)
@@ -184,61 +185,24 @@
         return [Connect(endpoint=replica)]
 
     def _tick_following(self, now: float) -> list[FollowerEffect]:
-        reason = self._reason_to_leave(now)
+        reason = self._contact.reason_to_leave(now)
         if reason is not None:
             return self._leave(reason, now)
         if now >= self._next_acknowledge:
             return [self._acknowledge(now)]
         return []
 
-    def _reason_to_leave(self, now: float) -> LeaveReason | None:
-        limit = self._config.replica_stale_seconds
-        if now - self._last_heard >= limit:
-            return LeaveReason.SILENT
-        contact_at = self._quorum_contact_at
-        if contact_at is not None and now - contact_at >= limit:
-            return LeaveReason.STALE_QUORUM
-        if self._behind_since is not None and now - self._behind_since >= limit:
-            return LeaveReason.BEHIND
-        return None
-
-    def _leave_at(self) -> float:
-        oldest = self._last_heard
-        if self._quorum_contact_at is not None:
-            oldest = min(oldest, self._quorum_contact_at)
-        if self._behind_since is not None:
-            oldest = min(oldest, self._behind_since)
-        return oldest + self._config.replica_stale_seconds
-
     def _heartbeat(self, heartbeat: Heartbeat, now: float) -> list[FollowerEffect]:
-        quorum_contact_at = now - heartbeat.quorum_age_ms / MILLISECONDS_PER_SECOND
-        if self._quorum_contact_at is not None:
-            # The time under way differs from heartbeat to heartbeat; contact does not go back.
-            quorum_contact_at = max(quorum_contact_at, self._quorum_contact_at)
-        self._quorum_contact_at = quorum_contact_at
-        self._replica_revision = heartbeat.revision
+        self._contact.heartbeat(heartbeat, self.table.revision, now)
         if heartbeat.incarnation > 0:
             self.incarnation = heartbeat.incarnation
-        self._note_whether_behind(heartbeat.revision, now)
-        self._note_freshness()
-        reason = self._reason_to_leave(now)
+        reason = self._contact.reason_to_leave(now)
         if reason is not None:
             return self._leave(reason, now)
-        if self.replica is not None and self._behind_since is None:
+        if self.replica is not None and not self._contact.is_behind:
             self._choice.served(self.replica)
         return []
 
-    def _note_whether_behind(self, replica_revision: int, now: float) -> None:
-        if replica_revision >= self.table.revision:
-            self._behind_since = None
-        elif self._behind_since is None:
-            self._behind_since = now
-
-    def _note_freshness(self) -> None:
-        contact_at = self._quorum_contact_at
-        if contact_at is not None and self._replica_revision <= self.table.revision:
-            self._fresh_at = max(self._fresh_at, contact_at)
-
     def _delta(self, delta: Delta, now: float) -> list[FollowerEffect]:
         # Both checks keep the revision from going back. A base below ours is sound, for the
         # delta holds the state at `revision` of everything that changed since that base.
@@ -260,7 +224,7 @@
         return self._advanced(now)
 
     def _advanced(self, now: float) -> list[FollowerEffect]:
-        self._note_freshness()
+        self._contact.table_at(self.table.revision)
         return [TableChanged(revision=self.table.revision), self._acknowledge(now)]
 
     def _reject(self, reject: Reject, now: float) -> list[FollowerEffect]:
--- /dev/null
+++ b/src/jasperwalk/distribution/link_feeder.py
@@ -0,0 +1,54 @@
+"""What a subscriber is sent next: the next part of a snapshot, or one delta of all it lacks."""
+
+from __future__ import annotations
+
+from jasperwalk.distribution.subscriber_link import SubscriberLink
+from jasperwalk.distribution.update_encoder import UpdateEncoder
+
+
+class LinkFeeder:
+    """Chooses between snapshot and delta, and follows agents from service to service."""
+
+    def __init__(self, encoder: UpdateEncoder) -> None:
+        self._encoder = encoder
+
+    def arrived(self, link: SubscriberLink, now: float) -> None:
+        """Find the scope of a new subscriber; a balancer's is the whole table."""
+        if link.is_balancer:
+            return
+        # The agent's own copy may be of another service, which its revision does not tell.
+        address = link.subscribe.address
+        link.scope = self._encoder.scope_of_agent(address)
+        history = self._encoder.history
+        known = history.covers(link.sent_revision)
+        if not known or history.moved_after(address, link.sent_revision):
+            self._start_snapshot(link, now)
+
+    def follow_scope(self, link: SubscriberLink, now: float) -> None:
+        """Begin anew for an agent whose address is now of another service."""
+        if link.is_balancer or link.sent_revision > self._encoder.table.revision:
+            return
+        scope = self._encoder.scope_of_agent(link.subscribe.address)
+        if scope != link.scope:
+            link.scope = scope
+            self._start_snapshot(link, now)
+
+    def has_update(self, link: SubscriberLink) -> bool:
+        """Tell whether there is something to send."""
+        return link.snapshot is not None or link.sent_revision < self._encoder.table.revision
+
+    def next_payload(self, link: SubscriberLink, now: float) -> bytes:
+        """Return the next update, and note it as sent."""
+        if link.snapshot is None:
+            delta = self._encoder.delta(link.scope, link.sent_revision)
+            if delta is not None:
+                link.sent(self._encoder.table.revision)
+                return delta
+            link.start_snapshot(self._encoder.snapshot(link.scope, link.sent_revision, now))
+        return link.take_part()
+
+    def _start_snapshot(self, link: SubscriberLink, now: float) -> None:
+        # A table behind the subscriber has nothing for it but heartbeats.
+        if link.sent_revision <= self._encoder.table.revision:
+            snapshot = self._encoder.snapshot(link.scope, link.sent_revision, now)
+            link.start_snapshot(snapshot)
--- a/src/jasperwalk/distribution/publisher.py
+++ b/src/jasperwalk/distribution/publisher.py
@@ -14,17 +14,17 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.config.routing_table import VersionedTable
 from jasperwalk.distribution.follower_events import REPLACED_KIND
+from jasperwalk.distribution.link_feeder import LinkFeeder
 from jasperwalk.distribution.publisher_events import (
     CloseReason,
     CloseSubscriber,
-    InForceReport,
     PublisherConfig,
     PublisherEffect,
     RegisterAgent,
     SendTo,
-    report_in_force,
 )
 from jasperwalk.distribution.registrations import Registrations, RegistrationVerdict
+from jasperwalk.distribution.subscriber_directory import SubscriberDirectory
 from jasperwalk.distribution.subscriber_link import SubscriberLink
 from jasperwalk.distribution.update_encoder import UpdateEncoder
 from jasperwalk.messages import codec
@@ -33,6 +33,7 @@
     FromSubscriber,
     Heartbeat,
     Reject,
+    ReplicaEndpoints,
     Subscribe,
     SubscriberRole,
 )
@@ -52,18 +53,18 @@
     def __init__(self, source: VersionedTable, config: PublisherConfig) -> None:
         self._config = config
         self._encoder = UpdateEncoder(source, config)
+        self._feeder = LinkFeeder(self._encoder)
         self._registrations = Registrations()
-        self._links: dict[int, SubscriberLink] = {}
-        self._by_identity: dict[tuple[SubscriberRole, str, str], int] = {}
-        self._agents_at: dict[Endpoint, set[int]] = {}
+        self._subscribers = SubscriberDirectory()
         self._heartbeats: list[tuple[float, int]] = []
         self._wakes: list[tuple[float, int]] = []
         self._quorum_contact_at = -math.inf
+        self._replicas: ReplicaEndpoints | None = None
 
     @property
     def subscriber_count(self) -> int:
         """The number of subscribers."""
-        return len(self._links)
+        return len(self._subscribers)
 
     def next_deadline(self) -> float:
         """Return the time at which `tick` next has something to do."""
@@ -73,12 +74,7 @@
 
     def links(self) -> Collection[SubscriberLink]:
         """Return the records of all subscribers, for reading only."""
-        return self._links.values()
-
-    def report(self, now: float, revision: int | None = None) -> InForceReport:
-        """Report where `revision` is in force, the table's own where none is given."""
-        wanted = self._encoder.table.revision if revision is None else revision
-        return report_in_force(wanted, [link.standing(now) for link in self._links.values()])
+        return self._subscribers.all()
 
     def subscriber_opened(
         self, subscriber_id: int, subscribe: Subscribe, now: float
@@ -89,10 +85,11 @@
             return self._refuse(subscriber_id, refusal)
         link = SubscriberLink(subscriber_id, subscribe, self._config, now)
         effects = self._close_former_connection(link)
-        self._add(link)
-        self._set_scope_on_arrival(link, now)
+        self._subscribers.add(link)
+        self._feeder.arrived(link, now)
         effects.extend(self._heartbeat(link, now))
-        if subscriber_id in self._links:
+        if link in self._subscribers:
+            effects.extend(self._tell_replicas(link))
             effects.extend(self._flush(link, now))
         return effects
 
@@ -100,7 +97,7 @@
         self, subscriber_id: int, message: FromSubscriber, now: float
     ) -> list[PublisherEffect]:
         """Take in a message of a subscriber."""
-        link = self._links.get(subscriber_id)
+        link = self._subscribers.find(subscriber_id)
         if link is None:
             return []
         match message:
@@ -112,9 +109,9 @@
 
     def subscriber_closed(self, subscriber_id: int) -> None:
         """Forget a subscriber whose connection ended."""
-        link = self._links.get(subscriber_id)
+        link = self._subscribers.find(subscriber_id)
         if link is not None:
-            self._forget(link)
+            self._subscribers.remove(link)
 
     def table_advanced(self, now: float) -> list[PublisherEffect]:
         """Publish what changed in the table."""
@@ -126,6 +123,16 @@
         self._encoder.replace_table(source)
         return self._flush_all(now)
 
+    def replicas_changed(self, index: int, endpoints: list[Endpoint]) -> list[PublisherEffect]:
+        """Tell all subscribers of the voting replicas as committed at log index `index`."""
+        if self._replicas is not None and self._replicas.endpoints == endpoints:
+            return []
+        self._replicas = ReplicaEndpoints(index=index, endpoints=endpoints)
+        effects: list[PublisherEffect] = []
+        for link in self._subscribers.all():
+            effects.extend(self._tell_replicas(link))
+        return effects
+
     def tick(self, now: float, quorum_age: float) -> list[PublisherEffect]:
         """Send what is due: heartbeats, and updates that waited for their link's budget."""
         self._quorum_contact_at = now - quorum_age
@@ -133,12 +140,12 @@
         effects: list[PublisherEffect] = []
         while self._heartbeats and self._heartbeats[0][0] <= now:
             due, subscriber_id = heapq.heappop(self._heartbeats)
-            link = self._links.get(subscriber_id)
+            link = self._subscribers.find(subscriber_id)
             if link is not None and link.next_heartbeat == due:
                 effects.extend(self._heartbeat_due(link, now))
         while self._wakes and self._wakes[0][0] <= now:
             due, subscriber_id = heapq.heappop(self._wakes)
-            link = self._links.get(subscriber_id)
+            link = self._subscribers.find(subscriber_id)
             if link is not None and link.wake_at == due:
                 link.wake_at = math.inf
                 effects.extend(self._flush(link, now))
@@ -153,8 +160,7 @@
         """
         self._registrations.register(address, boot_id, incarnation)
         effects: list[PublisherEffect] = []
-        for subscriber_id in sorted(self._agents_at.get(address, ())):
-            link = self._links[subscriber_id]
+        for link in self._subscribers.agents_at(address):
             if link.subscribe.boot_id == boot_id:
                 effects.extend(self._heartbeat(link, now))
             else:
@@ -164,8 +170,7 @@
     def agent_refused(self, address: Endpoint, boot_id: str) -> list[PublisherEffect]:
         """Close an agent whose registration control refused because it was replaced."""
         effects: list[PublisherEffect] = []
-        for subscriber_id in sorted(self._agents_at.get(address, ())):
-            link = self._links[subscriber_id]
+        for link in self._subscribers.agents_at(address):
             if link.subscribe.boot_id == boot_id:
                 effects.extend(self._close_replaced(link))
         return effects
@@ -177,7 +182,7 @@
     def _refusal(self, subscribe: Subscribe, now: float) -> CloseReason | None:
         if now - self._quorum_contact_at > self._config.stale_seconds:
             return CloseReason.STALE_REPLICA
-        if len(self._links) >= self._config.subscriber_limit:
+        if len(self._subscribers) >= self._config.subscriber_limit:
             return CloseReason.TOO_MANY_SUBSCRIBERS
         if subscribe.role is SubscriberRole.AGENT:
             verdict = self._registrations.judge(subscribe, self._encoder.table.revision)
@@ -194,35 +199,17 @@
         ]
 
     def _close_replaced(self, link: SubscriberLink) -> list[PublisherEffect]:
-        self._forget(link)
+        self._subscribers.remove(link)
         return self._refuse(link.subscriber_id, CloseReason.REPLACED)
 
     def _close(self, link: SubscriberLink, reason: CloseReason) -> list[PublisherEffect]:
-        self._forget(link)
+        self._subscribers.remove(link)
         return [CloseSubscriber(subscriber_id=link.subscriber_id, reason=reason)]
 
     def _close_former_connection(self, link: SubscriberLink) -> list[PublisherEffect]:
         # A process that lost its connection comes back before this side notices the loss.
-        former_id = self._by_identity.get(link.identity)
-        if former_id is None:
-            return []
-        return self._close(self._links[former_id], CloseReason.RECONNECTED)
-
-    def _add(self, link: SubscriberLink) -> None:
-        self._links[link.subscriber_id] = link
-        self._by_identity[link.identity] = link.subscriber_id
-        if not link.is_balancer:
-            at_address = self._agents_at.setdefault(link.subscribe.address, set())
-            at_address.add(link.subscriber_id)
-
-    def _forget(self, link: SubscriberLink) -> None:
-        del self._links[link.subscriber_id]
-        if self._by_identity.get(link.identity) == link.subscriber_id:
-            del self._by_identity[link.identity]
-        at_address = self._agents_at.get(link.subscribe.address, set())
-        at_address.discard(link.subscriber_id)
-        if not at_address:
-            self._agents_at.pop(link.subscribe.address, None)
+        former = self._subscribers.same_process(link)
+        return [] if former is None else self._close(former, CloseReason.RECONNECTED)
 
     def _heartbeat_due(self, link: SubscriberLink, now: float) -> list[PublisherEffect]:
         if now - link.last_seen > self._config.silent_seconds:
@@ -231,7 +218,7 @@
 
     def _heartbeat(self, link: SubscriberLink, now: float) -> list[PublisherEffect]:
         effects = self._check_registration(link, now)
-        if link.subscriber_id not in self._links:
+        if link not in self._subscribers:
             return effects
         link.next_heartbeat = now + self._config.heartbeat_seconds
         heapq.heappush(self._heartbeats, (link.next_heartbeat, link.subscriber_id))
@@ -245,6 +232,11 @@
         effects.append(self._send(link, payload))
         return effects
 
+    def _tell_replicas(self, link: SubscriberLink) -> list[PublisherEffect]:
+        if self._replicas is None:
+            return []
+        return [self._send(link, codec.encode(self._replicas))]
+
     def _quorum_age_ms(self, now: float) -> int:
         # Aged since the last tick: a process that stood still must not pass for fresh.
         milliseconds = (now - self._quorum_contact_at) * MILLISECONDS_PER_SECOND
@@ -280,63 +272,26 @@
             )
         ]
 
-    def _set_scope_on_arrival(self, link: SubscriberLink, now: float) -> None:
-        if link.is_balancer:
-            return
-        # The agent's own copy may be of another service, which its revision does not tell.
-        address = link.subscribe.address
-        link.scope = self._encoder.scope_of_agent(address)
-        history = self._encoder.history
-        known = history.covers(link.sent_revision)
-        if not known or history.moved_after(address, link.sent_revision):
-            self._start_snapshot(link, now)
-
     def _flush_all(self, now: float) -> list[PublisherEffect]:
         effects: list[PublisherEffect] = []
-        for link in self._links.values():
+        for link in self._subscribers.all():
             effects.extend(self._flush(link, now))
         return effects
 
     def _flush(self, link: SubscriberLink, now: float) -> list[PublisherEffect]:
         """Send what the link's budget and its outstanding updates allow."""
-        self._follow_scope(link, now)
+        self._feeder.follow_scope(link, now)
         effects: list[PublisherEffect] = []
-        while self._has_update(link):
+        while self._feeder.has_update(link):
             if len(link.outstanding) >= self._config.outstanding_limit:
                 break
             if not link.bucket.allows(now):
                 self._wake_later(link, now)
                 break
-            payload = self._next_payload(link, now)
+            payload = self._feeder.next_payload(link, now)
             effects.append(self._send(link, payload))
         return effects
 
-    def _follow_scope(self, link: SubscriberLink, now: float) -> None:
-        if link.is_balancer or link.sent_revision > self._encoder.table.revision:
-            return
-        scope = self._encoder.scope_of_agent(link.subscribe.address)
-        if scope != link.scope:
-            link.scope = scope
-            self._start_snapshot(link, now)
-
-    def _start_snapshot(self, link: SubscriberLink, now: float) -> None:
-        # A table behind the subscriber has nothing for it but heartbeats.
-        if link.sent_revision <= self._encoder.table.revision:
-            snapshot = self._encoder.snapshot(link.scope, link.sent_revision, now)
-            link.start_snapshot(snapshot)
-
-    def _has_update(self, link: SubscriberLink) -> bool:
-        return link.snapshot is not None or link.sent_revision < self._encoder.table.revision
-
-    def _next_payload(self, link: SubscriberLink, now: float) -> bytes:
-        if link.snapshot is None:
-            delta = self._encoder.delta(link.scope, link.sent_revision)
-            if delta is not None:
-                link.sent(self._encoder.table.revision)
-                return delta
-            link.start_snapshot(self._encoder.snapshot(link.scope, link.sent_revision, now))
-        return link.take_part()
-
     def _wake_later(self, link: SubscriberLink, now: float) -> None:
         ready_at = link.bucket.ready_at(now)
         if ready_at < link.wake_at:
--- a/src/jasperwalk/distribution/publisher_events.py
+++ b/src/jasperwalk/distribution/publisher_events.py
@@ -1,4 +1,4 @@
-"""Settings, effects and reports of the publisher core."""
+"""Settings and effects of the publisher core."""
 
 from __future__ import annotations
 
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 from jasperwalk.addresses import Endpoint
-from jasperwalk.messages.distribution import SubscriberRole
 
 
 @dataclass(frozen=True)
@@ -71,66 +70,3 @@
 
 
 PublisherEffect = SendTo | CloseSubscriber | RegisterAgent
-
-
-@dataclass(frozen=True)
-class SubscriberStanding:
-    """What the publisher knows of one subscriber.
-
-    `incarnation` is 0 for a balancer and for an agent without registration. `silence_seconds`
-    is the time since its last message.
-    """
-
-    name: str
-    role: SubscriberRole
-    zone: str
-    address: Endpoint
-    boot_id: str
-    incarnation: int
-    acknowledged_revision: int
-    healthy: bool
-    open_flows: int
-    silence_seconds: float
-    connection_id_generation: int = 0
-    stateless_reset_generation: int = 0
-
-
-@dataclass(frozen=True)
-class RoleCount:
-    """On how many of the subscribers of a role a revision is in force."""
-
-    in_force: int
-    total: int
-
-
-@dataclass(frozen=True)
-class InForceReport:
-    """Where `revision` is in force among the subscribers of one replica."""
-
-    revision: int
-    balancers: RoleCount
-    agents: RoleCount
-    laggards: list[SubscriberStanding]
-    subscribers: list[SubscriberStanding]
-
-
-def report_in_force(revision: int, subscribers: list[SubscriberStanding]) -> InForceReport:
-    """Count where `revision`, or a newer one, is in force, and name where it is not."""
-    laggards = [each for each in subscribers if each.acknowledged_revision < revision]
-    return InForceReport(
-        revision=revision,
-        balancers=_count(SubscriberRole.BALANCER, subscribers, laggards),
-        agents=_count(SubscriberRole.AGENT, subscribers, laggards),
-        laggards=laggards,
-        subscribers=subscribers,
-    )
-
-
-def _count(
-    role: SubscriberRole,
-    subscribers: list[SubscriberStanding],
-    laggards: list[SubscriberStanding],
-) -> RoleCount:
-    total = sum(1 for each in subscribers if each.role is role)
-    behind = sum(1 for each in laggards if each.role is role)
-    return RoleCount(in_force=total - behind, total=total)
--- a/src/jasperwalk/distribution/replica_choice.py
+++ b/src/jasperwalk/distribution/replica_choice.py
@@ -11,6 +11,9 @@
 HIGHEST_BACKOFF_EXPONENT = 16
 """Bound of the doubling, so that the power stays small however long an outage lasts."""
 
+FAILURES_BEFORE_SETTINGS = 3
+"""Failures in a row of every learned replica before those of the settings are tried again."""
+
 
 @dataclass
 class ReplicaRecord:
@@ -25,7 +28,9 @@
     """Replicas in a shuffled order, each with its own jittered exponential back-off.
 
     The shuffle spreads followers over replicas; the jitter (half to the whole of the back-off)
-    keeps followers that lost a replica together from coming back together.
+    keeps followers that lost a replica together from coming back together. Once a replica has
+    told of the present replicas, those of the settings are tried only when the present ones
+    fail again and again.
     """
 
     def __init__(
@@ -39,35 +44,60 @@
         self._base = backoff_base_seconds
         self._cap = backoff_cap_seconds
         self._not_before = 0.0
-        shuffled = list(dict.fromkeys(replicas))
+        self._configured = list(dict.fromkeys(replicas))
+        self._learned: list[Endpoint] = []
+        self._learned_at_index = -1
+        shuffled = list(self._configured)
         random_source.shuffle(shuffled)
-        self._records = [ReplicaRecord(endpoint=endpoint) for endpoint in shuffled]
+        self._records = {each: ReplicaRecord(endpoint=each) for each in shuffled}
+
+    def learn(self, index: int, replicas: Sequence[Endpoint]) -> None:
+        """Take in the replicas as committed at a log index; an older list changes nothing."""
+        if index <= self._learned_at_index or not replicas:
+            return
+        self._learned_at_index = index
+        self._learned = list(dict.fromkeys(replicas))
+        wanted = [*self._learned, *self._configured]
+        records = {each: record for each, record in self._records.items() if each in wanted}
+        for endpoint in wanted:
+            # New ones wait for no turn, and are not the first choice of all followers at once.
+            records.setdefault(endpoint, ReplicaRecord(endpoint=endpoint))
+        shuffled = list(records)
+        self._random.shuffle(shuffled)
+        self._records = {each: records[each] for each in shuffled}
 
     def next_available_at(self) -> float:
         """Return the earliest time at which some replica may be tried."""
-        earliest = min(record.available_at for record in self._records)
+        earliest = min(record.available_at for record in self._eligible())
         return max(earliest, self._not_before)
 
     def choose(self, now: float) -> Endpoint | None:
         """Return the replica that waits longest for its turn, or None while all back off."""
         if self.next_available_at() > now:
             return None
-        return min(self._records, key=lambda each: each.available_at).endpoint
+        return min(self._eligible(), key=lambda each: each.available_at).endpoint
 
     def failed(self, endpoint: Endpoint, now: float, at_least_seconds: float = 0.0) -> None:
         """Back off from a replica, for `at_least_seconds` or more."""
-        record = self._record(endpoint)
+        # The other replicas may be tried soon, but not by all followers at the same moment.
+        self._not_before = now + self._random.random() * self._base
+        record = self._records.get(endpoint)
+        if record is None:
+            return
         exponent = min(record.failures, HIGHEST_BACKOFF_EXPONENT)
         backoff = min(self._cap, self._base * 2**exponent)
         record.failures += 1
         jittered = backoff * (0.5 + self._random.random() / 2)
         record.available_at = now + at_least_seconds + jittered
-        # The other replicas may be tried soon, but not by all followers at the same moment.
-        self._not_before = now + self._random.random() * self._base
 
     def served(self, endpoint: Endpoint) -> None:
         """Note that a replica serves well, which ends its back-off."""
-        self._record(endpoint).failures = 0
-
-    def _record(self, endpoint: Endpoint) -> ReplicaRecord:
-        return next(record for record in self._records if record.endpoint == endpoint)
+        record = self._records.get(endpoint)
+        if record is not None:
+            record.failures = 0
+
+    def _eligible(self) -> list[ReplicaRecord]:
+        learned = [self._records[each] for each in self._learned]
+        if learned and any(each.failures < FAILURES_BEFORE_SETTINGS for each in learned):
+            return learned
+        return list(self._records.values())
--- /dev/null
+++ b/src/jasperwalk/distribution/replica_contact.py
@@ -0,0 +1,88 @@
+"""How current a follower is through its replica, and when it has to leave that replica."""
+
+from __future__ import annotations
+
+import math
+
+from jasperwalk.distribution.follower_events import LeaveReason
+from jasperwalk.messages.distribution import Heartbeat
+
+MILLISECONDS_PER_SECOND = 1000
+
+
+class ReplicaContact:
+    """What the replica's messages said; times are seconds of one monotonic clock.
+
+    `stale_seconds` bounds a replica's silence, its quorum age, and how long it may stay behind.
+    """
+
+    def __init__(self, stale_seconds: float) -> None:
+        self._stale_seconds = stale_seconds
+        self._last_heard = 0.0
+        self._behind_since: float | None = None
+        self._quorum_contact_at: float | None = None
+        self._replica_revision = 0
+        self._fresh_at = -math.inf
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether the replica's table is older than the follower's."""
+        return self._behind_since is not None
+
+    def connected(self, now: float) -> None:
+        """Begin with another replica; what was known to be fresh stays so."""
+        self._last_heard = now
+        self._quorum_contact_at = None
+        self._behind_since = None
+
+    def heard(self, now: float) -> bool:
+        """Note a message; return False where too long a silence came before it."""
+        if now - self._last_heard >= self._stale_seconds:
+            return False
+        self._last_heard = now
+        return True
+
+    def heartbeat(self, heartbeat: Heartbeat, own_revision: int, now: float) -> None:
+        """Take in what the replica says of itself."""
+        quorum_contact_at = now - heartbeat.quorum_age_ms / MILLISECONDS_PER_SECOND
+        if self._quorum_contact_at is not None:
+            # The time under way differs from heartbeat to heartbeat; contact does not go back.
+            quorum_contact_at = max(quorum_contact_at, self._quorum_contact_at)
+        self._quorum_contact_at = quorum_contact_at
+        self._replica_revision = heartbeat.revision
+        if heartbeat.revision >= own_revision:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+        self.table_at(own_revision)
+
+    def table_at(self, own_revision: int) -> None:
+        """Note the follower's revision: it is fresh once it has the replica's."""
+        contact_at = self._quorum_contact_at
+        if contact_at is not None and self._replica_revision <= own_revision:
+            self._fresh_at = max(self._fresh_at, contact_at)
+
+    def freshness_age(self, now: float) -> float:
+        """Return the seconds since the table was known to be the newest; inf for never."""
+        return now - self._fresh_at
+
+    def reason_to_leave(self, now: float) -> LeaveReason | None:
+        """Return why the replica has to be left now, None where it does not."""
+        limit = self._stale_seconds
+        if now - self._last_heard >= limit:
+            return LeaveReason.SILENT
+        contact_at = self._quorum_contact_at
+        if contact_at is not None and now - contact_at >= limit:
+            return LeaveReason.STALE_QUORUM
+        if self._behind_since is not None and now - self._behind_since >= limit:
+            return LeaveReason.BEHIND
+        return None
+
+    def leave_at(self) -> float:
+        """Return when there will be a reason to leave, if nothing is heard until then."""
+        oldest = self._last_heard
+        if self._quorum_contact_at is not None:
+            oldest = min(oldest, self._quorum_contact_at)
+        if self._behind_since is not None:
+            oldest = min(oldest, self._behind_since)
+        return oldest + self._stale_seconds
--- a/src/jasperwalk/distribution/subscriber_link.py
+++ b/src/jasperwalk/distribution/subscriber_link.py
@@ -5,7 +5,7 @@
 import math
 from collections import deque
 
-from jasperwalk.distribution.publisher_events import PublisherConfig, SubscriberStanding
+from jasperwalk.distribution.publisher_events import PublisherConfig
 from jasperwalk.distribution.token_bucket import TokenBucket
 from jasperwalk.distribution.update_encoder import KEYS_ONLY, WHOLE_TABLE, EncodedSnapshot
 from jasperwalk.messages.distribution import Acknowledge, Subscribe, SubscriberRole
@@ -99,20 +99,3 @@
         """Note that the subscriber was sent everything up to `revision`."""
         self.sent_revision = revision
         self.outstanding.append(revision)
-
-    def standing(self, now: float) -> SubscriberStanding:
-        """Return what reports say of this subscriber."""
-        return SubscriberStanding(
-            name=self.subscribe.name,
-            role=self.subscribe.role,
-            zone=self.subscribe.zone,
-            address=self.subscribe.address,
-            boot_id=self.subscribe.boot_id,
-            incarnation=self.incarnation,
-            acknowledged_revision=self.acknowledged_revision,
-            healthy=self.healthy,
-            open_flows=self.open_flows,
-            silence_seconds=now - self.last_seen,
-            connection_id_generation=self.connection_id_generation,
-            stateless_reset_generation=self.stateless_reset_generation,
-        )
--- a/src/jasperwalk/distribution/update_encoder.py
+++ b/src/jasperwalk/distribution/update_encoder.py
@@ -27,6 +27,9 @@
 KEYS_ONLY = 0
 """Scope of an agent whose address belongs to no service. Other scopes are service IDs."""
 
+LEAST_ENTRY_BYTES = 48
+"""Least size of an encoded entry: a delta that must become too long is not even encoded."""
+
 
 @dataclass(frozen=True)
 class EncodedSnapshot:
@@ -126,6 +129,8 @@
             delta = self._scoped_delta(scope, base_revision)
         if delta is None:
             return None
+        if len(delta.upserts) * LEAST_ENTRY_BYTES > self._config.longest_delta_bytes:
+            return None
         payload = codec.encode(delta)
         return payload if len(payload) <= self._config.longest_delta_bytes else None
 
--- a/src/jasperwalk/membership/liveness.py
+++ b/src/jasperwalk/membership/liveness.py
@@ -12,9 +12,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from jasperwalk.addresses import Endpoint
+from jasperwalk.config.member_states import MemberStatus
 from jasperwalk.config.table import MemberEntry, OperatingStatus
-from jasperwalk.control.state.commands import MemberStatus
 
 
 @dataclass(frozen=True)
@@ -35,8 +37,7 @@
     flap_hold_seconds: float = 10.0
 
 
-@dataclass(frozen=True)
-class AgentObservation:
+class AgentObservation(msgspec.Struct, frozen=True, gc=False):
     """One agent as some replica saw it, `silence_seconds` before the report."""
 
     address: Endpoint
--- a/src/jasperwalk/membership/platform.py
+++ b/src/jasperwalk/membership/platform.py
@@ -14,8 +14,8 @@
 import msgspec
 
 from jasperwalk.addresses import Endpoint
+from jasperwalk.config.member_states import PlatformState
 from jasperwalk.config.table import AdminState, MemberEntry
-from jasperwalk.control.state.commands import PlatformState
 from jasperwalk.errors import InvalidAddress, JasperwalkError
 
 MAXIMUM_LIST_BYTES = 16 * 1024 * 1024
--- a/src/jasperwalk/messages/distribution.py
+++ b/src/jasperwalk/messages/distribution.py
@@ -99,8 +99,19 @@
     retry_after_ms: int
 
 
+class ReplicaEndpoints(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """The voting replicas as committed at log index `index`; sent first and when they change.
+
+    A subscriber keeps the list of the highest index, beside the replicas of its settings: so
+    it finds control again after every machine that its settings name was replaced.
+    """
+
+    index: int
+    endpoints: list[Endpoint]
+
+
 FromSubscriber = Subscribe | Acknowledge
-FromPublisher = Snapshot | Delta | Heartbeat | Reject
+FromPublisher = Snapshot | Delta | Heartbeat | Reject | ReplicaEndpoints
 
 FROM_SUBSCRIBER_DECODER: Decoder[FromSubscriber] = Decoder(FromSubscriber)
 FROM_PUBLISHER_DECODER: Decoder[FromPublisher] = Decoder(FromPublisher)
--- a/src/jasperwalk/settings/models.py
+++ b/src/jasperwalk/settings/models.py
@@ -114,7 +114,7 @@
     )
     peers: list[PeerSettings] = Field(
         min_length=1,
-        description="the initial replicas, this one among them unless `join` is set",
+        description="the initial replicas, this one among them except with `join`",
     )
     platform_list_url: HttpUrl | None = Field(
         default=None, description="URL http://IPV4:PORT/PATH of the platform's list of machines"
@@ -134,10 +134,14 @@
         if len(set(identities)) != len(identities):
             raise ValueError("two replicas have the same replica_id")
         own_identity = info.data.get("replica_id")
-        if own_identity is None or info.data.get("join"):
+        if own_identity is None:
             return peers
-        if own_identity not in identities:
+        joins = info.data.get("join", False)
+        if not joins and own_identity not in identities:
             raise ValueError(f"replica_id {own_identity}, this replica, is not among them")
+        if joins and own_identity in identities:
+            # It would found the cluster with the others in place of waiting to be taken in.
+            raise ValueError(f"replica_id {own_identity} joins, but is among the initial replicas")
         return peers
 
     def listeners(self) -> list[Listener]:
--- a/src/jasperwalk/transport/server.py
+++ b/src/jasperwalk/transport/server.py
@@ -23,6 +23,9 @@
 ConnectionHandler = Callable[[FramedConnection], Awaitable[None]]
 """Serves one connection until it returns; the server closes the connection afterwards."""
 
+LISTEN_BACKLOG = 4_096
+"""Connections that may wait to be taken: asyncio's 100 would have most of a region, returning
+at once, dial again and again. The kernel's own limit is the same on current Linux."""
 MAXIMUM_CONNECTIONS = 16_384
 """Connections that a server carries at once; further ones are dropped."""
 
@@ -58,6 +61,7 @@
             self._accept,
             self._requested.host,
             self._requested.port,
+            backlog=LISTEN_BACKLOG,
             ssl=None if tls is None else tls.server_context(),
             ssl_handshake_timeout=None if tls is None else self._hello_timeout_seconds,
         )
--- a/src/jasperwalk_lab/baselines/flow_table.py
+++ b/src/jasperwalk_lab/baselines/flow_table.py
@@ -15,12 +15,12 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from ipaddress import IPv4Network
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.balancer.core import LARGEST_DATAGRAM, BalancerCore, RoutingTable
-from jasperwalk.balancer.outcomes import DropReason, Forward
+from jasperwalk.balancer.outcomes import DropReason, Forward, Outcomes
 from jasperwalk.config.table import KeyPurpose, OperatingStatus
 from jasperwalk.messages.codec import PROTOCOL_VERSION, encode
 from jasperwalk.messages.datagram_seal import DatagramSeal
@@ -81,6 +81,13 @@
         forwarded = self._forward(datagram, block, service.service_id, agent)
         return Forward((agent.host, agent.port), forwarded)
 
+    def handle_all(self, datagrams: Iterable[bytes], now: float) -> Outcomes:
+        """Decide for datagrams from the fabric, in their order; never raises."""
+        outcomes = Outcomes()
+        for datagram in datagrams:
+            outcomes.add(self.handle(datagram, now))
+        return outcomes
+
     def _agent_of(self, block: bytes, service_id: int) -> Endpoint | None:
         agent = self._flows.get(block)
         if agent is not None and self._may_serve(agent):
--- a/src/jasperwalk_lab/chaos/links_process.py
+++ b/src/jasperwalk_lab/chaos/links_process.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import msgspec
 import structlog
 from aiohttp import web
 from pydantic import BaseModel, ConfigDict
 
 from jasperwalk.addresses import Endpoint
-from jasperwalk_lab.chaos.links import Cut, CutRules, Link
+from jasperwalk.transport.identity import Identity, ProcessRole
+from jasperwalk_lab.chaos.links import Cut, CutRules, Link, LinkKeys
 from jasperwalk_lab.serving import install_stop_event, read_body, start_http
 
 
@@ -23,11 +26,13 @@
 
 
 class LinksSettings(BaseModel):
-    """Settings of the stand-in."""
+    """Settings of the stand-in; `keys_folder` has the certificates of all processes."""
 
     model_config = ConfigDict(extra="forbid")
 
     admin_listen: str
+    cluster_id: str
+    keys_folder: str
     links: list[LinkSettings]
 
 
@@ -57,9 +62,11 @@
     """Run the relays until SIGTERM or SIGINT."""
     stop = install_stop_event()
     rules = CutRules()
+    keys = LinkKeys(Path(settings.keys_folder))
     for each in settings.links:
+        replica = Identity(settings.cluster_id, ProcessRole.CONTROL, each.name)
         listen, target = Endpoint.parse(each.listen), Endpoint.parse(each.target)
-        await Link(each.name, listen, target, rules).start()
+        await Link(replica, keys, listen, target, rules).start()
     runner = await start_http(build_application(rules), Endpoint.parse(settings.admin_listen))
     structlog.get_logger().info("links_ready", links=len(settings.links))
     await stop.wait()
--- a/src/jasperwalk_lab/chaos/planner.py
+++ b/src/jasperwalk_lab/chaos/planner.py
@@ -7,8 +7,9 @@
 from typing import Any
 
 from jasperwalk.addresses import Endpoint
+from jasperwalk.transport.identity import ProcessRole
 from jasperwalk_lab.certificates import CertificateFiles
-from jasperwalk_lab.fleet_settings import FleetPlanner
+from jasperwalk_lab.fleet_settings import CLUSTER_ID, KEYS_FOLDER, FleetPlanner
 from jasperwalk_lab.layout import ControlPlace, Layout, MemberPlace
 from jasperwalk_lab.supervisor import ProcessPlan, health_url
 
@@ -44,8 +45,12 @@
     def links(self) -> ProcessPlan:
         """Plan the relays."""
         places = [*self._layout.controls, *self._links.replacements]
+        for each in places:  # a relay needs its replica's certificate before the replica does
+            self._tls(ProcessRole.CONTROL, each.name)
         settings: dict[str, Any] = {
             "admin_listen": str(self._links.admin),
+            "cluster_id": CLUSTER_ID,
+            "keys_folder": str(self._run_folder / KEYS_FOLDER),
             "links": [
                 {
                     "name": each.name,
--- a/src/jasperwalk_lab/chaos/report.py
+++ b/src/jasperwalk_lab/chaos/report.py
@@ -65,6 +65,8 @@
     streams_answered: int
     leaving_hosts: Spread
     in_force: Spread
+    in_force_never_known: int
+    """Waits that ended without control's word, also those that faults excuse."""
     changes: ChangeFigures
     recoveries: list[RecoveryFigure]
     processes: int
@@ -118,7 +120,8 @@
         f"unknown              {report.unknown}",
         f"broken, by cause     {broken}",
         f"last work on leaving {_describe_spread(report.leaving_hosts)}",
-        f"in force             {_describe_spread(report.in_force)}",
+        f"known in force       {_describe_spread(report.in_force)}, "
+        f"never: {report.in_force_never_known}",
         f"changes              {report.changes.submitted} submitted, "
         f"{report.changes.accepted} accepted, {report.changes.refused} refused, "
         f"{report.changes.undecided} undecided, {report.changes.resent} resent",
--- a/src/jasperwalk_lab/chaos/verdict.py
+++ b/src/jasperwalk_lab/chaos/verdict.py
@@ -100,6 +100,7 @@
         streams_answered=calls.streams_answered,
         leaving_hosts=spread(leaving.seconds),
         in_force=spread(in_force),
+        in_force_never_known=len(record.changes.in_force) - len(in_force),
         changes=_change_figures(record.changes),
         recoveries=recovery_figures(record.observations.recoveries),
         processes=record.processes,
--- a/src/jasperwalk_lab/fleet_settings.py
+++ b/src/jasperwalk_lab/fleet_settings.py
@@ -19,6 +19,8 @@
 COMMANDS_FOLDER = Path(sys.executable).parent
 PLATFORM_LIST = "platform-list"
 FABRIC = "fabric"
+KEYS_FOLDER = "keys"
+"""Folder of the internal links' certificates in a run's folder."""
 
 
 class FleetPlanner:
@@ -41,7 +43,7 @@
         self._settings_folder.mkdir(parents=True, exist_ok=True)
         self._link_certificates: LinkCertificates | None = None
         if options.protect_links:
-            self._link_certificates = LinkCertificates(run_folder / "keys")
+            self._link_certificates = LinkCertificates(run_folder / KEYS_FOLDER)
 
     def control(self, place: ControlPlace) -> ProcessPlan:
         """Plan a control replica."""
--- a/src/jasperwalk_lab/scale/hollow.py
+++ b/src/jasperwalk_lab/scale/hollow.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import gc
 import logging
 import random
 import sys
@@ -46,6 +47,8 @@
 from jasperwalk_lab.scale.socket_traffic import SocketTraffic, read_socket_traffic
 
 BOOT_ID_BITS = 64
+OLDEST_GENERATION_THRESHOLD = 1_000_000
+"""Collections of the middle generation before one of the oldest: in effect never."""
 
 
 class CountedRunner(FollowerRunner):
@@ -208,6 +211,10 @@
 
 async def run_hollow() -> None:
     """Serve requests from standard input until it ends."""
+    # A full collection would walk hundreds of tables, which no real node holds, and stand still
+    # for longer than followers wait for their replica. The young generations go on.
+    young, middle, _ = gc.get_threshold()
+    gc.set_threshold(young, middle, OLDEST_GENERATION_THRESHOLD)
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(logging.WARNING),
         logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
--- a/src/jasperwalk_lab/simulator/network.py
+++ b/src/jasperwalk_lab/simulator/network.py
@@ -163,6 +163,8 @@
         """Simulated links have no certificates."""
         self.other: Connection
         self.closed = False
+        self.identity = None
+        """Set over TLS alone, which is not modelled."""
         self._inbox: deque[bytes] = deque()
         self._arrived = asyncio.Event()
         self._outbox: deque[bytes | None] = deque()
--- a/src/jasperwalk_lab/simulator/verdicts.py
+++ b/src/jasperwalk_lab/simulator/verdicts.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass, field
 
 from jasperwalk.control.state.commands import SetTenant
-from jasperwalk.control.state.outcomes import Accepted, Outcome, RevisionMismatch
+from jasperwalk.control.state.configuration_refusals import RevisionMismatch
+from jasperwalk.control.state.outcomes import Accepted, Outcome
 from jasperwalk_lab.history import HistoryChecker, HistoryReport, ViolationKind
 from jasperwalk_lab.journal import JournalRecord
 from jasperwalk_lab.operations import BreakReason, Broken, CallRecord
--- a/tests/balancer/test_core.py
+++ b/tests/balancer/test_core.py
@@ -154,6 +154,22 @@
     assert core.handle(GOOD, NOW) == first
 
 
+def test_many_datagrams_get_the_answers_of_single_ones_in_their_order():
+    # Met and unmet agents, long and short headers: packets for one agent keep their order.
+    handshake = wrap(long(0xE0, connection_id(), size=ESTABLISHED_SIZE))
+    other = wrap(short(connection_id(Endpoint("127.0.0.2", 7001))))
+    datagrams = [handshake, GOOD, wrap(long()), other, b"junk", wrap(short(connection_id(), 200))]
+    single = [make_core().handle(datagram, NOW) for datagram in datagrams]
+    core = make_core()
+    outcomes = core.handle_all(datagrams, NOW)
+    assert outcomes.by_agent == {
+        ("127.0.0.1", 7001): [single[0].data, single[1].data, single[5].data],
+        ("127.0.0.2", 7001): [single[3].data],
+    }
+    assert outcomes.others == [single[2], DropReason.BAD_PROXY_HEADER]
+    assert (core.counters.established, core.counters.new_flows) == (4, 1)
+
+
 def test_an_agent_that_the_table_does_not_hold_is_reached():
     elsewhere = Endpoint("127.0.0.77", 9000)
     outcome = make_core().handle(wrap(short(connection_id(elsewhere))), NOW)
--- a/tests/balancer/test_queues.py
+++ b/tests/balancer/test_queues.py
@@ -5,7 +5,7 @@
 import pytest
 
 from jasperwalk.addresses import Endpoint
-from jasperwalk.balancer.outcomes import DropReason
+from jasperwalk.balancer.outcomes import DropReason, Outcomes
 from jasperwalk.balancer.queues import DatagramQueues, QueueDrop
 from jasperwalk.balancer.receiver import DatagramReceiver
 from jasperwalk.messages.proxy_protocol import encode_header
@@ -33,6 +33,12 @@
         self.seen.append(datagram)
         return DropReason.NO_MEMBER
 
+    def handle_all(self, datagrams, now):
+        outcomes = Outcomes()
+        for datagram in datagrams:
+            outcomes.add(self.handle(datagram, now))
+        return outcomes
+
     def agent_refused(self, agent, now):
         raise AssertionError(agent)
 
--- a/tests/balancer/test_receiver.py
+++ b/tests/balancer/test_receiver.py
@@ -4,7 +4,7 @@
 import pytest
 
 from jasperwalk.addresses import Endpoint
-from jasperwalk.balancer.outcomes import DropReason, Forward
+from jasperwalk.balancer.outcomes import DropReason, Forward, Outcomes
 from jasperwalk.balancer.receiver import RECEIVE_BYTES, DatagramReceiver
 
 LOOPBACK = Endpoint("127.0.0.1", 0)
@@ -30,6 +30,12 @@
             return DropReason.BAD_PROXY_HEADER
         return Forward(self.destination, datagram * self.repeat, self.alternative)
 
+    def handle_all(self, datagrams, now):
+        outcomes = Outcomes()
+        for datagram in datagrams:
+            outcomes.add(self.handle(datagram, now))
+        return outcomes
+
     def agent_refused(self, agent, now):
         self.refused.append(agent)
 
--- a/tests/control/test_keys.py
+++ b/tests/control/test_keys.py
@@ -8,9 +8,11 @@
 
 import aiohttp
 import pytest
+from structlog.testing import capture_logs
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.config.table import KeyPurpose
+from jasperwalk.control.peer_links import PeerLink, PeerNetwork
 from jasperwalk.control.process import ControlProcess
 from jasperwalk.control.replica import ReplicaConfig
 from jasperwalk.distribution.follower import FollowerCore
@@ -18,6 +20,8 @@
 from jasperwalk.distribution.runner import FollowerRunner
 from jasperwalk.messages.distribution import SubscriberRole
 from jasperwalk.transport.certificates import CONTROL_HOST_NAME
+from jasperwalk.transport.framed import ConnectionKind, make_hello
+from jasperwalk.transport.server import FramedServer
 
 ANY_PORT = Endpoint("127.0.0.1", 0)
 
@@ -158,3 +162,33 @@
             await task
 
     run(scenario())
+
+
+def test_a_replica_with_an_expired_certificate_is_back_once_it_is_renewed(
+    certificates, run, wait_for
+):
+    async def scenario():
+        hello = make_hello(ConnectionKind.PEER, "control-1", "zagreb")
+        network = PeerNetwork("control-1", 1, "zagreb", lambda *_: None)
+        server = FramedServer(
+            ANY_PORT,
+            hello,
+            {ConnectionKind.PEER: network.serve},
+            tls=certificates.tls("control", "control-1"),
+        )
+        await server.start()
+        expired = certificates.tls("control", "control-2", lifetime=-certificates.HOUR)
+        link = PeerLink(server.endpoint, "control-2", 2, "zagreb", expired)
+        with capture_logs() as logs:
+            task = asyncio.create_task(link.run())
+            await wait_for(lambda: sum(each["event"] == "peer-refused" for each in logs) > 1)
+        refusals = [each for each in logs if each["event"] == "peer-refused"]
+        assert {each["kind"] for each in refusals} == {"certificate-refused"}
+        assert not link.connected
+        certificates.issue("control", "control-2")
+        certificates.pass_poll()
+        await wait_for(lambda: link.connected)
+        task.cancel()
+        await server.close()
+
+    run(scenario())
--- a/tests/control/test_openapi.py
+++ b/tests/control/test_openapi.py
@@ -10,7 +10,7 @@
 from jasperwalk.control.openapi import OPERATIONS, openapi_document
 from jasperwalk.control.problem import STATUS_BY_KIND, problem_of
 from jasperwalk.control.proposal_errors import ProposalError
-from jasperwalk.control.state.outcomes import BaseOutcome
+from jasperwalk.control.state.outcome_base import BaseOutcome
 from jasperwalk.errors import JasperwalkError
 from jasperwalk.observability import HealthReport, MetricsRegistry
 
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -20,6 +20,7 @@
     Delta,
     Heartbeat,
     Reject,
+    ReplicaEndpoints,
     Snapshot,
     SubscriberRole,
 )
@@ -184,3 +185,43 @@
     core.message(Delta(11, 12, swapped, []), 0.2)
     found = [core.table.service_at(lab.service(each).listener) for each in (1, 2)]
     assert found == swapped
+
+
+def tried_until(core, now, end, refused) -> list:
+    """Let every attempt at a `refused` replica fail; return what was tried until one stands."""
+    tried = []
+    while now < end:
+        for effect in core.tick(now):
+            tried.append(effect.endpoint)
+            if effect.endpoint not in refused:
+                return tried
+            core.disconnected(now)
+        now += 0.05
+    return tried
+
+
+def test_a_follower_finds_control_after_every_configured_replica_was_replaced(lab, core) -> None:
+    configured, present = [lab.address(200), lab.address(201)], [lab.address(202), lab.address(203)]
+    core.message(ReplicaEndpoints(11, present), 0.1)
+    core.message(ReplicaEndpoints(10, configured), 0.1)
+    core.disconnected(1.0)
+    tried = tried_until(core, 1.0, 30.0, refused=configured)
+    assert len(tried) == 1
+    assert tried[0] in present
+
+
+def test_configured_replicas_are_tried_when_the_learned_ones_stay_away(lab, core) -> None:
+    configured, learned = [lab.address(200), lab.address(201)], [lab.address(202)]
+    core.message(ReplicaEndpoints(11, learned), 0.1)
+    core.message(ReplicaEndpoints(12, []), 0.1)
+    core.disconnected(1.0)
+    tried = tried_until(core, 1.0, 60.0, refused=learned)
+    assert tried[:-1] == learned * 3
+    assert tried[-1] in configured
+
+
+def test_a_follower_stays_with_a_replica_that_is_not_listed_any_more(lab, core) -> None:
+    following = core.replica
+    assert core.message(ReplicaEndpoints(11, [lab.address(202)]), 0.1) == []
+    core.message(Heartbeat(10, 0, 0), 0.2)
+    assert core.replica == following
--- /dev/null
+++ b/tests/lab/test_chaos_links.py
@@ -0,0 +1,78 @@
+"""A relay before a replica: it knows its callers, and a cut holds one direction back."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.transport.identity import Identity, ProcessRole, identity_of
+from jasperwalk_lab.certificates import LinkCertificates
+from jasperwalk_lab.chaos.links import ANYBODY, Cut, CutRules, Link, LinkKeys
+
+REPLICA = Identity("lab", ProcessRole.CONTROL, "control-1")
+CALLER = Identity("lab", ProcessRole.BALANCER, "balancer-1")
+LOOPBACK = "127.0.0.1"
+HELD_SECONDS = 0.2
+"""Time in which bytes that are not held back would long have arrived."""
+
+
+class Echo:
+    """The replica: sends back what comes, and notes who called and what came."""
+
+    def __init__(self):
+        self.received = bytearray()
+        self.callers = []
+
+    async def serve(self, reader, writer):
+        self.callers.append(identity_of(writer.get_extra_info("peercert")))
+        while data := await reader.read(100):
+            self.received += data
+            writer.write(data)
+        writer.close()
+
+
+async def relayed(folder, cuts):
+    """Send through a relay while `cuts` hold, then after; return what came when."""
+    certificates = LinkCertificates(folder / "keys")
+    for identity in (REPLICA, CALLER):
+        certificates.files(identity)
+    keys, rules, echo = LinkKeys(certificates.folder), CutRules(), Echo()
+    context = keys.of(REPLICA).server_context()
+    target = await asyncio.start_server(echo.serve, LOOPBACK, 0, ssl=context)
+    target_endpoint = Endpoint(*target.sockets[0].getsockname())
+    relay = await Link(REPLICA, keys, Endpoint(LOOPBACK, 0), target_endpoint, rules).start()
+    host, port = relay.sockets[0].getsockname()
+    reader, writer = await asyncio.open_connection(host, port, ssl=keys.of(CALLER).client_context())
+    writer.write(b"before")
+    assert await reader.readexactly(6) == b"before"
+    rules.replace(cuts)
+    writer.write(b"during")
+    answered = b""
+    with contextlib.suppress(TimeoutError):
+        answered = await asyncio.wait_for(reader.readexactly(6), HELD_SECONDS)
+    arrived = bytes(echo.received)
+    rules.replace([])
+    if not answered:
+        assert await asyncio.wait_for(reader.readexactly(6), 10) == b"during"
+    writer.close()
+    relay.close()
+    target.close()
+    return echo.callers, arrived, answered
+
+
+@pytest.mark.parametrize(
+    ("cuts", "arrived", "answered"),
+    [
+        ([], b"beforeduring", b"during"),
+        ([Cut("balancer-2", "control-1")], b"beforeduring", b"during"),
+        ([Cut("balancer-1", "control-1")], b"before", b""),
+        ([Cut(ANYBODY, "control-1")], b"before", b""),
+        ([Cut("control-1", "balancer-1")], b"beforeduring", b""),
+    ],
+    ids=["none", "another's", "forth", "forth for all", "back"],
+)
+def test_a_cut_holds_one_direction_back_until_it_ends(tmp_path, cuts, arrived, answered):
+    assert asyncio.run(relayed(tmp_path, cuts)) == ([CALLER], arrived, answered)
--- a/tests/membership/test_platform.py
+++ b/tests/membership/test_platform.py
@@ -5,8 +5,8 @@
 import pytest
 
 from jasperwalk.addresses import Endpoint
+from jasperwalk.config.member_states import PlatformState
 from jasperwalk.config.table import AdminState, MemberEntry, OperatingStatus
-from jasperwalk.control.state.commands import PlatformState
 from jasperwalk.membership.platform import (
     InvalidPlatformList,
     PlatformReconciler,
--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -93,6 +93,13 @@
     (BalancerSettings, '"p1"', "p1", "-", "is not TOML"),
     (AgentSettings, "certificate.pem", "none.pem", "certificate_file", "no file at"),
     (ControlSettings, "replica_id = 1\ndata", "replica_id = 3\ndata", "peers", "replica_id 3"),
+    (
+        ControlSettings,
+        "replica_id = 1\ndata",
+        "join = true\nreplica_id = 1\ndata",
+        "peers",
+        "joins",
+    ),
     (ControlSettings, "[[peers]]", SECOND_PEER + "[[peers]]", "peers", "same replica_id"),
     (ControlSettings, "[[peers]]", "[[peers]]\nport = 1", "peers.0.port", "remove it"),
     (ControlSettings, ZONE, ZONE + LIST_BY_NAME, "platform_list_url", "IPV4:PORT"),
--- /dev/null
+++ b/tests/transport/test_server_backlog.py
@@ -0,0 +1,37 @@
+"""A returning region: many connections at once wait to be taken instead of being dropped."""
+
+import asyncio
+import contextlib
+import select
+import socket
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.transport.framed import ConnectionKind, make_hello
+from jasperwalk.transport.server import FramedServer
+
+AT_ONCE = 300
+
+
+def connections_that_stand(endpoint: Endpoint) -> int:
+    """Dial while the server's loop stands still; loopback completes a handshake at once."""
+    with contextlib.ExitStack() as stack:
+        poll = select.poll()
+        for _ in range(AT_ONCE):
+            dialling = stack.enter_context(socket.socket())
+            dialling.setblocking(False)
+            dialling.connect_ex((endpoint.host, endpoint.port))
+            poll.register(dialling, select.POLLOUT)
+        return sum(1 for _, event in poll.poll(0) if event == select.POLLOUT)
+
+
+def test_connections_that_come_at_once_wait_to_be_taken() -> None:
+    async def run() -> int:
+        hello = make_hello(ConnectionKind.PEER, "tester", "zagreb", sender_id=1)
+        server = FramedServer(Endpoint(host="127.0.0.1", port=0), hello, {})
+        await server.start()
+        try:
+            return connections_that_stand(server.endpoint)
+        finally:
+            await server.close()
+
+    assert asyncio.run(run()) == AT_ONCE
