--- a/src/jasperwalk/consensus/core.py
+++ b/src/jasperwalk/consensus/core.py
@@ -83,7 +83,7 @@
         return self._state.role is Role.LEADER
 
     @property
-    def is_handing_over(self) -> bool:
+    def is_transferring(self) -> bool:
         """Whether this leader hands its leadership over and takes no proposals."""
         leadership = self._leading()
         return leadership is not None and leadership.transfer.is_active
@@ -221,7 +221,7 @@
         self._state.now = now
         if not self.is_leader:
             return NotLeader(leader_id=self._state.leader_id)
-        if self.is_handing_over:
+        if self.is_transferring:
             return NotLeader(leader_id=None)
         limit_bytes = self._state.config.max_command_bytes
         if len(command) > limit_bytes:
@@ -239,11 +239,11 @@
         leadership = self._leading()
         if leadership is None:
             return NotLeader(leader_id=self._state.leader_id)
-        if self.is_handing_over:
+        if self.is_transferring:
             return NotLeader(leader_id=None)
         return leadership.propose(change)
 
-    def hand_over(self, now: float) -> bool:
+    def transfer_leadership(self, now: float) -> bool:
         """Begin to hand leadership to another voter; return False where there is none to take it.
 
         Proposals are refused until it is done, or given up after an election timeout.
--- a/src/jasperwalk/consensus/transfer.py
+++ b/src/jasperwalk/consensus/transfer.py
@@ -1,8 +1,8 @@
-"""Handing leadership to another voter, so that a planned stop costs no election timeout.
+"""Transfer of leadership to another voter, so that a planned stop costs no election timeout.
 
 The leader takes no proposals meanwhile. Once the most current voter holds its whole log, it is
 told to campaign at once, and the others vote although they hear a leader (Ongaro, 2014,
-section 3.10). A hand-over that does not come about in an election timeout is given up.
+section 3.10). A transfer that does not come about in an election timeout is given up.
 """
 
 from __future__ import annotations
@@ -25,7 +25,7 @@
 
     @property
     def is_active(self) -> bool:
-        """Whether a hand-over is under way."""
+        """Whether a transfer is under way."""
         return self._target is not None
 
     def begin(self, now: float) -> bool:
--- a/src/jasperwalk/control/process.py
+++ b/src/jasperwalk/control/process.py
@@ -89,7 +89,7 @@
             await asyncio.wait((stopped, serving), return_when=asyncio.FIRST_COMPLETED)
             if serving.done():
                 serving.result()
-            await self.replica.runner.hand_over()
+            await self.replica.runner.transfer_leadership()
         finally:
             stopped.cancel()
             serving.cancel()
--- a/src/jasperwalk/control/raft_runner.py
+++ b/src/jasperwalk/control/raft_runner.py
@@ -52,7 +52,7 @@
 """Applied entries after which the state is written as a snapshot."""
 LONGEST_WAIT_SECONDS = 1.0
 """Longest sleep between two ticks of the core."""
-HAND_OVER_POLL_SECONDS = 0.01
+TRANSFER_POLL_SECONDS = 0.01
 DISK_ID_BYTES = 16
 """Length of the random name of a new data folder."""
 
@@ -179,18 +179,18 @@
         self._wake.set()
         return outcome
 
-    async def hand_over(self) -> None:
+    async def transfer_leadership(self) -> None:
         """Let another replica lead, if this one does, and wait until it is known to.
 
         Gives up after an election timeout; the others elect a leader by themselves then.
         """
         own_id = self._config.replica_id
         deadline = time.monotonic() + self._config.raft.election_timeout_seconds
-        if not self.is_leader or not self._node.hand_over(time.monotonic()):
+        if not self.is_leader or not self._node.transfer_leadership(time.monotonic()):
             return
         self._wake.set()
         while self.leader_id in (None, own_id) and time.monotonic() < deadline:
-            await asyncio.sleep(HAND_OVER_POLL_SECONDS)
+            await asyncio.sleep(TRANSFER_POLL_SECONDS)
 
     def take(self, sender: int, message: RaftPayload) -> None:
         """Hand a peer's message to the core; malformed ones are counted and dropped."""
--- a/src/jasperwalk_lab/experiments/run.py
+++ b/src/jasperwalk_lab/experiments/run.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
 import psutil
 
 from jasperwalk_lab.caller import Caller
+from jasperwalk_lab.errors import FleetNotReady
 from jasperwalk_lab.example import load_example
 from jasperwalk_lab.experiments.breaks import (
     HOST_LOST,
@@ -39,6 +41,9 @@
 MOST_EXAMPLES = 10
 """Violations that a result line describes in words."""
 
+START_ATTEMPTS = 3
+"""Tries to start a fleet: another program may take a port between its choice and its use."""
+
 Progress = Callable[[str], None]
 
 
@@ -82,18 +87,35 @@
 async def _run_once(
     experiment: Experiment, variant: Variant, seed: int, folder: Path, progress: Progress
 ) -> RunLine:
-    run_folder = make_run_folder(folder / "runs", f"{variant.name}-{seed}")
     load_before = psutil.getloadavg()[0]
-    example = load_example(experiment.example)
-    options = experiment.options(variant)
-    async with ExperimentFleet(example, run_folder, seed, options) as fleet:
-        await fleet.start()
+    async with _started_fleet(experiment, variant, seed, folder, progress) as fleet:
         await asyncio.sleep(experiment.settle_seconds)
         run = _Run(experiment, fleet, seed, progress)
         result = await run.load()
         return await run.line(variant, result, load_before)
 
 
+@contextlib.asynccontextmanager
+async def _started_fleet(
+    experiment: Experiment, variant: Variant, seed: int, folder: Path, progress: Progress
+) -> AsyncIterator[ExperimentFleet]:
+    """Start a fleet; one that does not come up has measured nothing, and is tried again."""
+    example = load_example(experiment.example)
+    options = experiment.options(variant)
+    for attempts_left in reversed(range(START_ATTEMPTS)):
+        run_folder = make_run_folder(folder / "runs", f"{variant.name}-{seed}")
+        async with ExperimentFleet(example, run_folder, seed, options) as fleet:
+            try:
+                await fleet.start()
+            except FleetNotReady as error:
+                progress(f"{variant.name} seed={seed}: did not start: {error.describe()}")
+                if not attempts_left:
+                    raise
+                continue
+            yield fleet
+            return
+
+
 class _Run:
     """One load on one fleet, with its events, samples and checks."""
 
--- a/src/jasperwalk_lab/scale/capacity_control.py
+++ b/src/jasperwalk_lab/scale/capacity_control.py
@@ -18,6 +18,7 @@
     largest_run,
     line_text,
     load_seconds,
+    most,
     updates_per_second,
     with_headers,
 )
@@ -32,7 +33,8 @@
     slopes, parts = measured.slopes, measured.parts.parts
     largest = largest_run(measured)
     publishing = max(0.0, at_region(slopes.control_idle_core))
-    updating = updates_per_second() * max(0.0, at_region(slopes.control_change_seconds))
+    update = most(measured, lambda run: run.changes.control_processor_seconds)
+    updating = updates_per_second() * update
     judging = parts.judge.seconds / STEP_INTERVAL_SECONDS
     listing = parts.platform_list.seconds / ReplicaConfig.platform_poll_seconds
     yield Row(
@@ -49,8 +51,8 @@
     yield Row(
         Role.REPLICA,
         "processor time for changes and restarts",
-        "updates/s x (a + b E + c S)",
-        line_text(slopes.control_change_seconds),
+        "updates/s x time of one on all replicas",
+        f"at most {update * 1000:.0f} ms, most readings below the noise",
         Source.SCALE,
         updating,
         WHOLE_CORE,
@@ -195,15 +197,15 @@
 
 def whole_rows(measured: Measurements) -> Iterator[Row]:
     """Work out what the whole needs."""
-    most = max(subscribers(run) for run in measured.scale.runs)
+    most_measured = max(subscribers(run) for run in measured.scale.runs)
     yield Row(
         Role.WHOLE,
         "subscribers of a control machine",
         "27,000 / 10; 51 = 5 x 10 + 1",
-        f"limit: the most that ran here, {most:,.0f}",
+        f"limit: the most that ran here, {most_measured:,.0f}",
         Source.SCALE,
         target.REPLICA_SUBSCRIBERS,
-        most,
+        most_measured,
         Unit.COUNT,
         "learner fan-out; beyond what was measured, every S above is a guess",
     )
@@ -214,7 +216,7 @@
         "as above",
         Source.SCALE,
         target.REPLICA_SUBSCRIBERS_ONE_DOWN,
-        most,
+        most_measured,
         Unit.COUNT,
         "followers choose another replica by themselves",
     )
--- a/src/jasperwalk_lab/scale/capacity_model.py
+++ b/src/jasperwalk_lab/scale/capacity_model.py
@@ -10,7 +10,7 @@
 from jasperwalk_lab.scale import target
 from jasperwalk_lab.scale.figures import NodeCost, ProcessFigures, ScaleFigures
 from jasperwalk_lab.scale.measurements import Measurements
-from jasperwalk_lab.scale.slopes import Slope, subscribers
+from jasperwalk_lab.scale.slopes import Reading, Slope, subscribers
 
 PACKET_HEADER_BYTES = 52
 """IPv4 and TCP headers with the timestamp option, without the link's own framing."""
@@ -99,6 +99,14 @@
     return target.REGION_CHANGES_PER_SECOND + restarting_hosts * target.UPDATES_PER_HOST_RESTART
 
 
+def most(measured: Measurements, reading: Reading) -> float:
+    """Return the largest reading of all runs, 0 where all are negative.
+
+    For what is smaller than the noise of a shared machine, where a slope would mean nothing.
+    """
+    return max(0.0, *(reading(run) for run in measured.scale.runs))
+
+
 def bytes_per_entry(measured: Measurements) -> float:
     """Return the encoded bytes of a table entry."""
     table = measured.parts.parts.table
--- a/src/jasperwalk_lab/scale/capacity_nodes.py
+++ b/src/jasperwalk_lab/scale/capacity_nodes.py
@@ -15,6 +15,7 @@
     largest_run,
     line_text,
     load_seconds,
+    most,
     real_balancers,
     updates_per_second,
     with_headers,
@@ -69,15 +70,16 @@
         Unit.BYTES,
         "planned 1: interpreter and libraries alone exceed the limit, if they count as control",
     )
-    idle, change = at_region(slopes.balancer_idle_core), at_region(slopes.balancer_change_seconds)
+    idle = at_region(slopes.balancer_idle_core)
+    update = most(measured, lambda run: run.changes.balancer_cost.processor_seconds)
     yield Row(
         Role.BALANCER,
         "processor time for control",
         "idle + updates/s x time of one",
         f"idle {line_text(slopes.balancer_idle_core)}; "
-        f"update {line_text(slopes.balancer_change_seconds)}",
+        f"update at most {update / MICROSECOND:.0f} us, most readings below the noise",
         Source.SCALE,
-        max(0.0, idle) + updates_per_second() * max(0.0, change),
+        max(0.0, idle) + updates_per_second() * update,
         target.NODE_CORE_LIMIT,
         Unit.CORE_SHARE,
         "deltas cost what changed; heartbeats are one a half second, whatever the fleet's size",
@@ -150,15 +152,16 @@
         Unit.BYTES,
         "an agent is sent its own service alone, whatever the region's size",
     )
-    idle, change = at_region(slopes.agent_idle_core), at_region(slopes.agent_change_seconds)
+    idle = at_region(slopes.agent_idle_core)
+    update = most(measured, lambda run: run.changes.agent_cost.processor_seconds)
     yield Row(
         Role.AGENT,
         "processor time for control",
         "idle + updates/s x time of one",
         f"idle {line_text(slopes.agent_idle_core)}; "
-        f"update {line_text(slopes.agent_change_seconds)}",
+        f"update at most {update / MICROSECOND:.0f} us, most readings below the noise",
         Source.SCALE,
-        max(0.0, idle) + updates_per_second() * max(0.0, change),
+        max(0.0, idle) + updates_per_second() * update,
         target.NODE_CORE_LIMIT,
         Unit.CORE_SHARE,
         "a revision of another service is an empty delta",
--- a/src/jasperwalk_lab/scale/slopes.py
+++ b/src/jasperwalk_lab/scale/slopes.py
@@ -73,14 +73,10 @@
     balancer_memory: Slope
     balancer_snapshot_bytes: Slope
     balancer_idle_core: Slope
-    balancer_change_seconds: Slope
-    balancer_change_bytes: Slope
     agent_memory: Slope
     agent_idle_core: Slope
-    agent_change_seconds: Slope
     control_idle_core: Slope
     control_memory: Slope
-    control_change_seconds: Slope
     in_force_p99_seconds: Slope
     in_force_everywhere_seconds: Slope
 
@@ -98,14 +94,10 @@
         balancer_memory=by_table(lambda run: run.idle.balancer_memory.unshared_bytes),
         balancer_snapshot_bytes=by_table(lambda run: run.rack.received_bytes_per_balancer),
         balancer_idle_core=by_table(lambda run: run.idle.hollow_balancer.core_share),
-        balancer_change_seconds=by_table(lambda run: run.changes.balancer_cost.processor_seconds),
-        balancer_change_bytes=by_table(lambda run: run.changes.balancer_cost.received_bytes),
         agent_memory=by_table(lambda run: run.idle.agent_memory.unshared_bytes),
         agent_idle_core=by_table(lambda run: run.idle.hollow_agent.core_share),
-        agent_change_seconds=by_table(lambda run: run.changes.agent_cost.processor_seconds),
         control_idle_core=by_both(_busiest_control),
         control_memory=by_both(_largest_control),
-        control_change_seconds=by_both(_control_change_seconds),
         in_force_p99_seconds=by_both(lambda run: run.changes.in_force_from_submission.p99_ms / 1e3),
         in_force_everywhere_seconds=by_both(
             lambda run: run.changes.last_node_from_submission.max_ms / 1e3
@@ -129,7 +121,3 @@
 
 def _largest_control(run: ScaleFigures) -> float:
     return max(process.unshared_bytes for process in run.idle.control)
-
-
-def _control_change_seconds(run: ScaleFigures) -> float:
-    return run.changes.control_processor_seconds / CONTROL_REPLICAS
--- a/src/jasperwalk_lab/simulator/caller.py
+++ b/src/jasperwalk_lab/simulator/caller.py
@@ -37,6 +37,8 @@
 """Time without any progress after which a caller gives a flow up."""
 DEADLINE_MS = 4000
 STATUS_OK, STATUS_CREATED = 200, 201
+FIRST_CONTENT_BYTE = 0x80
+"""The model's packets are CBOR arrays, which begin with this byte or a higher one."""
 MOST_SENDS = 4
 SUBMISSIONS, STREAMS = 0.35, 0.15
 """Shares of the operations; the rest are look-ups."""
@@ -125,8 +127,10 @@
 
     def take(self, data: bytes) -> None:
         """Take a datagram from the fabric."""
-        if self._reset_token and data.endswith(self._reset_token) and data[:1] < b"\x80":
-            self._end()
+        if data[0] < FIRST_CONTENT_BYTE:
+            # A stateless reset; while keys change, agents send one for each key.
+            if self._reset_token and data.endswith(self._reset_token):
+                self._end()
             return
         content = cbor2.loads(data)
         if content[0] == model_flow.CONNECTION_ID:
--- a/src/jasperwalk_lab/simulator/faults.py
+++ b/src/jasperwalk_lab/simulator/faults.py
@@ -266,9 +266,10 @@
             await asyncio.sleep(0.1)
 
     async def _leave(self, action: Leave) -> None:
+        asked_at = self._world.now
         self._world.platform.leave(action.host)
         await self._until_drained(action.host)
-        self._administrator.note_drain(action.host)
+        self._administrator.note_drain(action.host, asked_at)
         await asyncio.sleep(action.seconds)
         self._administrator.close_drain(action.host)
         self._world.platform.stay(action.host)
--- a/src/jasperwalk_lab/simulator/mutants.py
+++ b/src/jasperwalk_lab/simulator/mutants.py
@@ -23,7 +23,7 @@
 from jasperwalk.agent.service_view import ServiceView
 from jasperwalk.agent.ticket_desk import TicketDesk
 from jasperwalk.agent.tickets import RunNow, Ticket, TicketStore
-from jasperwalk.balancer import core as balancer_core
+from jasperwalk.balancer.routes import ServiceRoute
 from jasperwalk.consensus.durable import DurableState, PersistBatch
 from jasperwalk.consensus.entries import Membership
 from jasperwalk.control.raft_runner import RaftRunner
@@ -36,13 +36,18 @@
 from jasperwalk_lab.simulator.run import Defect
 from jasperwalk_lab.simulator.seams import Replacement
 
+SEEDS_TRIED = 8
+"""Runs that have to catch a defect, at the latest."""
 UNSYNCED_BATCHES = 8
 """Batches after which the disk of `log-not-synced` happens to be written."""
 
 
 @dataclass(frozen=True)
 class Mutant:
-    """A defect, and the run that catches it by a violation of the kind `violation`."""
+    """A defect, and the run that catches it by a violation of the kind `violation`.
+
+    What a seed does changes with the product, so `seeds` holds a few more to try.
+    """
 
     name: str
     description: str
@@ -51,6 +56,11 @@
     seed: int
     violation: str
 
+    @property
+    def seeds(self) -> range:
+        """Return the seeds to try, the one that is known to catch the defect first."""
+        return range(self.seed, self.seed + SEEDS_TRIED)
+
 
 class _UnsyncedDisk(Disk):
     """Answers before it has synced: a power loss takes the last batches."""
@@ -204,7 +214,7 @@
             )
         ),
         "control-apart",
-        1,
+        5,
         "revision-went-back",
     ),
     Mutant(
@@ -244,7 +254,7 @@
         "an agent takes datagrams of any service; the balancers' own check is left",
         _one(DatagramGuard, "admit", _unchecked),
         "uneven-updates",
-        3,
+        2,
         "broken-flow",
     ),
     Mutant(
@@ -253,11 +263,11 @@
         Defect(
             (
                 Replacement(DatagramGuard, "admit", _unchecked),
-                Replacement(balancer_core, "_names_service", lambda _server_id, _route: True),
+                Replacement(ServiceRoute, "names_service", lambda _self, _server_id: True),
             )
         ),
         "uneven-updates",
-        1,
+        2,
         "wrong-service",
     ),
     Mutant(
@@ -289,7 +299,7 @@
         "a planned stop closes flows whose last answers are still under way",
         _one(AgentEndpoint, "has_undelivered_answers", property(lambda _: False)),
         "hosts-leave",
-        7,
+        8,
         "broken-flow",
     ),
     Mutant(
--- a/src/jasperwalk_lab/simulator/operators.py
+++ b/src/jasperwalk_lab/simulator/operators.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from random import Random
 from typing import Any
 
@@ -188,12 +189,14 @@
     async def drain(self, host: str) -> None:
         """Drain a host, and note when that was accepted."""
         change_id = self.console.new_change_id()
+        asked_at = self.world.now
         await self._insist(SetHostState(change_id, host, AdminState.DRAINING))
-        self.note_drain(host)
+        self.note_drain(host, asked_at)
 
-    def note_drain(self, host: str) -> None:
-        """Note that a host gets no new work from now on."""
-        self.world.record.drains.append(DrainSpan(host, self.world.now, float("inf")))
+    def note_drain(self, host: str, asked_at: float) -> None:
+        """Note that a host, which was asked to leave earlier, gets no new work from now on."""
+        span = DrainSpan(host, self.world.now, float("inf"), asked_at)
+        self.world.record.drains.append(span)
 
     async def resume(self, host: str) -> None:
         """Take a host back into service."""
@@ -206,7 +209,7 @@
         drains = self.world.record.drains
         for position, span in enumerate(drains):
             if span.host == host and span.end == float("inf"):
-                drains[position] = DrainSpan(host, span.begin, self.world.now)
+                drains[position] = dataclasses.replace(span, end=self.world.now)
 
     async def move(self, host: str, to_service: str) -> None:
         """Take a host out of its service, and put it into another one."""
--- a/src/jasperwalk_lab/simulator/record.py
+++ b/src/jasperwalk_lab/simulator/record.py
@@ -70,11 +70,15 @@
 
 @dataclass(frozen=True)
 class DrainSpan:
-    """A host was leaving from the acceptance of its drain until `end`."""
+    """A host was leaving from the acceptance of its drain until `end`.
+
+    `asked_at` is when operators, or the platform's list, first said so.
+    """
 
     host: str
     begin: float
     end: float
+    asked_at: float
 
 
 @dataclass(frozen=True)
--- a/src/jasperwalk_lab/simulator/run.py
+++ b/src/jasperwalk_lab/simulator/run.py
@@ -126,7 +126,8 @@
         administrator = Administrator(self._console(world, 0))
         world.start()
         await administrator.set_up()
-        await self._until(world, world.ready, READY_SECONDS, "fleet-not-ready")
+        if not await self._until(world, world.ready, READY_SECONDS, "fleet-not-ready"):
+            return self._result(world)
         injector = FaultInjector(world, administrator)
         tasks = [*self._start_operators(world), *self._start_callers(world)]
         await injector.run(self._faults)
@@ -161,13 +162,14 @@
 
     async def _until(
         self, world: World, condition: Callable[[], bool], seconds: float, violation: str
-    ) -> None:
+    ) -> bool:
         until = world.now + seconds
         while not condition():
             if world.now >= until:
                 world.violated(f"{violation}: within {seconds} s")
-                return
+                return False
             await asyncio.sleep(0.05)
+        return True
 
     def _judge(self, world: World) -> None:
         record = world.record
--- a/src/jasperwalk_lab/simulator/seams.py
+++ b/src/jasperwalk_lab/simulator/seams.py
@@ -267,6 +267,10 @@
     return current_process().random.randbytes(count)
 
 
+def _random_bits(count: int) -> int:
+    return current_process().random.getrandbits(count)
+
+
 def _seeded(*_: object) -> Random:
     return Random(current_process().random.random())
 
@@ -289,7 +293,9 @@
         time_ns=lambda: int(ProcessClock.monotonic() * NANOSECONDS_PER_SECOND),
     )
     seeded_secrets = types.SimpleNamespace(
-        token_bytes=_random_bytes, token_hex=lambda count: _random_bytes(count).hex()
+        token_bytes=_random_bytes,
+        token_hex=lambda count: _random_bytes(count).hex(),
+        randbits=_random_bits,
     )
     unique = types.SimpleNamespace(uuid4=lambda: types.SimpleNamespace(hex=_random_bytes(16).hex()))
     return [
--- a/src/jasperwalk_lab/simulator/shortening.py
+++ b/src/jasperwalk_lab/simulator/shortening.py
@@ -11,7 +11,9 @@
 
 MOST_EVENTS = 40
 """Longest list of events that is shown."""
-ALWAYS_SHOWN = (" fault ", " over ", " VIOLATION ", " restart ", " stopped ", " resumed ")
+MOST_VIOLATIONS = 10
+VIOLATION = " VIOLATION "
+ALWAYS_SHOWN = (" fault ", " over ", VIOLATION, " restart ", " stopped ", " resumed ")
 
 
 @dataclass(frozen=True)
@@ -59,4 +61,6 @@
         for event in result.events
         if any(mark in event for mark in ALWAYS_SHOWN) or names & set(event.split())
     ]
-    return told[:MOST_EVENTS]
+    violated = [event for event in told if VIOLATION in event][:MOST_VIOLATIONS]
+    others = [event for event in told if VIOLATION not in event]
+    return [*others[: MOST_EVENTS - len(violated)], *violated]
--- a/src/jasperwalk_lab/simulator/verdicts.py
+++ b/src/jasperwalk_lab/simulator/verdicts.py
@@ -35,7 +35,10 @@
 
 @dataclass
 class Measures:
-    """Virtual seconds, one value for each occasion of a run."""
+    """Virtual seconds, one value for each occasion of a run.
+
+    New work and changes count from the first sending of the change, or from the platform's word.
+    """
 
     until_no_new_work: list[float] = field(default_factory=list)
     until_in_force: list[float] = field(default_factory=list)
@@ -167,7 +170,14 @@
             if drain.begin <= arrival.at < drain.end
         ]
         if drain.end - drain.begin > DRAINED_SECONDS:
-            measures.until_no_new_work.append(max(times, default=0.0))
+            until_accepted = drain.begin - drain.asked_at
+            early = [
+                arrival.at - drain.asked_at
+                for arrival in arrivals.get(drain.host, [])
+                if drain.asked_at <= arrival.at < drain.begin
+            ]
+            late = [until_accepted + seconds for seconds in times]
+            measures.until_no_new_work.append(max([*early, *late], default=0.0))
         yield from _late_work(drain, times)
 
 
@@ -201,7 +211,8 @@
                 if seconds > IN_FORCE_SECONDS:
                     yield f"not-in-force: revision {revision} on {name} after {IN_FORCE_SECONDS} s"
                 else:
-                    measures.until_in_force.append(seconds)
+                    asked_at = change.attempts[0].invoked
+                    measures.until_in_force.append(_seconds_until(record, name, revision, asked_at))
 
 
 def _seconds_until(record: Record, name: str, revision: int, begin: float) -> float:
--- a/tests/consensus/test_simulation.py
+++ b/tests/consensus/test_simulation.py
@@ -29,7 +29,7 @@
     elif fault == 6:
         leader = world.leader()
         if leader is not None:
-            leader.node.hand_over(world.now)
+            leader.node.transfer_leadership(world.now)
             leader.pump()
     elif fault == 2:
         # A one-way cut: the victim hears nobody, but is heard.
--- a/tests/consensus/test_transfer.py
+++ b/tests/consensus/test_transfer.py
@@ -1,4 +1,4 @@
-"""Leadership that is handed over before a planned stop."""
+"""Leadership that is transferred before a planned stop."""
 
 import pytest
 
@@ -10,10 +10,10 @@
 
 
 def begin(world):
-    """Commit something, then have the leader hand over; return it."""
+    """Commit something, then have the leader transfer its leadership; return it."""
     world.commit(b"before")
     leader = world.await_leader()
-    assert leader.node.hand_over(world.now)
+    assert leader.node.transfer_leadership(world.now)
     leader.pump()
     return leader
 
@@ -27,7 +27,7 @@
     term = leader.node.term
     # One more entry, which no follower holds yet.
     assert isinstance(leader.node.propose(b"last", world.now), Proposed)
-    assert leader.node.hand_over(world.now)
+    assert leader.node.transfer_leadership(world.now)
     assert isinstance(leader.node.propose(b"refused", world.now), NotLeader)
     leader.pump()
     world.run(world.config.election_timeout_seconds / 4)
@@ -45,27 +45,27 @@
 def test_alone_or_without_contact_a_leader_keeps_its_leadership(make_world):
     world = make_world(1, 1)
     world.commit(b"a")
-    assert not world.await_leader().node.hand_over(world.now)
-    assert not make_world(1, 3).replicas[1].node.hand_over(0.0)
+    assert not world.await_leader().node.transfer_leadership(world.now)
+    assert not make_world(1, 3).replicas[1].node.transfer_leadership(0.0)
 
 
-def test_a_hand_over_that_nobody_hears_is_given_up(make_world):
+def test_a_transfer_that_nobody_hears_is_given_up(make_world):
     world = make_world(2, 3)
     world.commit(b"before")
     leader = world.await_leader()
     faults = world.faults
     faults.loss = 1.0
-    assert leader.node.hand_over(world.now)
+    assert leader.node.transfer_leadership(world.now)
     leader.pump()
     world.run(0.1)
-    assert leader.node.is_handing_over
+    assert leader.node.is_transferring
     faults.loss = 0.0
     for replica_id in set(world.replicas) - {leader.disk.replica_id}:
         # They answer, but cannot campaign: they know of no such leader.
         world.replicas[replica_id].node._election.on_timeout_now = lambda *_: False
     world.run(world.config.election_timeout_seconds * 1.5)
     assert leader.node.is_leader
-    assert not leader.node.is_handing_over
+    assert not leader.node.is_transferring
     world.commit(b"after")
 
 
--- /dev/null
+++ b/tests/lab/test_experiment_run.py
@@ -0,0 +1,67 @@
+"""A fleet that does not come up is tried again; a failure after that is not."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from jasperwalk_lab.errors import FleetNotReady
+from jasperwalk_lab.experiments import run as run_module
+from jasperwalk_lab.experiments.definition import Experiment, Variant
+
+EXPERIMENT = Experiment(
+    name="x", question="?", example="zagreb", seeds=(1,), variants=(Variant(name="plain"),)
+)
+FAILURE = FleetNotReady("agent", "port in use", Path("log"))
+
+
+def started(tmp_path, monkeypatch, failures, body_fails=False):
+    """Return how many fleets were started, and what was said."""
+    starts, said = [], []
+
+    class StandInFleet:
+        def __init__(self, *_):
+            pass
+
+        async def __aenter__(self):
+            return self
+
+        async def __aexit__(self, *_):
+            return None
+
+        async def start(self):
+            starts.append(self)
+            if len(starts) <= failures:
+                raise FAILURE
+
+    async def scenario():
+        variant = EXPERIMENT.variants[0]
+        fleet = run_module._started_fleet(EXPERIMENT, variant, 1, tmp_path, said.append)
+        async with fleet:
+            if body_fails:
+                raise FAILURE
+
+    monkeypatch.setattr(run_module, "ExperimentFleet", StandInFleet)
+    try:
+        asyncio.run(scenario())
+    except FleetNotReady:
+        return len(starts), said, "failed"
+    return len(starts), said, "ran"
+
+
+@pytest.mark.parametrize(
+    ("failures", "body_fails", "expected"),
+    [
+        (0, False, (1, "ran")),
+        (2, False, (3, "ran")),
+        (3, False, (3, "failed")),
+        (0, True, (1, "failed")),
+    ],
+)
+def test_only_a_start_is_tried_again(tmp_path, monkeypatch, failures, body_fails, expected):
+    starts, said, ended = started(tmp_path, monkeypatch, failures, body_fails)
+    assert (starts, ended) == expected
+    assert len(said) == failures
+    assert all("port in use" in line for line in said)
--- /dev/null
+++ b/tests/simulator/test_mutants.py
@@ -0,0 +1,13 @@
+"""Each deliberate defect breaks the promise that its scenario is there for."""
+
+import pytest
+
+from jasperwalk_lab.simulator.campaign import Job, run_job
+from jasperwalk_lab.simulator.mutants import MUTANTS
+from jasperwalk_lab.simulator.shortening import kind_of
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.name)
+def test_a_mutant_is_caught(mutant):
+    runs = (run_job(Job(mutant.scenario, seed, mutant.name)) for seed in mutant.seeds)
+    assert any(kind_of(each) == mutant.violation for run in runs for each in run.violations)
