Agent: lending keeps its connections; the objective decides when to borrow; silent targets

Objective: it was stated by each service and decided nothing. A lent request is lost with either of two hosts, so under fewest-broken-flows a request waits 250 ms for its own slot before it borrows.

Hand-over: a cold agent remembered for ten seconds where it passed a flow, so all retransmissions of an Initial went to a dead agent. After 1.2 s without an answer the agent now takes the flow itself or tries the other candidate.

--- a/src/jasperwalk/agent/borrower.py
+++ b/src/jasperwalk/agent/borrower.py
@@ -2,6 +2,9 @@
 
 Whichever slot comes first is used. The request leaves the own queue before it is sent to the
 lender, and a slot that comes second is given back, so it runs in one place only.
+
+A request that runs elsewhere is lost with either of two hosts, a stream for as long as it is
+open. So a service whose objective is fewest broken flows first waits for its own slot.
 """
 
 from __future__ import annotations
@@ -13,16 +16,20 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.agent.admission import Admitted, Queued, Refused
 from jasperwalk.agent.gate import SlotGate
-from jasperwalk.agent.lending import BorrowedSlot, SlotAsk, SlotAsker, SlotRefusal
+from jasperwalk.agent.lending import SlotAsk, SlotRefusal
 from jasperwalk.agent.neighbours import Neighbours
 from jasperwalk.agent.requests import NotRun, NotRunReason
 from jasperwalk.agent.service_view import ServiceView
+from jasperwalk.agent.slot_asker import BorrowedSlot, SlotAsker
 from jasperwalk.agent.slot_search import AskBudget, Pause, SlotSearch
+from jasperwalk.config.table import Objective
 
 BORROWING_REASONS = frozenset(
     {NotRunReason.QUEUE_FULL, NotRunReason.DEADLINE_TOO_SHORT, NotRunReason.SHEDDING}
 )
 """Refusals of the own admission that a free slot elsewhere makes up for."""
+PATIENCE_SECONDS = 0.25
+"""Time for which a request waits for its own slot alone where broken flows weigh most."""
 REFUSED_SEARCH_SECONDS = 0.1
 """Longest search for a request that is refused otherwise: its answer may not come late."""
 
@@ -102,6 +109,7 @@
         return not_run if isinstance(found, Pause) else found
 
     async def _search(self) -> BorrowedSlot:
+        await asyncio.sleep(self._patience_seconds())
         search = self._new_search()
         while True:
             found = await self._ask_in_a_row(search)
@@ -109,6 +117,12 @@
                 return found
             await asyncio.sleep(found.seconds)
 
+    def _patience_seconds(self) -> float:
+        service = self._view().service
+        if service is None or service.objective is Objective.LEAST_IMBALANCE:
+            return 0.0
+        return PATIENCE_SECONDS
+
     def _new_search(self) -> SlotSearch:
         return SlotSearch(self._neighbours, self._budget)
 
--- a/src/jasperwalk/agent/handover.py
+++ b/src/jasperwalk/agent/handover.py
@@ -11,8 +11,11 @@
 - whatever the sender's table, an agent whose own table or state says that it takes no new
   work hands the flow on while there is another member that does.
 
-The choice is remembered by the Initial's connection ID, so that its retransmissions and the
-rest of the caller's first flight follow it to the same agent.
+The choice is remembered by the Initial's connection ID, so that the rest of the caller's
+first flight follows it to the same agent. A caller that still repeats its Initial after
+`ANSWER_SECONDS` has had no answer from there: the agent then takes the flow itself or, where
+it takes no new work, tries the other candidate. If the silent target comes back to life, the
+caller keeps to whichever answered first (RFC 9000, section 7.2).
 
 Loops: each hand-over raises `hops`, which ends at `MOST_HOPS`. The second hand-over is made
 only by an agent whose table is newer than the first one's, or that remembers its choice.
@@ -33,6 +36,11 @@
 from jasperwalk.routing.candidates import CandidateIndex
 
 REMEMBERED_SECONDS = 10.0
+ANSWER_SECONDS = 1.2
+"""Time after which a caller that repeats its Initial has had no answer: its target is silent.
+
+Callers repeat it sooner too, and their first flight may be more than one datagram.
+"""
 MOST_REMEMBERED = 20_000
 MOST_HOPS = 2
 """Hand-overs between agents that one datagram may take."""
@@ -60,6 +68,14 @@
 Placement = Take | HandOn | Refuse
 
 
+@dataclass(frozen=True, slots=True)
+class _Handed:
+    """A flow that was handed on `at` some time (seconds)."""
+
+    at: float
+    chosen: HandOn
+
+
 @dataclass(frozen=True, slots=True)
 class AgentState:
     """What the choice depends on beside the flow.
@@ -76,34 +92,38 @@
 
 
 class Handover:
-    """Places new flows, and remembers for ten seconds those that it handed on."""
+    """Places new flows, and remembers for a while those that it handed on."""
 
     def __init__(self, slow_start: SlowStart) -> None:
         self._slow_start = slow_start
         self._index = CandidateIndex(ServiceView(address=Endpoint("0.0.0.0", 0)))
-        self._remembered: OrderedDict[bytes, tuple[float, HandOn]] = OrderedDict()
+        self._remembered: OrderedDict[bytes, _Handed] = OrderedDict()
 
     def view_changed(self, view: ServiceView) -> None:
         """Take a new revision of the service's members."""
         self._index.table_changed(view)
 
     def remembered(self, connection_id: bytes, now: float) -> HandOn | None:
-        """Return where this Initial was handed within the last ten seconds."""
+        """Return where this Initial was handed; None too when nobody has answered it there."""
         self._forget(now)
-        entry = self._remembered.get(connection_id)
-        return None if entry is None else entry[1]
+        handed = self._remembered.get(connection_id)
+        if handed is None or now - handed.at >= ANSWER_SECONDS:
+            return None
+        return handed.chosen
 
     def place(
         self, connection_id: bytes, datagram: ForwardedDatagram, state: AgentState, now: float
     ) -> Placement:
         """Place the flow that `datagram`, whose first packet is an Initial, opens."""
         view = state.view
+        earlier = self._remembered.pop(connection_id, None)
+        silent = None if earlier is None else earlier.chosen.target
         wanted = state.can_accept and self._is_wanted(connection_id, datagram, state)
-        if wanted and not self._passes_on(connection_id, datagram, state, now):
+        if wanted and (silent or not self._passes_on(connection_id, datagram, state, now)):
             return Take()
-        chosen = self._other(connection_id, datagram, view)
+        chosen = self._other(connection_id, datagram, view, silent)
         if chosen is not None and _may_hand_on(datagram, view):
-            self._remembered[connection_id] = (now + REMEMBERED_SECONDS, chosen)
+            self._remembered[connection_id] = _Handed(now, chosen)
             return chosen
         # A removed member's service may be gone, or its listener may be another service's.
         if not state.can_accept or (view.removed and not wanted):
@@ -137,15 +157,19 @@
         return other is not None and state.prefers(other.target)
 
     def _other(
-        self, connection_id: bytes, datagram: ForwardedDatagram, view: ServiceView
+        self,
+        connection_id: bytes,
+        datagram: ForwardedDatagram,
+        view: ServiceView,
+        silent: Endpoint | None = None,
     ) -> HandOn | None:
         if datagram.revision > view.revision:
             # Only a newer table may name members that this agent doesn't know (any more).
-            target = _first_other(_unpack(datagram.candidates), view.address)
+            target = _first_other(_unpack(datagram.candidates), view.address, silent)
             if target is not None:
                 return HandOn(target, datagram.revision, tuple(datagram.candidates))
         candidates = self._candidates(connection_id, view)
-        target = _first_other(candidates, view.address)
+        target = _first_other(candidates, view.address, silent)
         if target is None:
             return None
         packed = tuple(candidate.pack() for candidate in candidates)
@@ -162,8 +186,9 @@
 
     def _forget(self, now: float) -> None:
         while self._remembered:
-            connection_id, (expires_at, _) = next(iter(self._remembered.items()))
-            if expires_at > now and len(self._remembered) <= MOST_REMEMBERED:
+            connection_id, handed = next(iter(self._remembered.items()))
+            expired = now - handed.at >= REMEMBERED_SECONDS
+            if not expired and len(self._remembered) <= MOST_REMEMBERED:
                 return
             del self._remembered[connection_id]
 
@@ -174,8 +199,12 @@
     return datagram.hops < MOST_HOPS and view.revision > datagram.revision
 
 
-def _first_other(candidates: list[Endpoint], own: Endpoint) -> Endpoint | None:
-    return next((candidate for candidate in candidates if candidate != own), None)
+def _first_other(
+    candidates: list[Endpoint], own: Endpoint, silent: Endpoint | None
+) -> Endpoint | None:
+    """Return the first candidate beside `own`; a silent one only where there is no other."""
+    others = [candidate for candidate in candidates if candidate != own]
+    return next((other for other in others if other != silent), others[0] if others else None)
 
 
 def _unpack(candidates: list[bytes]) -> list[Endpoint]:
--- a/src/jasperwalk/agent/lending.py
+++ b/src/jasperwalk/agent/lending.py
@@ -1,10 +1,10 @@
 """Lending a free slot to a request that waits at another agent of the service.
 
-One framed TCP connection a slot. The asker sends `SlotAsk` and gets `SlotGrant` or
-`SlotRefusal` at once. A granted slot is held for the asker, who then sends the request
-itself, or closes the connection because a slot of its own came first. So a request leaves
-its agent only once a slot is certain, and an asker that gives up, at whatever moment before
-it sent the request, knows that it did not run.
+A framed TCP connection carries one ask after the other. The asker sends `SlotAsk` and gets
+`SlotGrant` or `SlotRefusal` at once. A granted slot is held for the asker, who then sends the
+request itself, or closes the connection because a slot of its own came first. So a request
+leaves its agent only once a slot is certain, and an asker that gives up, at whatever moment
+before it sent the request, knows that it did not run.
 
 The lender runs the request in that slot and never passes it on: it does not look at its
 ticket, because the asker, the ticket's home, keeps the account of it and asks just once.
@@ -14,28 +14,19 @@
 
 import asyncio
 import contextlib
+from collections.abc import Coroutine
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 import msgspec
 
-from jasperwalk.addresses import Endpoint
-from jasperwalk.agent.relay import (
-    RelayClient,
-    RelayNotRun,
-    RelaySink,
-    pass_on,
-    run_until_closed,
-    until_closed,
-)
-from jasperwalk.agent.requests import NotRun, NotRunReason, Outcome, Request, ResponseSink
-from jasperwalk.errors import JasperwalkError
+from jasperwalk.agent.relay import RelayNotRun, RelaySink, send_outcome, until_closed
+from jasperwalk.agent.requests import NotRunReason, Outcome, Request, ResponseSink
 from jasperwalk.messages.codec import Decoder, encode
-from jasperwalk.transport.framed import ConnectionKind, FramedConnection
+from jasperwalk.transport.framed import FramedConnection
 
-CONNECT_TIMEOUT_SECONDS = 0.25
-ANSWER_TIMEOUT_SECONDS = 0.25
-"""Time within which an asked agent has to answer; it decides at once."""
+IDLE_SECONDS = 30.0
+"""Time for which a connection waits for the next ask."""
 RESERVATION_SECONDS = 0.5
 """Time for which a granted slot waits for its request."""
 LATE_REQUEST_SECONDS = 0.5
@@ -88,86 +79,70 @@
     def reserve(self, ask: SlotAsk) -> HeldSlot | None:
         """Hold a slot for the asker; None to refuse."""
 
-    async def run_lent(self, slot: HeldSlot, request: Request, sink: ResponseSink) -> Outcome:
+    def run_lent(
+        self, slot: HeldSlot, request: Request, sink: ResponseSink
+    ) -> Coroutine[None, None, Outcome]:
         """Run a request in a held slot, and free the slot."""
 
     def give_back(self, slot: HeldSlot) -> None:
         """Free a held slot that was not used."""
 
 
-@dataclass(frozen=True)
-class BorrowedSlot:
-    """A slot that another agent holds for this one."""
-
-    lender: Endpoint
-    free_slots: int
-    connection: FramedConnection
-
-    async def run(self, request: Request, sink: ResponseSink) -> Outcome:
-        """Run a request in the slot; cancelling the task cancels it there."""
-        if request.deadline_ms <= 0:
-            self.give_back()
-            return NotRun(NotRunReason.DEADLINE_TOO_SHORT)
-        try:
-            return await pass_on(self.connection, LentRequest(request), request, sink)
-        finally:
-            self.connection.abort()
-
-    def give_back(self) -> None:
-        """Let the lender have its slot back."""
-        self.connection.abort()
-
-
-class SlotAsker:
-    """Asks other agents for slots."""
-
-    def __init__(self, client: RelayClient) -> None:
-        self._client = client
-
-    async def ask(self, member: Endpoint, ask: SlotAsk) -> BorrowedSlot | SlotRefusal | None:
-        """Ask `member`; return its answer, None when it gave none in time."""
-        try:
-            connection = await self._client.open(
-                member, ConnectionKind.LENDING, CONNECT_TIMEOUT_SECONDS
-            )
-        except JasperwalkError:
-            return None
-        try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
-                await connection.send(encode(ask))
-                answer = SLOT_ANSWER_DECODER.decode(await connection.receive())
-        except (TimeoutError, JasperwalkError):
-            connection.abort()
-            return None
-        except asyncio.CancelledError:
-            connection.abort()
-            raise
-        if isinstance(answer, SlotRefusal):
-            connection.abort()
-            return answer
-        return BorrowedSlot(member, answer.free_slots, connection)
+async def serve_lending(connection: FramedConnection, lender: Lender) -> None:
+    """Serve asks, and the request that may follow each, until the asker closes or falls silent."""
+    with contextlib.suppress(TimeoutError):
+        frame: bytes | None = await _receive(connection, IDLE_SECONDS)
+        while frame is not None:
+            frame = await _serve_ask(connection, lender, ASK_DECODER.decode(frame))
 
 
-async def serve_lending(connection: FramedConnection, lender: Lender) -> None:
-    """Serve one ask, and the request that may follow it."""
-    ask = ASK_DECODER.decode(await connection.receive())
+async def _serve_ask(connection: FramedConnection, lender: Lender, ask: SlotAsk) -> bytes | None:
+    """Serve one ask; return the frame of the next one, None after the last."""
     slot = lender.reserve(ask)
     if slot is None:
         await connection.send(encode(SlotRefusal()))
-        return
+        return await _receive(connection, IDLE_SECONDS)
     try:
         await connection.send(encode(SlotGrant(slot.free_slots)))
-        async with asyncio.timeout(RESERVATION_SECONDS):
-            lent = LENT_DECODER.decode(await connection.receive())
+        lent = LENT_DECODER.decode(await _receive(connection, RESERVATION_SECONDS))
     except TimeoutError:
         lender.give_back(slot)
         await _refuse_late_request(connection)
-        return
+        return None
     except BaseException:
         lender.give_back(slot)
         raise
-    sink = RelaySink(connection)
-    await run_until_closed(connection, lender.run_lent(slot, lent.request, sink))
+    return await _run(connection, lender.run_lent(slot, lent.request, RelaySink(connection)))
+
+
+async def _run(connection: FramedConnection, run: Coroutine[None, None, Outcome]) -> bytes | None:
+    """Run a request, cancel it when the asker closes; return the frame that follows it."""
+    running = asyncio.ensure_future(run)
+    following = asyncio.ensure_future(connection.receive())
+    try:
+        await asyncio.wait((running, following), return_when=asyncio.FIRST_COMPLETED)
+        if not running.done():
+            following.result()  # raises where the asker closed
+        await send_outcome(connection, await running)
+        async with asyncio.timeout(IDLE_SECONDS):
+            return await following
+    finally:
+        for task in (running, following):
+            task.cancel()
+        await asyncio.wait((running, following))
+        _retrieve(running, following)
+
+
+def _retrieve(*ended: asyncio.Future[Any]) -> None:
+    """Take the errors of tasks, whose reason is known, so that none is reported as lost."""
+    for task in ended:
+        if not task.cancelled():
+            task.exception()
+
+
+async def _receive(connection: FramedConnection, seconds: float) -> bytes:
+    async with asyncio.timeout(seconds):
+        return await connection.receive()
 
 
 async def _refuse_late_request(connection: FramedConnection) -> None:
--- a/src/jasperwalk/agent/process.py
+++ b/src/jasperwalk/agent/process.py
@@ -23,7 +23,6 @@
 from jasperwalk.agent.gate import SlotGate
 from jasperwalk.agent.health import BackendHealth
 from jasperwalk.agent.lender import SlotLender
-from jasperwalk.agent.lending import SlotAsker
 from jasperwalk.agent.local_run import LocalRun
 from jasperwalk.agent.metrics import AgentCollector
 from jasperwalk.agent.neighbours import Neighbours
@@ -32,6 +31,7 @@
 from jasperwalk.agent.relay import RelayClient
 from jasperwalk.agent.runner import RequestRunner
 from jasperwalk.agent.service_view import ServiceView
+from jasperwalk.agent.slot_asker import SlotAsker
 from jasperwalk.distribution.follower import FollowerCore
 from jasperwalk.distribution.follower_events import FollowerConfig, SubscriberFacts
 from jasperwalk.distribution.follower_table import FollowerTable
@@ -102,8 +102,8 @@
             return self.view
 
         self.lender = SlotLender(gate, self.health, local_run, self._neighbours, view, clock, lend)
-        asker = SlotAsker(self._relay)
-        self.borrower = SlotBorrower(gate, asker, self._neighbours, view, clock, lend)
+        self._asker = SlotAsker(self._relay, clock)
+        self.borrower = SlotBorrower(gate, self._asker, self._neighbours, view, clock, lend)
         self.runner = RequestRunner(
             local_run, gate, self.borrower, self._relay, view, clock, self._random
         )
@@ -118,6 +118,7 @@
         settings = self._settings
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(self._backend.close)
+            stack.callback(self._asker.close)
             hello = make_hello(ConnectionKind.RELAY, settings.name, settings.cluster_id)
             ports = await open_ports(
                 settings.listen,
--- a/src/jasperwalk/agent/relay.py
+++ b/src/jasperwalk/agent/relay.py
@@ -229,7 +229,7 @@
     try:
         await asyncio.wait((running, ended), return_when=asyncio.FIRST_COMPLETED)
         if running.done():
-            await _send_outcome(connection, running.result())
+            await send_outcome(connection, running.result())
     finally:
         for task in (running, ended):
             task.cancel()
@@ -243,7 +243,8 @@
         await connection.receive()
 
 
-async def _send_outcome(connection: FramedConnection, outcome: Outcome) -> None:
+async def send_outcome(connection: FramedConnection, outcome: Outcome) -> None:
+    """Send what became of a request; an answer has been sent by its sink."""
     match outcome:
         case NotRun(reason=reason, retry_after_ms=retry_after_ms):
             await connection.send(encode(RelayNotRun(reason, retry_after_ms)))
--- a/src/jasperwalk/agent/runner.py
+++ b/src/jasperwalk/agent/runner.py
@@ -10,7 +10,6 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.agent.borrower import OwnSlot, SlotBorrower
 from jasperwalk.agent.gate import SlotGate
-from jasperwalk.agent.lending import BorrowedSlot
 from jasperwalk.agent.local_run import LocalRun
 from jasperwalk.agent.relay import RelayClient, RelayRequest
 from jasperwalk.agent.requests import (
@@ -22,6 +21,7 @@
 )
 from jasperwalk.agent.retry_budget import RetryBudget
 from jasperwalk.agent.service_view import ServiceView
+from jasperwalk.agent.slot_asker import BorrowedSlot
 from jasperwalk.agent.ticket_desk import TicketDesk
 from jasperwalk.agent.tickets import TICKET_PATH
 
--- /dev/null
+++ b/src/jasperwalk/agent/slot_asker.py
@@ -0,0 +1,170 @@
+"""Asking other agents for slots, over connections that are kept for the next ask.
+
+Opening a connection costs some round trips and, with TLS, a handshake: longer than many a
+wait for a slot. A connection is kept after a refusal and after a whole answer, where both
+sides know that nothing is under way on it; after anything else it is dropped.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.agent.lending import (
+    SLOT_ANSWER_DECODER,
+    LentRequest,
+    SlotAnswer,
+    SlotAsk,
+    SlotRefusal,
+)
+from jasperwalk.agent.relay import RelayClient, pass_on
+from jasperwalk.agent.requests import (
+    Answered,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Request,
+    ResponseSink,
+)
+from jasperwalk.errors import JasperwalkError
+from jasperwalk.messages.codec import encode
+from jasperwalk.transport.framed import ConnectionKind, FramedConnection
+
+CONNECT_TIMEOUT_SECONDS = 0.25
+ANSWER_TIMEOUT_SECONDS = 0.25
+"""Time within which an asked agent has to answer; it decides at once."""
+IDLE_SECONDS = 10.0
+"""Time for which a connection is kept; shorter than the lender's."""
+OLDEST_SECONDS = 60.0
+"""Age up to which a connection is used again: certificates and keys may be renewed."""
+MOST_IDLE_LINKS = 4
+"""Connections that are kept to one member."""
+
+
+@dataclass(frozen=True)
+class LendingLink:
+    """A connection to a lender; times in seconds of the loop."""
+
+    member: Endpoint
+    connection: FramedConnection
+    opened_at: float
+    kept_at: float = 0.0
+
+
+class IdleLinks:
+    """Connections on which nothing is under way."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._links: dict[Endpoint, list[LendingLink]] = {}
+
+    def take(self, member: Endpoint) -> LendingLink | None:
+        """Return, and forget, the connection to `member` that was used last."""
+        self._drop_old()
+        links = self._links.get(member)
+        return links.pop() if links else None
+
+    def keep(self, link: LendingLink) -> None:
+        """Keep a connection for the next ask."""
+        kept = LendingLink(link.member, link.connection, link.opened_at, self._clock())
+        links = self._links.setdefault(link.member, [])
+        links.append(kept)
+        if len(links) > MOST_IDLE_LINKS:
+            links.pop(0).connection.abort()
+        self._drop_old()
+
+    def close(self) -> None:
+        """Drop every connection."""
+        for links in self._links.values():
+            for link in links:
+                link.connection.abort()
+        self._links.clear()
+
+    def _drop_old(self) -> None:
+        now = self._clock()
+        for member, links in list(self._links.items()):
+            fresh = [link for link in links if _is_fresh(link, now)]
+            for link in links:
+                if link not in fresh:
+                    link.connection.abort()
+            self._links[member] = fresh
+            if not fresh:
+                del self._links[member]
+
+
+def _is_fresh(link: LendingLink, now: float) -> bool:
+    return now - link.kept_at < IDLE_SECONDS and now - link.opened_at < OLDEST_SECONDS
+
+
+@dataclass(frozen=True)
+class BorrowedSlot:
+    """A slot that another agent holds for this one."""
+
+    free_slots: int
+    link: LendingLink
+    idle: IdleLinks
+
+    async def run(self, request: Request, sink: ResponseSink) -> Outcome:
+        """Run a request in the slot; cancelling the task cancels it there."""
+        if request.deadline_ms <= 0:
+            self.give_back()
+            return NotRun(NotRunReason.DEADLINE_TOO_SHORT)
+        outcome: Outcome | None = None
+        try:
+            outcome = await pass_on(self.link.connection, LentRequest(request), request, sink)
+            return outcome
+        finally:
+            if isinstance(outcome, Answered | NotRun):
+                self.idle.keep(self.link)
+            else:
+                self.link.connection.abort()
+
+    def give_back(self) -> None:
+        """Let the lender have its slot back."""
+        self.link.connection.abort()
+
+
+class SlotAsker:
+    """Asks other agents for slots."""
+
+    def __init__(self, client: RelayClient, clock: Callable[[], float]) -> None:
+        self._client = client
+        self._clock = clock
+        self._idle = IdleLinks(clock)
+
+    async def ask(self, member: Endpoint, ask: SlotAsk) -> BorrowedSlot | SlotRefusal | None:
+        """Ask `member`; return its answer, None when it gave none in time."""
+        kept = self._idle.take(member)
+        if kept is not None:
+            answer = await self._exchange(kept, ask)
+            if answer is not None:  # else the lender has closed it, or has gone
+                return answer
+        try:
+            connection = await self._client.open(
+                member, ConnectionKind.LENDING, CONNECT_TIMEOUT_SECONDS
+            )
+        except JasperwalkError:
+            return None
+        return await self._exchange(LendingLink(member, connection, self._clock()), ask)
+
+    def close(self) -> None:
+        """Drop the connections that are kept."""
+        self._idle.close()
+
+    async def _exchange(self, link: LendingLink, ask: SlotAsk) -> BorrowedSlot | SlotRefusal | None:
+        answer: SlotAnswer | None = None
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
+                await link.connection.send(encode(ask))
+                answer = SLOT_ANSWER_DECODER.decode(await link.connection.receive())
+        except (TimeoutError, JasperwalkError):
+            return None
+        finally:
+            if answer is None:
+                link.connection.abort()
+        if isinstance(answer, SlotRefusal):
+            self._idle.keep(link)
+            return answer
+        return BorrowedSlot(answer.free_slots, link, self._idle)
