--- a/src/jasperwalk_lab/ports.py
+++ b/src/jasperwalk_lab/ports.py
@@ -1,7 +1,8 @@
-"""Free loopback ports, chosen by the operating system and held until processes take them."""
+"""Free loopback ports below those that the system hands out, held until processes take them."""
 
 from __future__ import annotations
 
+import random
 import socket
 from types import TracebackType
 from typing import Self
@@ -11,16 +12,21 @@
 ATTEMPTS = 50
 """Tries to find a port that is free for both TCP and UDP."""
 
+PORTS = range(15_000, 32_768)
+"""Below the ports of outgoing sockets (Linux: from 32768), which a wildcard socket of any
+program may get on every address in the moment between reservation and use."""
+
 
 class PortReservations:
     """Holds ports open so that no two reservations are alike; leaving the context frees them.
 
-    Every process of a fleet gets a loopback address of its own, so that a port freed here is
-    not taken by an outgoing connection, which leaves from 127.0.0.1.
+    Every process of a fleet gets a loopback address of its own, so two fleets that draw the
+    same number seldom meet.
     """
 
     def __init__(self) -> None:
         self._held: list[socket.socket] = []
+        self._random = random.SystemRandom()
 
     def __enter__(self) -> Self:
         """Begin to hold ports."""
@@ -46,15 +52,15 @@
         for _ in range(ATTEMPTS - 1):
             try:
                 return self._try_reserve(host)
-            except OSError:  # the UDP port of the same number is taken
+            except OSError:  # the port is taken
                 continue
         return self._try_reserve(host)
 
     def _try_reserve(self, host: str) -> Endpoint:
         stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._held.append(stream)
-        stream.bind((host, 0))
-        port = stream.getsockname()[1]
+        port = self._random.choice(PORTS)
+        stream.bind((host, port))
         datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._held.append(datagram)
         datagram.bind((host, port))
