--- a/src/jasperwalk/control/leader_duties.py
+++ b/src/jasperwalk/control/leader_duties.py
@@ -14,7 +14,7 @@
 
 import structlog
 
-from jasperwalk.config.member_states import PlatformState
+from jasperwalk.config.member_states import MemberStatus, PlatformState
 from jasperwalk.config.table import AdminState
 from jasperwalk.control.in_force import SubscriberSighting
 from jasperwalk.control.key_duties import (
@@ -43,6 +43,8 @@
 QUORUM_CONTACT_SECONDS = 1.0
 """A leader whose quorum contact is older than this decides nothing."""
 NANOSECONDS_PER_MILLISECOND = 1_000_000
+MOST_LOGGED = 50
+"""Lines for the members or hosts of one round; a zone that is lost names thousands."""
 
 logger = structlog.get_logger(__name__)
 
@@ -142,6 +144,7 @@
         statuses = self._liveness.evaluate(self._runner.state.members(), now)
         if statuses:
             await self._propose(SetMemberStatus(statuses=statuses))
+            _log_statuses(statuses)
 
     async def _follow_platform_list(self) -> None:
         """Drain the hosts that the platform takes away, and take back those that stay."""
@@ -157,6 +160,7 @@
         except ProposalError:
             self._reconciler.repeat(state.host for state in states)
             raise
+        _log_platform_states(states)
 
     def _changed_only(self, states: list[PlatformState]) -> list[PlatformState]:
         """Leave out states that are committed already: a new leader's first poll names all."""
@@ -173,6 +177,22 @@
             logger.warning("leader-proposal-refused", kind=outcome.kind, detail=outcome.describe())
 
 
+def _log_statuses(statuses: list[MemberStatus]) -> None:
+    for each in statuses[:MOST_LOGGED]:
+        status = each.operating_status.value
+        address = str(each.address)
+        logger.info("member-status", address=address, incarnation=each.incarnation, status=status)
+    if len(statuses) > MOST_LOGGED:
+        logger.info("member-statuses-not-logged", count=len(statuses) - MOST_LOGGED)
+
+
+def _log_platform_states(states: list[PlatformState]) -> None:
+    for each in states[:MOST_LOGGED]:
+        logger.info("platform-state", host=each.host, state=each.admin_state.value)
+    if len(states) > MOST_LOGGED:
+        logger.info("platform-states-not-logged", count=len(states) - MOST_LOGGED)
+
+
 def _unix_time_ms() -> int:
     return time.time_ns() // NANOSECONDS_PER_MILLISECOND
 
--- a/src/jasperwalk/membership/liveness.py
+++ b/src/jasperwalk/membership/liveness.py
@@ -30,7 +30,7 @@
     `flap_hold_seconds` before it is online again.
     """
 
-    offline_after_seconds: float = 3.0
+    offline_after_seconds: float = 1.0
     leader_grace_seconds: float = 4.0
     flap_window_seconds: float = 60.0
     flap_limit: int = 3
--- a/src/jasperwalk_lab/scale/measurements.py
+++ b/src/jasperwalk_lab/scale/measurements.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from jasperwalk_lab.machine import MachineFacts
+from jasperwalk_lab.scale.figures import ScaleFigures
 from jasperwalk_lab.scale.report import (
     PartsReport,
     ScaleReport,
@@ -15,7 +16,8 @@
 )
 from jasperwalk_lab.scale.slopes import Slopes, fit_slopes
 
-SCALE_FILE = "scale.json"
+SCALE_FILES = "scale-*.json"
+"""Runs at several sizes; one file an invocation."""
 PARTS_FILE = "parts.json"
 BENCH_FILE = "bench-balancer.json"
 
@@ -43,9 +45,10 @@
 
 
 class Measurements(msgspec.Struct, frozen=True):
-    """All measurements, with the slopes through the runs at several sizes."""
+    """All measurements, with the slopes through the runs; `scale` goes by file name."""
 
-    scale: ScaleReport
+    scale: dict[str, ScaleReport]
+    runs: list[ScaleFigures]
     parts: PartsReport
     bench: BenchReport
     slopes: Slopes
@@ -53,10 +56,12 @@
 
 def read_measurements(folder: Path) -> Measurements:
     """Read all files; raises `OSError`, `msgspec.DecodeError`, or `ValueError` (few sizes)."""
-    scale = read_report(folder / SCALE_FILE)
+    scale = {path.name: read_report(path) for path in sorted(folder.glob(SCALE_FILES))}
+    runs = [run for report in scale.values() for run in report.runs]
     return Measurements(
         scale=scale,
+        runs=runs,
         parts=read_parts_report(folder / PARTS_FILE),
         bench=msgspec.json.decode((folder / BENCH_FILE).read_bytes(), type=BenchReport),
-        slopes=fit_slopes(scale.runs),
+        slopes=fit_slopes(runs),
     )
--- a/src/jasperwalk_lab/scale/slopes.py
+++ b/src/jasperwalk_lab/scale/slopes.py
@@ -93,10 +93,14 @@
     control_memory: Slope
     in_force_p99_seconds: Slope
     in_force_everywhere_seconds: Slope
+    region_return_seconds: Slope
 
 
 def fit_slopes(runs: Sequence[ScaleFigures]) -> Slopes:
-    """Fit all slopes; raises `ValueError` with too few sizes."""
+    """Fit all slopes; raises `ValueError` with too few sizes, or for a run with failures."""
+    for run in runs:
+        if run.failures:
+            raise ValueError(f"a run with failures gives no slope: {run.failures[0]}")
 
     def by_table(reading: Reading) -> Slope:
         return fit(runs, reading, by_subscribers=False)
@@ -116,6 +120,7 @@
         in_force_everywhere_seconds=by_both(
             lambda run: run.changes.last_node_from_submission.max_ms / 1e3
         ),
+        region_return_seconds=by_both(_region_return_seconds),
     )
 
 
@@ -135,3 +140,10 @@
 
 def _largest_control(run: ScaleFigures) -> float:
     return max(process.unshared_bytes for process in run.idle.control)
+
+
+def _region_return_seconds(run: ScaleFigures) -> float:
+    seconds = run.region.recovery.seconds
+    if seconds is None:
+        raise ValueError("the nodes of a returning region were not current in time")
+    return seconds
