--- a/src/jasperwalk_lab/chaos/injector.py
+++ b/src/jasperwalk_lab/chaos/injector.py
@@ -3,33 +3,48 @@
 from __future__ import annotations
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Callable, Sequence
 
 import aiohttp
 
 from jasperwalk.errors import JasperwalkError
 from jasperwalk_lab.chaos.actions import FaultActions
-from jasperwalk_lab.chaos.faults import SHAPES, HappenedFault, PlannedFault
+from jasperwalk_lab.chaos.faults import SHAPES, HappenedFault, PlannedFault, TargetGroup
 
 Progress = Callable[[str], None]
 
 
 class Injector:
-    """Runs every fault as a task of its own; `happened` lists those that began."""
+    """Runs every fault as a task of its own; `happened` lists those that began.
+
+    A fault waits while an earlier one of the same target is undone, which may take longer than
+    planned on a busy machine. Control replicas count as one target: two at once are too many.
+    """
 
     def __init__(self, actions: FaultActions, progress: Progress) -> None:
         self._actions = actions
         self._progress = progress
+        self._turns: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
         self.happened: list[HappenedFault] = []
 
     async def run(self, planned: Sequence[PlannedFault]) -> None:
-        """Strike and undo all faults; a failure is noted with its fault."""
+        """Strike and undo all faults; a failure is noted with its fault.
+
+        An unexpected error ends all of them: none may start processes while the fleet stops.
+        """
         start = asyncio.get_running_loop().time()
-        await asyncio.gather(*(self._strike(fault, start) for fault in planned))
+        async with asyncio.TaskGroup() as tasks:
+            for fault in planned:
+                tasks.create_task(self._await_turn(fault, start))
+
+    async def _await_turn(self, fault: PlannedFault, start: float) -> None:
+        await asyncio.sleep(start + fault.at - asyncio.get_running_loop().time())
+        async with self._turns[_turn_of(fault)]:
+            await self._strike(fault)
 
-    async def _strike(self, fault: PlannedFault, start: float) -> None:
+    async def _strike(self, fault: PlannedFault) -> None:
         loop = asyncio.get_running_loop()
-        await asyncio.sleep(start + fault.at - loop.time())
         happened = HappenedFault(kind=fault.kind, target=fault.target, began=loop.time())
         self.happened.append(happened)
         self._progress(f"{fault.at:6.1f} s  {fault.kind} {fault.target}")
@@ -42,3 +57,9 @@
             happened.failure = described
             self._progress(f"FAILED {fault.kind} {fault.target}: {described}")
         happened.ended = loop.time()
+
+
+def _turn_of(fault: PlannedFault) -> str:
+    """Name what `fault` has for itself while it lasts."""
+    group = SHAPES[fault.kind].group
+    return group.value if group is TargetGroup.CONTROL else fault.target
