--- a/src/jasperwalk/agent/backend.py
+++ b/src/jasperwalk/agent/backend.py
@@ -24,6 +24,7 @@
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
     Answered,
+    AnswerProgress,
     HeaderFields,
     NotRun,
     NotRunReason,
@@ -79,14 +80,14 @@
 
         Cancelling the task closes the connection, which tells the back end to stop.
         """
-        started = _Progress()
+        progress = AnswerProgress()
         try:
             async with asyncio.timeout(deadline_at - self._clock()) as timeout:
-                return await self._exchange(request, deadline_at, sink, on_head, started, timeout)
+                return await self._exchange(request, deadline_at, sink, on_head, progress, timeout)
         except TimeoutError:
-            return Unknown(UnknownReason.DEADLINE, head_sent=started.head_sent)
+            return Unknown(UnknownReason.DEADLINE, head_sent=progress.head_sent)
         except (aiohttp.ClientError, OSError):
-            return Unknown(UnknownReason.BACKEND_FAILED, head_sent=started.head_sent)
+            return Unknown(UnknownReason.BACKEND_FAILED, head_sent=progress.head_sent)
 
     async def check(self, path: str, timeout_seconds: float) -> bool:
         """Ask the health path; return whether the back end calls itself fit for work."""
@@ -104,17 +105,11 @@
         deadline_at: float,
         sink: ResponseSink,
         on_head: Callable[[], None],
-        started: _Progress,
+        progress: AnswerProgress,
         timeout: asyncio.Timeout,
     ) -> Outcome:
         try:
-            response = await self._session.request(
-                request.method,
-                self._url(request),
-                headers=self._request_fields(request, deadline_at),
-                data=request.body or None,
-                allow_redirects=False,
-            )
+            response = await self._send(request, deadline_at)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             # No connection came about, so not a byte of the request went out.
             return NotRun(NotRunReason.BACKEND_UNREACHABLE)
@@ -124,14 +119,24 @@
             if not request.deadline_by_caller:
                 timeout.reschedule(None)
             on_head()
-            return await self._pass_on(response, sink, started)
+            return await self._pass_on(response, sink, progress)
         finally:
             response.close()
 
+    async def _send(self, request: Request, deadline_at: float) -> aiohttp.ClientResponse:
+        """Send a request; return its answer once the head is in."""
+        return await self._session.request(
+            request.method,
+            self._url(request),
+            headers=self._request_fields(request, deadline_at),
+            data=request.body or None,
+            allow_redirects=False,
+        )
+
     async def _pass_on(
-        self, response: aiohttp.ClientResponse, sink: ResponseSink, started: _Progress
+        self, response: aiohttp.ClientResponse, sink: ResponseSink, progress: AnswerProgress
     ) -> Outcome:
-        started.head_sent = True
+        progress.head_sent = True
         await sink.head(response.status, self._response_fields(response))
         async for chunk in response.content.iter_any():
             await sink.data(chunk)
@@ -182,13 +187,6 @@
         raise _ExchangeCut from error
 
 
-class _Progress:
-    """How far an exchange got."""
-
-    def __init__(self) -> None:
-        self.head_sent = False
-
-
 def _is_refusal(response: aiohttp.ClientResponse) -> bool:
     if response.status != HTTPStatus.SERVICE_UNAVAILABLE:
         return False
--- /dev/null
+++ b/src/jasperwalk/agent/background.py
@@ -0,0 +1,86 @@
+"""The loops that an agent runs beside its requests; each runs until it is cancelled."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from jasperwalk.agent.backend import Backend
+from jasperwalk.agent.current_view import CurrentView
+from jasperwalk.agent.datagram_port import DatagramPort
+from jasperwalk.agent.endpoint import AgentEndpoint
+from jasperwalk.agent.health import BackendHealth
+from jasperwalk.agent.planned_end import PlannedEnd
+from jasperwalk.distribution.runner import FollowerRunner
+
+REPORT_SECONDS = 0.1
+"""Interval at which the agent's state is told to the follower, and its incarnation read."""
+MOVE_POLL_SECONDS = 0.1
+RENEWAL_PAUSE_SECONDS = 0.02
+OLDEST_KEYS_SECONDS = 0.5
+"""Interval at which the oldest keys in use are looked for."""
+MONITOR_WITHOUT_SERVICE_SECONDS = 1.0
+
+
+async def monitor_backend(backend: Backend, health: BackendHealth, current: CurrentView) -> None:
+    """Ask the back end's health path at the interval that the service sets."""
+    while True:
+        service = current.get().service
+        if service is None:
+            await asyncio.sleep(MONITOR_WITHOUT_SERVICE_SECONDS)
+            continue
+        monitor = service.health_monitor
+        if await backend.check(monitor.path, monitor.timeout_ms / 1000):
+            health.monitor_succeeded()
+        else:
+            health.monitor_failed()
+        await asyncio.sleep(monitor.interval_ms / 1000)
+
+
+async def exchange_state(
+    follower: FollowerRunner,
+    endpoint: AgentEndpoint,
+    health: BackendHealth,
+    current: CurrentView,
+    clock: Callable[[], float],
+) -> None:
+    """Tell the follower of health and flows; take from it the incarnation and freshness."""
+    while True:
+        view = current.get()
+        healthy = health.healthy(clock())
+        follower.healthy = healthy and not view.stopping and not view.removed
+        follower.open_flows = endpoint.open_flows
+        endpoint.table_fresh = follower.fresh()
+        # The incarnation comes with a heartbeat, not with a change of the table.
+        current.set_incarnation(follower.incarnation)
+        await asyncio.sleep(REPORT_SECONDS)
+
+
+async def take_up_moves(current: CurrentView, planned_end: PlannedEnd) -> None:
+    """Serve the service that this member was moved to, once its open requests have ended.
+
+    The flows that are left rest; their callers are told at once that they ended.
+    """
+    while True:
+        if current.move_waits:
+            await planned_end.wait_until_idle()
+        # The member may have been moved back, or the agent stopped, in the meantime.
+        if current.move_waits:
+            planned_end.close_flows()
+            current.take_up_move()
+        await asyncio.sleep(MOVE_POLL_SECONDS)
+
+
+async def renew_flows(
+    follower: FollowerRunner, endpoint: AgentEndpoint, port: DatagramPort
+) -> None:
+    """Tell open flows of a drain, move them to the active keys, report their oldest keys."""
+    upkeep = endpoint.upkeep
+    while True:
+        while upkeep.renew_some_flows() | upkeep.send_some_go_aways():
+            port.schedule()
+            await asyncio.sleep(RENEWAL_PAUSE_SECONDS)
+        oldest = endpoint.oldest_keys()
+        follower.core.connection_id_generation = oldest.connection_id
+        follower.core.stateless_reset_generation = oldest.stateless_reset
+        await asyncio.sleep(OLDEST_KEYS_SECONDS)
--- a/src/jasperwalk/agent/certificate_renewal.py
+++ b/src/jasperwalk/agent/certificate_renewal.py
@@ -42,7 +42,7 @@
             self.look(endpoint)
 
     def look(self, endpoint: AgentEndpoint) -> None:
-        """Look at the files; a pair that can't be used leaves the former one in use."""
+        """Look at the files; a pair that can't be used leaves the one in use as it is."""
         if not self._watch.changed():
             return
         try:
--- /dev/null
+++ b/src/jasperwalk/agent/current_view.py
@@ -0,0 +1,111 @@
+"""The agent's current view of its service, replaced whole on every change."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+
+import structlog
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.agent.admission import AdmissionLimits
+from jasperwalk.agent.endpoint import AgentEndpoint
+from jasperwalk.agent.gate import SlotGate
+from jasperwalk.agent.health import BackendHealth
+from jasperwalk.agent.neighbours import Neighbours
+from jasperwalk.agent.service_view import ServiceView
+from jasperwalk.distribution.follower_table import FollowerTable
+
+logger = structlog.get_logger(__name__)
+
+
+class CurrentView:
+    """Holds the view, and tells the agent's parts of each change. `clock` is in seconds."""
+
+    def __init__(
+        self,
+        view: ServiceView,
+        endpoint: AgentEndpoint,
+        gate: SlotGate,
+        health: BackendHealth,
+        neighbours: Neighbours,
+        clock: Callable[[], float],
+    ) -> None:
+        self._view = view
+        self._newest = view
+        """As the newest table has it; `_view` lags behind while a move waits."""
+        self._endpoint = endpoint
+        self._gate = gate
+        self._health = health
+        self._neighbours = neighbours
+        self._clock = clock
+        self._online_incarnation = 0
+        """The incarnation that was last seen online."""
+
+    def get(self) -> ServiceView:
+        """Return the view as it stands."""
+        return self._view
+
+    @property
+    def move_waits(self) -> bool:
+        """Tell whether this member was moved to a service that it does not serve yet."""
+        moved = self._view.removed and self._newest.service is not None
+        return moved and not self._view.stopping
+
+    def bind(self, address: Endpoint) -> None:
+        """Take the address that the agent's ports got, before the first table arrives."""
+        self._view = dataclasses.replace(self._view, address=address)
+
+    def table_changed(self, table: FollowerTable, incarnation: int) -> None:
+        """Take a new revision of the table."""
+        self._newest = ServiceView.build(
+            self._view.address, table.revision, incarnation, table.entries()
+        )
+        self._replace(self._view.followed_by(self._newest))
+
+    def set_incarnation(self, incarnation: int) -> None:
+        """Take the agent's incarnation as control states it."""
+        if incarnation != self._view.incarnation:
+            self._replace(dataclasses.replace(self._view, incarnation=incarnation))
+
+    def begin_stop(self) -> None:
+        """Take no new work from here on."""
+        self._replace(dataclasses.replace(self._view, stopping=True))
+
+    def take_up_move(self) -> None:
+        """Serve the service that this member was moved to."""
+        incarnation = self._view.incarnation
+        self._replace(dataclasses.replace(self._newest, incarnation=incarnation))
+        logger.info("service-changed", revision=self._view.revision)
+
+    def _replace(self, view: ServiceView) -> None:
+        before, self._view = self._view, view
+        self._endpoint.set_view(view)
+        self._neighbours.forget_others(view.members)
+        self._apply_limits()
+        self._begin_slow_start()
+        _log_changes(before, view)
+
+    def _apply_limits(self) -> None:
+        service, member = self._view.service, self._view.member
+        if service is None or member is None:
+            return
+        limits = AdmissionLimits(
+            member.slots, service.limits.queue_length, service.limits.queue_wait_ms
+        )
+        self._gate.apply(self._gate.admission.set_limits(limits, self._clock()))
+        self._health.failures_to_offline = service.health_monitor.failures_to_offline
+
+    def _begin_slow_start(self) -> None:
+        """Begin a slow start when control first calls this incarnation online."""
+        view = self._view
+        if view.online and view.incarnation != self._online_incarnation:
+            self._online_incarnation = view.incarnation
+            self._endpoint.slow_start.begin(self._clock())
+
+
+def _log_changes(before: ServiceView, after: ServiceView) -> None:
+    if before.draining != after.draining:
+        logger.info("draining-changed", draining=after.draining, revision=after.revision)
+    if before.incarnation != after.incarnation:
+        logger.info("incarnation-changed", incarnation=after.incarnation)
--- a/src/jasperwalk/agent/endpoint.py
+++ b/src/jasperwalk/agent/endpoint.py
@@ -47,9 +47,7 @@
 from jasperwalk.messages.datagram_seal import DatagramSeal
 from jasperwalk.messages.datagrams import ForwardedDatagram
 from jasperwalk.messages.proxy_protocol import destination_of, source_of
-from jasperwalk.routing.connection_ids import (
-    RoutableId,
-)
+from jasperwalk.routing.connection_ids import RoutableId
 
 MOST_FLOWS = 8_192
 VERSION_NEGOTIATIONS_PER_SECOND = 200
--- a/src/jasperwalk/agent/key_renewal.py
+++ b/src/jasperwalk/agent/key_renewal.py
@@ -20,15 +20,13 @@
 
 FLOW_KEY_PURPOSES = (KeyPurpose.CONNECTION_ID, KeyPurpose.STATELESS_RESET)
 """Purposes whose keys a flow rests on for as long as its connection IDs live."""
-
-
 FLOWS_PER_TURN = 64
 """Flows that are renewed in one turn of the loop, so that packets do not wait for all."""
 
 
 @dataclass(frozen=True, slots=True)
 class OldestKeys:
-    """Generations of the oldest keys that the open flows rest on, the active ones' without."""
+    """Generations of the oldest keys that open flows rest on; the active ones without flows."""
 
     connection_id: int = 0
     stateless_reset: int = 0
@@ -74,26 +72,37 @@
     A connection ID with a lower number was never made with a newer key, so that the oldest
     one of each flow decides.
     """
+    active = OldestKeys(
+        active_generation(view, KeyPurpose.CONNECTION_ID),
+        active_generation(view, KeyPurpose.STATELESS_RESET),
+    )
+    if not _has_older_keys(view, active):
+        return active
     connection_id_keys = view.keys_for(KeyPurpose.CONNECTION_ID)
     reset_keys = view.keys_for(KeyPurpose.STATELESS_RESET)
-    oldest_connection_id = active_generation(view, KeyPurpose.CONNECTION_ID)
-    oldest_reset = active_generation(view, KeyPurpose.STATELESS_RESET)
-    superseded = [
-        *(key for key in connection_id_keys if key.generation < oldest_connection_id),
-        *(key for key in reset_keys if key.generation < oldest_reset),
-    ]
-    if not superseded:
-        return OldestKeys(oldest_connection_id, oldest_reset)
+    by_connection_id, by_reset = active.connection_id, active.stateless_reset
     for connection in connections:
         oldest = connection.oldest_connection_id
         if oldest is None:
             continue
         generation = _generation_by_rotation(connection_id_keys, oldest.cid)
-        oldest_connection_id = min(oldest_connection_id, generation)
-        token = oldest.stateless_reset_token
-        generation = _generation_by_token(reset_keys, oldest.cid, token)
-        oldest_reset = min(oldest_reset, generation)
-    return OldestKeys(oldest_connection_id, oldest_reset)
+        by_connection_id = min(by_connection_id, generation)
+        generation = _generation_by_token(reset_keys, oldest.cid, oldest.stateless_reset_token)
+        by_reset = min(by_reset, generation)
+    return OldestKeys(by_connection_id, by_reset)
+
+
+def _has_older_keys(view: ServiceView, active: OldestKeys) -> bool:
+    """Tell whether a key that flows may rest on is older than the active one."""
+    active_generations = {
+        KeyPurpose.CONNECTION_ID: active.connection_id,
+        KeyPurpose.STATELESS_RESET: active.stateless_reset,
+    }
+    return any(
+        key.generation < generation
+        for purpose, generation in active_generations.items()
+        for key in view.keys_for(purpose)
+    )
 
 
 def _active(view: ServiceView, purpose: KeyPurpose) -> KeyEntry | None:
--- a/src/jasperwalk/agent/lender.py
+++ b/src/jasperwalk/agent/lender.py
@@ -69,7 +69,7 @@
 
     def _may_lend(self, service_id: int, now: float) -> bool:
         view = self._view()
-        if view.service is None or view.service.service_id != service_id:
+        if not view.names_service(service_id):
             return False
         if view.draining or not view.serving or view.member is None:
             return False
--- a/src/jasperwalk/agent/lending.py
+++ b/src/jasperwalk/agent/lending.py
@@ -20,7 +20,8 @@
 
 import msgspec
 
-from jasperwalk.agent.relay import RelayNotRun, RelaySink, send_outcome, until_closed
+from jasperwalk.agent.relay_messages import RelayNotRun
+from jasperwalk.agent.relay_server import RelaySink, send_outcome, until_closed
 from jasperwalk.agent.requests import NotRunReason, Outcome, Request, ResponseSink
 from jasperwalk.messages.codec import Decoder, encode
 from jasperwalk.transport.framed import FramedConnection
--- /dev/null
+++ b/src/jasperwalk/agent/planned_end.py
@@ -0,0 +1,61 @@
+"""Planned ends of all flows of an agent: at a stop, and when its member moves to a service."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from jasperwalk.agent.datagram_port import DatagramPort
+from jasperwalk.agent.dispatcher import Dispatcher
+from jasperwalk.agent.endpoint import AgentEndpoint
+from jasperwalk.agent.lender import SlotLender
+from jasperwalk.agent.runner import RequestRunner
+
+LONGEST_DELIVERY_SECONDS = 5.0
+"""Time for callers to acknowledge the last answers before a planned end of their flows."""
+IDLE_POLL_SECONDS = 0.1
+"""Interval at which the end of the last request is looked for."""
+
+
+class PlannedEnd:
+    """Waits for the work in progress, and closes the flows. `clock` is in seconds."""
+
+    def __init__(
+        self,
+        endpoint: AgentEndpoint,
+        dispatcher: Dispatcher,
+        runner: RequestRunner,
+        lender: SlotLender,
+        port: DatagramPort,
+        clock: Callable[[], float],
+    ) -> None:
+        self._endpoint = endpoint
+        self._dispatcher = dispatcher
+        self._runner = runner
+        self._lender = lender
+        self._port = port
+        self._clock = clock
+
+    async def wait_until_idle(self) -> None:
+        """Wait until no request is open, and callers have the answers or are silent."""
+        patient_until = self._clock() + LONGEST_DELIVERY_SECONDS
+        while True:
+            now = self._clock()
+            if self._dispatcher.open_requests + self._open_for_others():
+                patient_until = now + LONGEST_DELIVERY_SECONDS
+            elif not self._endpoint.has_undelivered_answers or now >= patient_until:
+                return
+            await asyncio.sleep(IDLE_POLL_SECONDS)
+
+    def cut_requests(self) -> None:
+        """End the requests in progress, at the very end of a stop."""
+        self._dispatcher.cancel_all()
+
+    def close_flows(self) -> None:
+        """Close every flow and tell its caller at once."""
+        self._endpoint.close_all()
+        self._port.flush()
+
+    def _open_for_others(self) -> int:
+        """Count the requests in progress that came from other agents."""
+        return self._runner.open_relayed + self._lender.open_slots
--- a/src/jasperwalk/agent/ports.py
+++ b/src/jasperwalk/agent/ports.py
@@ -9,7 +9,7 @@
 from jasperwalk.agent.datagram_port import DatagramPort, open_datagram_port
 from jasperwalk.agent.endpoint import AgentEndpoint
 from jasperwalk.agent.lending import Lender, serve_lending
-from jasperwalk.agent.relay import RelayHandler, serve_relay
+from jasperwalk.agent.relay_server import RelayHandler, serve_relay
 from jasperwalk.transport.framed import ConnectionKind, FramedConnection, Hello
 from jasperwalk.transport.server import FramedServer
 from jasperwalk.transport.tls import LinkTls
--- a/src/jasperwalk/agent/relay.py
+++ b/src/jasperwalk/agent/relay.py
@@ -7,15 +7,23 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import ssl
-from collections.abc import Awaitable, Callable
 
 import msgspec
 
 from jasperwalk.addresses import Endpoint
+from jasperwalk.agent.relay_messages import (
+    ANSWER_DECODER,
+    RelayData,
+    RelayEnd,
+    RelayHead,
+    RelayNotRun,
+    RelayRequest,
+    RelayUnknown,
+)
 from jasperwalk.agent.requests import (
     Answered,
+    AnswerProgress,
     CallerGone,
     NotRun,
     NotRunReason,
@@ -26,13 +34,12 @@
     UnknownReason,
 )
 from jasperwalk.errors import JasperwalkError
-from jasperwalk.messages.codec import Decoder, encode
+from jasperwalk.messages.codec import encode
 from jasperwalk.transport.client import connect
 from jasperwalk.transport.errors import (
     ConnectFailed,
     ConnectionLost,
     HelloTimeout,
-    TransportError,
 )
 from jasperwalk.transport.framed import ConnectionKind, FramedConnection, make_hello
 from jasperwalk.transport.tls import LinkTls
@@ -45,52 +52,6 @@
 """Time beyond the deadline for the target's own verdict on it to arrive."""
 
 
-class RelayRequest(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """First frame: the request, for an agent of this service only."""
-
-    service_id: int
-    request: Request
-
-
-class RelayHead(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """The answer's status and header fields."""
-
-    status: int
-    headers: list[tuple[str, str]]
-
-
-class RelayData(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """A piece of the answer's body."""
-
-    data: bytes
-
-
-class RelayEnd(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """The answer is whole."""
-
-
-class RelayNotRun(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """The target did not run the request."""
-
-    reason: NotRunReason
-    retry_after_ms: int
-
-
-class RelayUnknown(msgspec.Struct, frozen=True, array_like=True, tag=6):
-    """The request may have run at the target."""
-
-    reason: UnknownReason
-
-
-RelayAnswer = RelayHead | RelayData | RelayEnd | RelayNotRun | RelayUnknown
-
-REQUEST_DECODER: Decoder[RelayRequest] = Decoder(RelayRequest)
-ANSWER_DECODER: Decoder[RelayAnswer] = Decoder(RelayAnswer)
-
-RelayHandler = Callable[[RelayRequest, ResponseSink], Awaitable[Outcome]]
-"""Runs a relayed request here."""
-
-
 class RelayClient:
     """Opens connections to other agents, and sends requests over them."""
 
@@ -142,7 +103,7 @@
     connection: FramedConnection, first: msgspec.Struct, request: Request, sink: ResponseSink
 ) -> Outcome:
     """Send `first`, the frame that carries `request`, and pass the answer on to `sink`."""
-    progress = _Progress()
+    progress = AnswerProgress()
     seconds = request.deadline_ms / 1000 + ANSWER_MARGIN_SECONDS
     try:
         async with asyncio.timeout(seconds) as timeout:
@@ -161,7 +122,7 @@
     request: Request,
     sink: ResponseSink,
     timeout: asyncio.Timeout,
-    progress: _Progress,
+    progress: AnswerProgress,
 ) -> Outcome:
     status = 0
     while True:
@@ -182,73 +143,3 @@
                 return NotRun(reason, retry_after_ms)
             case RelayUnknown(reason=reason):
                 return Unknown(reason, head_sent=progress.head_sent)
-
-
-class _Progress:
-    """How far an answer got."""
-
-    def __init__(self) -> None:
-        self.head_sent = False
-
-
-class RelaySink:
-    """Passes an answer back over the connection; raises `CallerGone` when it is lost."""
-
-    def __init__(self, connection: FramedConnection) -> None:
-        self._connection = connection
-
-    async def head(self, status: int, headers: list[tuple[str, str]]) -> None:
-        """Send the head."""
-        await self._send(RelayHead(status, headers))
-
-    async def data(self, data: bytes) -> None:
-        """Send a piece of the body."""
-        await self._send(RelayData(data))
-
-    async def end(self) -> None:
-        """Send the end."""
-        await self._send(RelayEnd())
-
-    async def _send(self, answer: RelayAnswer) -> None:
-        try:
-            await self._connection.send(encode(answer))
-        except TransportError as error:
-            raise CallerGone from error
-
-
-async def serve_relay(connection: FramedConnection, handler: RelayHandler) -> None:
-    """Serve one relayed request; the handler is cancelled when the connection ends."""
-    relayed = REQUEST_DECODER.decode(await connection.receive())
-    await run_until_closed(connection, handler(relayed, RelaySink(connection)))
-
-
-async def run_until_closed(connection: FramedConnection, run: Awaitable[Outcome]) -> None:
-    """Run a request and send its outcome; cancel it when the connection ends first."""
-    running = asyncio.ensure_future(run)
-    ended = asyncio.ensure_future(until_closed(connection))
-    try:
-        await asyncio.wait((running, ended), return_when=asyncio.FIRST_COMPLETED)
-        if running.done():
-            await send_outcome(connection, running.result())
-    finally:
-        for task in (running, ended):
-            task.cancel()
-        with contextlib.suppress(asyncio.CancelledError, CallerGone):
-            await running
-
-
-async def until_closed(connection: FramedConnection) -> None:
-    """Wait until the other side closes the connection, or says something out of turn."""
-    with contextlib.suppress(TransportError):
-        await connection.receive()
-
-
-async def send_outcome(connection: FramedConnection, outcome: Outcome) -> None:
-    """Send what became of a request; an answer has been sent by its sink."""
-    match outcome:
-        case NotRun(reason=reason, retry_after_ms=retry_after_ms):
-            await connection.send(encode(RelayNotRun(reason, retry_after_ms)))
-        case Unknown(reason=reason):
-            await connection.send(encode(RelayUnknown(reason)))
-        case Answered():
-            pass
--- /dev/null
+++ b/src/jasperwalk/agent/relay_server.py
@@ -0,0 +1,95 @@
+"""Serving requests that other agents relay here, one framed TCP connection a request."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+
+from jasperwalk.agent.relay_messages import (
+    REQUEST_DECODER,
+    RelayAnswer,
+    RelayData,
+    RelayEnd,
+    RelayHead,
+    RelayNotRun,
+    RelayRequest,
+    RelayUnknown,
+)
+from jasperwalk.agent.requests import (
+    Answered,
+    CallerGone,
+    NotRun,
+    Outcome,
+    ResponseSink,
+    Unknown,
+)
+from jasperwalk.messages.codec import encode
+from jasperwalk.transport.errors import TransportError
+from jasperwalk.transport.framed import FramedConnection
+
+RelayHandler = Callable[[RelayRequest, ResponseSink], Awaitable[Outcome]]
+"""Runs a relayed request here."""
+
+
+class RelaySink:
+    """Passes an answer back over the connection; raises `CallerGone` when it is lost."""
+
+    def __init__(self, connection: FramedConnection) -> None:
+        self._connection = connection
+
+    async def head(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Send the head."""
+        await self._send(RelayHead(status, headers))
+
+    async def data(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        await self._send(RelayData(data))
+
+    async def end(self) -> None:
+        """Send the end."""
+        await self._send(RelayEnd())
+
+    async def _send(self, answer: RelayAnswer) -> None:
+        try:
+            await self._connection.send(encode(answer))
+        except TransportError as error:
+            raise CallerGone from error
+
+
+async def serve_relay(connection: FramedConnection, handler: RelayHandler) -> None:
+    """Serve one relayed request; the handler is cancelled when the connection ends."""
+    relayed = REQUEST_DECODER.decode(await connection.receive())
+    await run_until_closed(connection, handler(relayed, RelaySink(connection)))
+
+
+async def run_until_closed(connection: FramedConnection, run: Awaitable[Outcome]) -> None:
+    """Run a request and send its outcome; cancel it when the connection ends first."""
+    running = asyncio.ensure_future(run)
+    ended = asyncio.ensure_future(until_closed(connection))
+    try:
+        await asyncio.wait((running, ended), return_when=asyncio.FIRST_COMPLETED)
+        if running.done():
+            await send_outcome(connection, running.result())
+    finally:
+        for task in (running, ended):
+            task.cancel()
+        with contextlib.suppress(asyncio.CancelledError, CallerGone):
+            await running
+
+
+async def until_closed(connection: FramedConnection) -> None:
+    """Wait until the other side closes the connection, or says something out of turn."""
+    with contextlib.suppress(TransportError):
+        await connection.receive()
+
+
+async def send_outcome(connection: FramedConnection, outcome: Outcome) -> None:
+    """Send what became of a request; an answer has been sent by its sink."""
+    match outcome:
+        case NotRun(reason=reason, retry_after_ms=retry_after_ms):
+            await connection.send(encode(RelayNotRun(reason, retry_after_ms)))
+        case Unknown(reason=reason):
+            await connection.send(encode(RelayUnknown(reason)))
+        case Answered():
+            pass
--- a/src/jasperwalk/agent/requests.py
+++ b/src/jasperwalk/agent/requests.py
@@ -124,6 +124,13 @@
 Outcome = Answered | NotRun | Unknown
 
 
+@dataclass(slots=True)
+class AnswerProgress:
+    """How far an answer got on its way to its taker, for an outcome that is `Unknown`."""
+
+    head_sent: bool = False
+
+
 @dataclass(eq=False)
 class CallerGone(JasperwalkError):
     """The taker of a response has gone; the rest of the response has no use."""
--- a/src/jasperwalk/agent/runner.py
+++ b/src/jasperwalk/agent/runner.py
@@ -11,7 +11,8 @@
 from jasperwalk.agent.borrower import OwnSlot, SlotBorrower
 from jasperwalk.agent.gate import SlotGate
 from jasperwalk.agent.local_run import LocalRun
-from jasperwalk.agent.relay import RelayClient, RelayRequest
+from jasperwalk.agent.relay import RelayClient
+from jasperwalk.agent.relay_messages import RelayRequest
 from jasperwalk.agent.requests import (
     NotRun,
     NotRunReason,
@@ -91,7 +92,7 @@
         request = relayed.request
         view = self._view()
         deadline_at = self._clock() + request.deadline_ms / 1000
-        if view.service is None or view.service.service_id != relayed.service_id:
+        if not view.names_service(relayed.service_id):
             return NotRun(NotRunReason.NO_SERVICE)
         if request.path == TICKET_PATH and not view.draining:
             return await self._desk.issue(request, sink)
--- a/src/jasperwalk/agent/service_view.py
+++ b/src/jasperwalk/agent/service_view.py
@@ -48,25 +48,22 @@
         entries: Iterable[TableEntry],
     ) -> ServiceView:
         """Pick the agent's own service, its members and the keys from table entries."""
-        services: dict[int, ServiceEntry] = {}
-        members: dict[Endpoint, MemberEntry] = {}
-        keys: list[KeyEntry] = []
-        for entry in entries:
-            match entry:
-                case ServiceEntry():
-                    services[entry.service_id] = entry
-                case MemberEntry():
-                    members[entry.address] = entry
-                case KeyEntry():
-                    keys.append(entry)
+        all_entries = list(entries)
+        keys = tuple(entry for entry in all_entries if isinstance(entry, KeyEntry))
+        members = {entry.address: entry for entry in all_entries if isinstance(entry, MemberEntry)}
         own = members.get(address)
-        service = services.get(own.service_id) if own is not None else None
+        if own is None:
+            return cls(address, revision, incarnation, keys=keys)
+        services = {
+            entry.service_id: entry for entry in all_entries if isinstance(entry, ServiceEntry)
+        }
         same_service = {
             endpoint: member
             for endpoint, member in members.items()
-            if own is not None and member.service_id == own.service_id
+            if member.service_id == own.service_id
         }
-        return cls(address, revision, incarnation, service, own, same_service, tuple(keys))
+        service = services.get(own.service_id)
+        return cls(address, revision, incarnation, service, own, same_service, keys)
 
     def followed_by(self, newer: ServiceView) -> ServiceView:
         """Return the view after `newer` arrived.
@@ -75,7 +72,7 @@
         """
         if self.service is None or newer.names_service(self.service.service_id):
             return dataclasses.replace(newer, stopping=self.stopping)
-        # Dropping the former service would cut every open flow at once, though the change was
+        # Dropping the service at once would cut every open flow, though the change was
         # planned. Control sends a removed agent the keys alone.
         return dataclasses.replace(self, revision=newer.revision, keys=newer.keys, removed=True)
 
@@ -106,7 +103,7 @@
 
     def members_of(self, service_id: int) -> list[MemberEntry]:
         """Return the members of a service's pool, none for another service than the own."""
-        if self.service is None or self.service.service_id != service_id:
+        if not self.names_service(service_id):
             return []
         return list(self.members.values())
 
--- a/src/jasperwalk/agent/stray_packets.py
+++ b/src/jasperwalk/agent/stray_packets.py
@@ -66,12 +66,18 @@
             return [_pass_on(home, packet)]
         if home.incarnation > routable.incarnation:
             return self._reset(packet, view, now)
+        return self._reset_if_lost(home, packet, view, now)
+
+    def _reset_if_lost(
+        self, home: MemberEntry, packet: AdmittedDatagram, view: ServiceView, now: float
+    ) -> list[Outgoing]:
+        """Reset the flow of an agent that is lost; pass the packet on while it may live."""
         match self._lost_hosts.judge(home.address, packet, now):
             case Verdict.LOST:
                 return self._reset(packet, view, now)
             case Verdict.ASK:
                 return [_pass_on(home, packet), ProbeAgent(home.address)]
-            case _:
+            case Verdict.ASKED | Verdict.LIVES:
                 return [_pass_on(home, packet)]
 
     def probe_ended(
--- a/src/jasperwalk/consensus/core.py
+++ b/src/jasperwalk/consensus/core.py
@@ -164,6 +164,7 @@
 
     def tick(self, now: float) -> None:
         """Run timers that are due; cheap when none is."""
+        self._state.stall_grace.tick(self.next_deadline(), now)
         self._state.now = now
         self._founding.tick(now)
         leadership = self._leading()
--- a/src/jasperwalk/consensus/election.py
+++ b/src/jasperwalk/consensus/election.py
@@ -20,6 +20,9 @@
         state = self._state
         if state.role is Role.LEADER or now < state.election_deadline:
             return False
+        if state.leader_id is not None and state.stall_grace.lasts(now):
+            state.election_deadline = state.stall_grace.until
+            return False
         state.reset_election_timer(now)
         if not state.holds_vote():
             return False
--- a/src/jasperwalk/consensus/leadership.py
+++ b/src/jasperwalk/consensus/leadership.py
@@ -12,6 +12,11 @@
 from jasperwalk.consensus.state import ReplicaState, Role
 from jasperwalk.consensus.transfer import LeadershipTransfer
 
+QUORUM_CHECK_TIMEOUTS = 2
+"""Election time-outs without contact with a quorum after which a leader steps down. Followers
+that hear nothing campaign within as many; a leader that gave up before would depose itself for
+a delay in the others' event loops, which ends by itself. Quorum ages tell the truth meanwhile."""
+
 
 class Leadership:
     """What a replica does while it leads; a new object for each term that it wins."""
@@ -72,7 +77,7 @@
 
     def tick(self, now: float) -> None:
         """Send heartbeats when due; step down without contact with a quorum."""
-        if self._lacks_quorum(now):
+        if self._lacks_quorum(now) and not self._state.stall_grace.lasts(now):
             self._state.become_follower(self._state.term, None)
             return
         if now < self._heartbeat_deadline:
@@ -86,7 +91,8 @@
 
     def _lacks_quorum(self, now: float) -> bool:
         contact = max(self._leading_since, now - self.quorum_age(now))
-        return now - contact > self._state.config.election_timeout_seconds
+        limit = QUORUM_CHECK_TIMEOUTS * self._state.config.election_timeout_seconds
+        return now - contact > limit
 
     def quorum_age(self, now: float) -> float:
         """Return seconds since a quorum (this replica included) was last known to follow."""
--- a/src/jasperwalk/consensus/state.py
+++ b/src/jasperwalk/consensus/state.py
@@ -14,6 +14,7 @@
 from jasperwalk.consensus.members import MembershipHistory
 from jasperwalk.consensus.messages import RaftMessage
 from jasperwalk.consensus.outcomes import InvariantBroken, Outgoing
+from jasperwalk.consensus.stall_grace import StallGrace
 
 
 class Role(enum.StrEnum):
@@ -50,6 +51,7 @@
         self.commit_index = 0 if durable.snapshot is None else durable.snapshot.index
         self.delivered_index = self.commit_index
         self.outbox: list[Outgoing] = []
+        self.stall_grace = StallGrace(config.heartbeat_interval_seconds)
         self.election_deadline = math.inf
         self.reset_election_timer(now)
 
--- /dev/null
+++ b/src/jasperwalk/control/operation_types.py
@@ -0,0 +1,47 @@
+"""What describes an operation of the operators' interface: its parameters and its bodies."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+
+class Place(enum.StrEnum):
+    """Where a parameter travels."""
+
+    PATH = "path"
+    QUERY = "query"
+    HEADER = "header"
+
+
+@dataclass(frozen=True)
+class Parameter:
+    """One parameter; `schema_type` is a JSON schema type."""
+
+    name: str
+    place: Place
+    schema_type: str
+    description: str
+
+
+class BodyKind(enum.StrEnum):
+    """Media types of request and answer bodies."""
+
+    JSON = "application/json"
+    TOML = "application/toml"
+    TEXT = "text/plain"
+
+
+@dataclass(frozen=True)
+class Operation:
+    """One method of one path; `answer` and `body` are the types of the bodies."""
+
+    operation_id: str
+    method: str
+    path: str
+    summary: str
+    answer: type | None
+    parameters: tuple[Parameter, ...] = ()
+    problems: tuple[str, ...] = ()
+    body: type | None = None
+    body_kind: BodyKind = BodyKind.JSON
--- a/src/jasperwalk/control/publishing.py
+++ b/src/jasperwalk/control/publishing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import time
 from collections.abc import Callable, Collection, Coroutine
@@ -60,6 +61,7 @@
         self._registering: set[tuple[Endpoint, str]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._revision = table.revision
+        self._wake = asyncio.Event()
         self.malformed_messages = 0
 
     @property
@@ -80,9 +82,10 @@
         subscriber_id = next(self._subscriber_ids)
         self._connections[subscriber_id] = connection
         try:
-            # The core judges the newcomer by the quorum age of its last tick.
-            self._tick()
-            self._perform(self._core.subscriber_opened(subscriber_id, subscribe, time.monotonic()))
+            now = time.monotonic()
+            self._core.note_quorum_age(now, self._quorum_age())
+            self._perform(self._core.subscriber_opened(subscriber_id, subscribe, now))
+            self._wake.set()
             while True:
                 payload = await connection.receive()
                 message = FROM_SUBSCRIBER_DECODER.decode(payload)
@@ -95,11 +98,20 @@
             self._core.subscriber_closed(subscriber_id)
 
     async def run(self) -> None:
-        """Send heartbeats and waiting updates until cancelled."""
+        """Send heartbeats and waiting updates until cancelled, a slice in a turn of the loop.
+
+        Between two slices everything else that is ready runs, consensus above all.
+        """
         while True:
+            self._wake.clear()
             self._tick()
             wait_seconds = self._core.next_deadline() - time.monotonic()
-            await asyncio.sleep(min(max(wait_seconds, 0.0), LONGEST_WAIT_SECONDS))
+            if wait_seconds <= 0.0:
+                await asyncio.sleep(0)
+                continue
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(min(wait_seconds, LONGEST_WAIT_SECONDS)):
+                    await self._wake.wait()
 
     def _tick(self) -> None:
         self._perform(self._core.tick(time.monotonic(), self._quorum_age()))
@@ -109,11 +121,13 @@
         if table.revision != self._revision:
             self._revision = table.revision
             self._perform(self._core.table_advanced(time.monotonic()))
+            self._wake.set()
 
     def table_replaced(self, table: VersionedTable) -> None:
         """Go on with the table of a restored state machine."""
         self._revision = table.revision
         self._perform(self._core.table_replaced(table, time.monotonic()))
+        self._wake.set()
 
     def replicas_changed(self, index: int, endpoints: list[Endpoint]) -> None:
         """Tell subscribers of the voting replicas as committed at log index `index`."""
--- a/src/jasperwalk/distribution/follower.py
+++ b/src/jasperwalk/distribution/follower.py
@@ -85,6 +85,9 @@
         self._phase_since = 0.0
         self._assembly = SnapshotAssembly()
         self._contact = ReplicaContact(config.replica_stale_seconds)
+        self._random = random_source
+        self._leave_spread_seconds = config.leave_spread_seconds
+        self._connect_timeout_seconds = config.connect_timeout_seconds
         self._next_acknowledge = math.inf
 
     @property
@@ -108,7 +111,7 @@
             case FollowerPhase.WAITING:
                 return self._choice.next_available_at()
             case FollowerPhase.CONNECTING:
-                return self._phase_since + self._config.connect_timeout_seconds
+                return self._phase_since + self._connect_timeout_seconds
             case FollowerPhase.FOLLOWING:
                 return min(self._next_acknowledge, self._contact.leave_at())
             case FollowerPhase.REPLACED:
@@ -120,7 +123,7 @@
             case FollowerPhase.WAITING:
                 return self._try_connecting(now)
             case FollowerPhase.CONNECTING:
-                if now >= self._phase_since + self._config.connect_timeout_seconds:
+                if now >= self._phase_since + self._connect_timeout_seconds:
                     return self._leave(LeaveReason.CONNECT_TIMEOUT, now)
             case FollowerPhase.FOLLOWING:
                 return self._tick_following(now)
@@ -133,7 +136,8 @@
         if self._phase is not FollowerPhase.CONNECTING or replica != self.replica:
             return []
         self._enter(FollowerPhase.FOLLOWING, now)
-        self._contact.connected(now)
+        patience_seconds = self._random.random() * self._leave_spread_seconds
+        self._contact.connected(now, patience_seconds)
         self._next_acknowledge = now + self._config.acknowledge_interval_seconds
         subscribe = Subscribe(
             name=self.facts.name,
@@ -181,6 +185,8 @@
         if replica is None:
             return []
         self.replica = replica
+        factor = self._choice.patience_factor()
+        self._connect_timeout_seconds = factor * self._config.connect_timeout_seconds
         self._enter(FollowerPhase.CONNECTING, now)
         return [Connect(endpoint=replica)]
 
@@ -201,8 +207,15 @@
             return self._leave(reason, now)
         if self.replica is not None and not self._contact.is_behind:
             self._choice.served(self.replica)
+            self._settle(now)
         return []
 
+    def _settle(self, now: float) -> None:
+        """End the doubling of pauses once a fresh replica has served for a while."""
+        if now - self._phase_since >= self._config.settled_seconds and self.fresh(now):
+            self._choice.settled()
+            self._leave_spread_seconds = self._config.leave_spread_seconds
+
     def _delta(self, delta: Delta, now: float) -> list[FollowerEffect]:
         # Both checks keep the revision from going back. A base below ours is sound, for the
         # delta holds the state at `revision` of everything that changed since that base.
@@ -251,14 +264,20 @@
         self, reason: LeaveReason, now: float, wait_seconds: float = 0.0
     ) -> list[FollowerEffect]:
         self.last_leave_reason = reason
-        self._back_off(now, wait_seconds)
+        spread_seconds = 0.0
+        if reason is LeaveReason.SILENT:
+            spread_seconds = self._leave_spread_seconds
+        if reason in (LeaveReason.SILENT, LeaveReason.STALE_QUORUM):
+            doubled = 2 * self._leave_spread_seconds
+            self._leave_spread_seconds = min(doubled, self._config.backoff_cap_seconds)
+        self._back_off(now, wait_seconds, spread_seconds)
         return [Disconnect(reason=reason)]
 
-    def _back_off(self, now: float, wait_seconds: float = 0.0) -> None:
+    def _back_off(self, now: float, wait_seconds: float = 0.0, spread_seconds: float = 0.0) -> None:
         # Parts of a snapshot are worth nothing on another connection.
         self._assembly.drop()
         if self.replica is not None:
-            self._choice.failed(self.replica, now, wait_seconds)
+            self._choice.failed(self.replica, now, wait_seconds, spread_seconds)
         self.replica = None
         self._enter(FollowerPhase.WAITING, now)
 
--- a/src/jasperwalk/distribution/follower_events.py
+++ b/src/jasperwalk/distribution/follower_events.py
@@ -19,6 +19,12 @@
     `replica_stale_seconds` bounds a replica's silence, its quorum age, and the time that it
     may stay behind this follower's revision. The back-off doubles from `backoff_base_seconds`
     up to `backoff_cap_seconds`, and each wait is drawn between half of it and the whole.
+
+    A replica that lost its quorum is kept for a random part of `leave_spread_seconds` more,
+    for a leader is mostly elected meanwhile; the part doubles up to `backoff_cap_seconds` with
+    each time that this follower found no fresh replica. One that fell silent is left at once,
+    and the next is asked at a random moment of as long a spread. A replica that served well
+    for `settled_seconds` ends the doubling.
     """
 
     replica_stale_seconds: float = 2.0
@@ -26,6 +32,8 @@
     connect_timeout_seconds: float = 2.0
     backoff_base_seconds: float = 0.1
     backoff_cap_seconds: float = 5.0
+    leave_spread_seconds: float = 1.0
+    settled_seconds: float = 5.0
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/src/jasperwalk/distribution/join_admission.py
@@ -0,0 +1,57 @@
+"""How many subscribers may begin with a snapshot at once, and when refused ones come back.
+
+Snapshots take a replica's processor for much longer than anything else that a subscriber asks
+for. A fleet that arrives at once is told to come in turn, else it would keep consensus from the
+event loop, the quorum would be lost, and the fleet would leave and arrive again.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from jasperwalk.distribution.publisher_events import PublisherConfig
+
+MILLISECONDS_PER_SECOND = 1000
+
+
+class JoinAdmission:
+    """Joins in progress by subscriber ID, and the turns of those that were refused.
+
+    A join ends with the first acknowledgement, with the connection, or after
+    `join_seconds`. Times are in seconds of one monotonic clock.
+    """
+
+    def __init__(self, config: PublisherConfig) -> None:
+        self._config = config
+        self._began_at: OrderedDict[int, float] = OrderedDict()
+        self._next_turn = 0.0
+
+    def has_room(self, now: float) -> bool:
+        """Tell whether one more may join now."""
+        self._drop_overdue(now)
+        return len(self._began_at) < self._config.join_limit
+
+    def begin(self, subscriber_id: int, now: float) -> None:
+        """Note that a subscriber joins."""
+        self._began_at[subscriber_id] = now
+
+    def end(self, subscriber_id: int) -> None:
+        """Note that a subscriber has joined, or is gone."""
+        self._began_at.pop(subscriber_id, None)
+
+    def retry_after_ms(self, now: float) -> int:
+        """Return when one that is refused may come back: a turn of its own, in milliseconds."""
+        config = self._config
+        least = now + config.retry_after_ms / MILLISECONDS_PER_SECOND
+        latest = now + config.longest_retry_after_ms / MILLISECONDS_PER_SECOND
+        turn = max(self._next_turn, least)
+        if turn > latest:
+            # Turns beyond the horizon begin anew: late ones share the moments of early ones.
+            turn = least
+        self._next_turn = turn + 1 / config.retries_per_second
+        return round((turn - now) * MILLISECONDS_PER_SECOND)
+
+    def _drop_overdue(self, now: float) -> None:
+        limit = now - self._config.join_seconds
+        while self._began_at and next(iter(self._began_at.values())) <= limit:
+            self._began_at.popitem(last=False)
--- a/src/jasperwalk/distribution/link_feeder.py
+++ b/src/jasperwalk/distribution/link_feeder.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from jasperwalk.distribution.subscriber_link import SubscriberLink
-from jasperwalk.distribution.update_encoder import UpdateEncoder
+from jasperwalk.distribution.update_encoder import WHOLE_TABLE, UpdateEncoder
+from jasperwalk.messages.distribution import Subscribe, SubscriberRole
 
 
 class LinkFeeder:
@@ -24,6 +25,17 @@
         if not known or history.moved_after(address, link.sent_revision):
             self._start_snapshot(link, now)
 
+    def needs_snapshot(self, subscribe: Subscribe) -> bool:
+        """Tell whether a subscriber has no table that a delta would bring up to date."""
+        revision = subscribe.revision
+        if revision == 0:
+            return True
+        if revision >= self._encoder.table.revision:
+            return False
+        if subscribe.role is SubscriberRole.BALANCER:
+            return self._encoder.delta(WHOLE_TABLE, revision) is None
+        return not self._encoder.history.covers(revision)
+
     def follow_scope(self, link: SubscriberLink, now: float) -> None:
         """Begin anew for an agent whose address is now of another service."""
         if link.is_balancer or link.sent_revision > self._encoder.table.revision:
--- a/src/jasperwalk/distribution/publisher.py
+++ b/src/jasperwalk/distribution/publisher.py
@@ -13,7 +13,9 @@
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.config.routing_table import VersionedTable
+from jasperwalk.distribution.flush_queue import FlushQueue
 from jasperwalk.distribution.follower_events import REPLACED_KIND
+from jasperwalk.distribution.join_admission import JoinAdmission
 from jasperwalk.distribution.link_feeder import LinkFeeder
 from jasperwalk.distribution.publisher_events import (
     CloseReason,
@@ -56,6 +58,8 @@
         self._feeder = LinkFeeder(self._encoder)
         self._registrations = Registrations()
         self._subscribers = SubscriberDirectory()
+        self._admission = JoinAdmission(config)
+        self._flushes = FlushQueue()
         self._heartbeats: list[tuple[float, int]] = []
         self._wakes: list[tuple[float, int]] = []
         self._quorum_contact_at = -math.inf
@@ -67,7 +71,9 @@
         return len(self._subscribers)
 
     def next_deadline(self) -> float:
-        """Return the time at which `tick` next has something to do."""
+        """Return the time at which `tick` next has something to do; -inf for at once."""
+        if self._flushes:
+            return -math.inf
         heartbeat = self._heartbeats[0][0] if self._heartbeats else math.inf
         wake = self._wakes[0][0] if self._wakes else math.inf
         return min(heartbeat, wake)
@@ -82,10 +88,12 @@
         """Take in a subscriber, or refuse it."""
         refusal = self._refusal(subscribe, now)
         if refusal is not None:
-            return self._refuse(subscriber_id, refusal)
+            return self._refuse(subscriber_id, refusal, self._retry_after_ms(refusal, now))
         link = SubscriberLink(subscriber_id, subscribe, self._config, now)
         effects = self._close_former_connection(link)
         self._subscribers.add(link)
+        if self._feeder.needs_snapshot(subscribe):
+            self._admission.begin(subscriber_id, now)
         self._feeder.arrived(link, now)
         effects.extend(self._heartbeat(link, now))
         if link in self._subscribers:
@@ -102,6 +110,7 @@
             return []
         match message:
             case Acknowledge():
+                self._admission.end(subscriber_id)
                 link.acknowledge(message, now)
                 return self._flush(link, now)
             case Subscribe():
@@ -111,17 +120,19 @@
         """Forget a subscriber whose connection ended."""
         link = self._subscribers.find(subscriber_id)
         if link is not None:
-            self._subscribers.remove(link)
+            self._forget(link)
 
     def table_advanced(self, now: float) -> list[PublisherEffect]:
-        """Publish what changed in the table."""
+        """Publish what changed in the table, to the first slice now and at `tick` to others."""
         self._encoder.advance()
-        return self._flush_all(now)
+        self._flushes.add(self._subscribers.all())
+        return self._flush_slice(now)
 
     def table_replaced(self, source: VersionedTable, now: float) -> list[PublisherEffect]:
         """Go on with another table object, such as one restored from a snapshot."""
         self._encoder.replace_table(source)
-        return self._flush_all(now)
+        self._flushes.add(self._subscribers.all())
+        return self._flush_slice(now)
 
     def replicas_changed(self, index: int, endpoints: list[Endpoint]) -> list[PublisherEffect]:
         """Tell all subscribers of the voting replicas as committed at log index `index`."""
@@ -133,20 +144,41 @@
             effects.extend(self._tell_replicas(link))
         return effects
 
-    def tick(self, now: float, quorum_age: float) -> list[PublisherEffect]:
-        """Send what is due: heartbeats, and updates that waited for their link's budget."""
+    def note_quorum_age(self, now: float, quorum_age: float) -> None:
+        """Take in the seconds since contact with a quorum, by which newcomers are judged."""
         self._quorum_contact_at = now - quorum_age
+
+    def tick(self, now: float, quorum_age: float) -> list[PublisherEffect]:
+        """Send what is due: heartbeats, and updates that waited for their turn or budget.
+
+        One call sends a slice of it; `next_deadline` tells that more is due at once.
+        """
+        self.note_quorum_age(now, quorum_age)
         self._encoder.drop_old_snapshots(now)
+        effects = self._heartbeats_due(now)
+        effects.extend(self._wakes_due(now))
+        effects.extend(self._flush_slice(now))
+        return effects
+
+    def _heartbeats_due(self, now: float) -> list[PublisherEffect]:
         effects: list[PublisherEffect] = []
-        while self._heartbeats and self._heartbeats[0][0] <= now:
+        left = self._config.slice_subscribers
+        while left and self._heartbeats and self._heartbeats[0][0] <= now:
             due, subscriber_id = heapq.heappop(self._heartbeats)
             link = self._subscribers.find(subscriber_id)
             if link is not None and link.next_heartbeat == due:
+                left -= 1
                 effects.extend(self._heartbeat_due(link, now))
-        while self._wakes and self._wakes[0][0] <= now:
+        return effects
+
+    def _wakes_due(self, now: float) -> list[PublisherEffect]:
+        effects: list[PublisherEffect] = []
+        left = self._config.slice_subscribers
+        while left and self._wakes and self._wakes[0][0] <= now:
             due, subscriber_id = heapq.heappop(self._wakes)
             link = self._subscribers.find(subscriber_id)
             if link is not None and link.wake_at == due:
+                left -= 1
                 link.wake_at = math.inf
                 effects.extend(self._flush(link, now))
         return effects
@@ -163,8 +195,11 @@
         for link in self._subscribers.agents_at(address):
             if link.subscribe.boot_id == boot_id:
                 effects.extend(self._heartbeat(link, now))
-            else:
+            elif 0 < max(link.subscribe.incarnation, link.incarnation) <= incarnation:
                 effects.extend(self._close_replaced(link))
+            else:
+                # This replica may only now hear of a former process: its log tells of it first.
+                effects.extend(self._check_registration(link, now))
         return effects
 
     def agent_refused(self, address: Endpoint, boot_id: str) -> list[PublisherEffect]:
@@ -188,22 +223,38 @@
             verdict = self._registrations.judge(subscribe, self._encoder.table.revision)
             if verdict is RegistrationVerdict.REPLACED:
                 return CloseReason.REPLACED
+        if self._feeder.needs_snapshot(subscribe) and not self._admission.has_room(now):
+            return CloseReason.TOO_MANY_SNAPSHOTS
         return None
 
-    def _refuse(self, subscriber_id: int, reason: CloseReason) -> list[PublisherEffect]:
+    def _refuse(
+        self, subscriber_id: int, reason: CloseReason, retry_after_ms: int
+    ) -> list[PublisherEffect]:
         kind = REPLACED_KIND if reason is CloseReason.REPLACED else reason.value
-        reject = Reject(kind=kind, detail=reason, retry_after_ms=self._config.retry_after_ms)
+        reject = Reject(kind=kind, detail=reason, retry_after_ms=retry_after_ms)
         return [
             SendTo(subscriber_id=subscriber_id, payload=codec.encode(reject)),
             CloseSubscriber(subscriber_id=subscriber_id, reason=reason),
         ]
 
+    def _retry_after_ms(self, reason: CloseReason, now: float) -> int:
+        # A replaced process does not come back and takes no turn from others.
+        if reason is CloseReason.REPLACED:
+            return self._config.retry_after_ms
+        return self._admission.retry_after_ms(now)
+
     def _close_replaced(self, link: SubscriberLink) -> list[PublisherEffect]:
+        self._forget(link)
+        reason = CloseReason.REPLACED
+        return self._refuse(link.subscriber_id, reason, self._config.retry_after_ms)
+
+    def _forget(self, link: SubscriberLink) -> None:
         self._subscribers.remove(link)
-        return self._refuse(link.subscriber_id, CloseReason.REPLACED)
+        self._admission.end(link.subscriber_id)
+        self._flushes.discard(link)
 
     def _close(self, link: SubscriberLink, reason: CloseReason) -> list[PublisherEffect]:
-        self._subscribers.remove(link)
+        self._forget(link)
         return [CloseSubscriber(subscriber_id=link.subscriber_id, reason=reason)]
 
     def _close_former_connection(self, link: SubscriberLink) -> list[PublisherEffect]:
@@ -272,9 +323,9 @@
             )
         ]
 
-    def _flush_all(self, now: float) -> list[PublisherEffect]:
+    def _flush_slice(self, now: float) -> list[PublisherEffect]:
         effects: list[PublisherEffect] = []
-        for link in self._subscribers.all():
+        for link in self._flushes.take(self._config.slice_subscribers):
             effects.extend(self._flush(link, now))
         return effects
 
--- a/src/jasperwalk/distribution/publisher_events.py
+++ b/src/jasperwalk/distribution/publisher_events.py
@@ -16,6 +16,12 @@
     A replica whose quorum age is over `stale_seconds` refuses new subscribers.
     `outstanding_limit` bounds the updates that a subscriber has not acknowledged yet; beyond
     it, changes wait at the source and go out as one delta.
+
+    `join_limit` subscribers may begin with a snapshot at once, each for `join_seconds` at most;
+    those with a table that a delta brings up to date aren't counted. Others are refused at
+    once, to come back in turn: after `retry_after_ms`, at `retries_per_second`, and after
+    `longest_retry_after_ms` at the latest.
+    `slice_subscribers` are sent heartbeats or changes in one turn of the host's loop.
     """
 
     heartbeat_seconds: float = 0.5
@@ -30,6 +36,11 @@
     snapshot_reuse_seconds: float = 10.0
     subscriber_limit: int = 16_384
     retry_after_ms: int = 1_000
+    longest_retry_after_ms: int = 4_000
+    retries_per_second: float = 500.0
+    join_limit: int = 128
+    join_seconds: float = 2.0
+    slice_subscribers: int = 256
 
 
 class CloseReason(enum.StrEnum):
@@ -39,6 +50,7 @@
     REPLACED = "replaced"
     STALE_REPLICA = "stale-replica"
     TOO_MANY_SUBSCRIBERS = "too-many-subscribers"
+    TOO_MANY_SNAPSHOTS = "too-many-snapshots"
     RECONNECTED = "reconnected"
     SUBSCRIBED_TWICE = "subscribed-twice"
 
--- a/src/jasperwalk/distribution/registrations.py
+++ b/src/jasperwalk/distribution/registrations.py
@@ -48,8 +48,9 @@
         """Judge a subscribing agent.
 
         An agent that once had an incarnation and finds another process at its address was
-        replaced while it stood still. On a replica behind the agent's own revision nothing
-        can be said yet: proposing it there could give an old process the address back.
+        replaced while it stood still. On a replica behind the agent's own revision, or behind
+        its registration, nothing can be said yet: proposing it there could give an old process
+        the address back, and refusing it would end the newest one.
         """
         registration = self._by_address.get(subscribe.address)
         if registration is not None and registration.boot_id == subscribe.boot_id:
@@ -60,4 +61,6 @@
             return RegistrationVerdict.UNKNOWN
         if registration is None:
             return RegistrationVerdict.NEW
+        if subscribe.incarnation > registration.incarnation:
+            return RegistrationVerdict.UNKNOWN
         return RegistrationVerdict.REPLACED
--- a/src/jasperwalk/distribution/replica_choice.py
+++ b/src/jasperwalk/distribution/replica_choice.py
@@ -11,6 +11,9 @@
 HIGHEST_BACKOFF_EXPONENT = 16
 """Bound of the doubling, so that the power stays small however long an outage lasts."""
 
+HIGHEST_PATIENCE_FACTOR = 4
+"""Bound of the waiting for an answer, as a multiple of the usual time-out."""
+
 FAILURES_BEFORE_SETTINGS = 3
 """Failures in a row of every learned replica before those of the settings are tried again."""
 
@@ -28,7 +31,10 @@
     """Replicas in a shuffled order, each with its own jittered exponential back-off.
 
     The shuffle spreads followers over replicas; the jitter (half to the whole of the back-off)
-    keeps followers that lost a replica together from coming back together. Once a replica has
+    keeps followers that lost a replica together from coming back together. Between attempts at
+    different replicas lies a jittered pause, which doubles with every failure since a replica
+    last served for a while: else a fleet that finds no replica would ask all of them, again
+    and again, and keep them from electing a leader. Once a replica has
     told of the present replicas, those of the settings are tried only when the present ones
     fail again and again.
     """
@@ -44,6 +50,7 @@
         self._base = backoff_base_seconds
         self._cap = backoff_cap_seconds
         self._not_before = 0.0
+        self._failures_in_a_row = 0
         self._configured = list(dict.fromkeys(replicas))
         self._learned: list[Endpoint] = []
         self._learned_at_index = -1
@@ -77,10 +84,22 @@
             return None
         return min(self._eligible(), key=lambda each: each.available_at).endpoint
 
-    def failed(self, endpoint: Endpoint, now: float, at_least_seconds: float = 0.0) -> None:
-        """Back off from a replica, for `at_least_seconds` or more."""
-        # The other replicas may be tried soon, but not by all followers at the same moment.
-        self._not_before = now + self._random.random() * self._base
+    def failed(
+        self,
+        endpoint: Endpoint,
+        now: float,
+        at_least_seconds: float = 0.0,
+        spread_seconds: float = 0.0,
+    ) -> None:
+        """Back off from a replica, for `at_least_seconds` or more.
+
+        The next attempt at any replica comes at a random moment of the pause, which is
+        `spread_seconds` or longer.
+        """
+        exponent = min(self._failures_in_a_row, HIGHEST_BACKOFF_EXPONENT)
+        self._failures_in_a_row += 1
+        pause = min(self._cap, max(spread_seconds, self._base * 2**exponent))
+        self._not_before = now + self._random.random() * pause
         record = self._records.get(endpoint)
         if record is None:
             return
@@ -96,6 +115,20 @@
         if record is not None:
             record.failures = 0
 
+    def patience_factor(self) -> int:
+        """Return how much longer than usual a replica may take to answer an attempt.
+
+        It doubles up to `HIGHEST_PATIENCE_FACTOR` once as many attempts failed in a row as
+        there are replicas: an attempt that is given up while it waits in line has cost its
+        replica as much as one that succeeds.
+        """
+        doublings = max(0, self._failures_in_a_row - len(self._eligible()) + 1)
+        return int(min(2 ** min(doublings, HIGHEST_BACKOFF_EXPONENT), HIGHEST_PATIENCE_FACTOR))
+
+    def settled(self) -> None:
+        """Note that a replica has served well for a while: pauses are short again."""
+        self._failures_in_a_row = 0
+
     def _eligible(self) -> list[ReplicaRecord]:
         learned = [self._records[each] for each in self._learned]
         if learned and any(each.failures < FAILURES_BEFORE_SETTINGS for each in learned):
--- a/src/jasperwalk/distribution/replica_contact.py
+++ b/src/jasperwalk/distribution/replica_contact.py
@@ -14,10 +14,13 @@
     """What the replica's messages said; times are seconds of one monotonic clock.
 
     `stale_seconds` bounds a replica's silence, its quorum age, and how long it may stay behind.
+    `patience_seconds` is how much longer a replica is kept that had its quorum and lost it.
     """
 
     def __init__(self, stale_seconds: float) -> None:
         self._stale_seconds = stale_seconds
+        self._patience_seconds = 0.0
+        self._was_fresh = False
         self._last_heard = 0.0
         self._behind_since: float | None = None
         self._quorum_contact_at: float | None = None
@@ -29,8 +32,10 @@
         """Whether the replica's table is older than the follower's."""
         return self._behind_since is not None
 
-    def connected(self, now: float) -> None:
+    def connected(self, now: float, patience_seconds: float) -> None:
         """Begin with another replica; what was known to be fresh stays so."""
+        self._patience_seconds = patience_seconds
+        self._was_fresh = False
         self._last_heard = now
         self._quorum_contact_at = None
         self._behind_since = None
@@ -49,6 +54,8 @@
             # The time under way differs from heartbeat to heartbeat; contact does not go back.
             quorum_contact_at = max(quorum_contact_at, self._quorum_contact_at)
         self._quorum_contact_at = quorum_contact_at
+        if now - quorum_contact_at < self._stale_seconds:
+            self._was_fresh = True
         self._replica_revision = heartbeat.revision
         if heartbeat.revision >= own_revision:
             self._behind_since = None
@@ -72,7 +79,7 @@
         if now - self._last_heard >= limit:
             return LeaveReason.SILENT
         contact_at = self._quorum_contact_at
-        if contact_at is not None and now - contact_at >= limit:
+        if contact_at is not None and now - contact_at >= limit + self._patience():
             return LeaveReason.STALE_QUORUM
         if self._behind_since is not None and now - self._behind_since >= limit:
             return LeaveReason.BEHIND
@@ -82,7 +89,10 @@
         """Return when there will be a reason to leave, if nothing is heard until then."""
         oldest = self._last_heard
         if self._quorum_contact_at is not None:
-            oldest = min(oldest, self._quorum_contact_at)
+            oldest = min(oldest, self._quorum_contact_at + self._patience())
         if self._behind_since is not None:
             oldest = min(oldest, self._behind_since)
         return oldest + self._stale_seconds
+
+    def _patience(self) -> float:
+        return self._patience_seconds if self._was_fresh else 0.0
--- a/src/jasperwalk/distribution/runner.py
+++ b/src/jasperwalk/distribution/runner.py
@@ -38,6 +38,9 @@
 LONGEST_WAIT_SECONDS = 1.0
 """Longest sleep between two ticks."""
 
+LONGEST_HELLO_SECONDS = 10.0
+"""Bound of the wait for a replica's Hello; the core gives an attempt up before."""
+
 
 logger = structlog.get_logger(__name__)
 
@@ -223,7 +226,12 @@
     async def _converse(self, replica: Endpoint, attempt: int) -> None:
         """Connect, then feed what arrives to the event queue until the connection ends."""
         try:
-            connection = await connect(replica, self._hello, tls=self._tls)
+            connection = await connect(
+                replica,
+                self._hello,
+                tls=self._tls,
+                hello_timeout_seconds=LONGEST_HELLO_SECONDS,
+            )
         except JasperwalkError as error:
             await self._events.put(_Ended(attempt=attempt, error=error))
             return
--- a/src/jasperwalk/settings/loading.py
+++ b/src/jasperwalk/settings/loading.py
@@ -46,28 +46,26 @@
 
 
 def _read_document(path: Path) -> dict[str, object]:
-    try:
-        text = path.read_text(encoding="utf-8")
-    except OSError as error:
-        raise SettingsError(
-            source=str(path),
-            key=WHOLE_FILE,
-            problem=f"cannot be read ({error.strerror})",
-            mend="name an existing, readable TOML file with --settings",
-        ) from error
-    except UnicodeDecodeError as error:
-        raise SettingsError(
-            source=str(path),
-            key=WHOLE_FILE,
-            problem="is not UTF-8 text",
-            mend="save the file as UTF-8",
-        ) from error
+    text = _read_text(path)
     try:
         return tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
-        raise SettingsError(
-            source=str(path),
-            key=WHOLE_FILE,
-            problem=f"is not TOML ({error})",
-            mend="write it as `key = value` lines; texts stand in quotes",
-        ) from error
+        problem = f"is not TOML ({error})"
+        mend = "write it as `key = value` lines; texts stand in quotes"
+        raise _whole_file_error(path, problem, mend) from error
+
+
+def _read_text(path: Path) -> str:
+    try:
+        return path.read_text(encoding="utf-8")
+    except OSError as error:
+        problem = f"cannot be read ({error.strerror})"
+        mend = "name an existing, readable TOML file with --settings"
+        raise _whole_file_error(path, problem, mend) from error
+    except UnicodeDecodeError as error:
+        mend = "save the file as UTF-8"
+        raise _whole_file_error(path, "is not UTF-8 text", mend) from error
+
+
+def _whole_file_error(path: Path, problem: str, mend: str) -> SettingsError:
+    return SettingsError(source=str(path), key=WHOLE_FILE, problem=problem, mend=mend)
--- a/src/jasperwalk/settings/models.py
+++ b/src/jasperwalk/settings/models.py
@@ -77,7 +77,6 @@
     heartbeat_ms: Milliseconds = Field(
         default=DEFAULT_HEARTBEAT_MS, description="interval between heartbeats, in ms"
     )
-
     tls: TlsSettings | None = Field(
         default=None, description="table of files for mutual TLS on internal links; none: plain TCP"
     )
--- a/src/jasperwalk/transport/client.py
+++ b/src/jasperwalk/transport/client.py
@@ -26,6 +26,7 @@
     hello: Hello,
     connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
     tls: LinkTls | None = None,
+    hello_timeout_seconds: float = HELLO_TIMEOUT_SECONDS,
 ) -> FramedConnection:
     """Open a connection and exchange Hellos, over TLS where `tls` is given.
 
@@ -47,7 +48,7 @@
     try:
         if tls is not None:
             connection.identity = identity_of(writer.get_extra_info("peercert"))
-        peer = await connection.exchange_hello(hello, HELLO_TIMEOUT_SECONDS)
+        peer = await connection.exchange_hello(hello, hello_timeout_seconds)
         if connection.identity is not None:
             check_server(connection.identity, peer, hello.kind)
     except ConnectionLost as error:
--- a/src/jasperwalk/transport/server.py
+++ b/src/jasperwalk/transport/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
@@ -26,6 +27,9 @@
 LISTEN_BACKLOG = 4_096
 """Connections that may wait to be taken: asyncio's 100 would have most of a region, returning
 at once, dial again and again. The kernel's own limit is the same on current Linux."""
+ACCEPTED_PER_TURN = 32
+"""Connections that one turn of the event loop takes. A fleet that returns at once would hold
+up everything else on the loop for seconds; the others wait in the kernel's queue."""
 MAXIMUM_CONNECTIONS = 16_384
 """Connections that a server carries at once; further ones are dropped."""
 
@@ -57,15 +61,17 @@
     async def start(self) -> None:
         """Bind and listen; `endpoint` then holds the port in use. Raises `OSError`."""
         tls = self._tls
+        listener = _bind(self._requested)
         self._server = await asyncio.start_server(
             self._accept,
-            self._requested.host,
-            self._requested.port,
-            backlog=LISTEN_BACKLOG,
+            sock=listener,
+            backlog=ACCEPTED_PER_TURN,
             ssl=None if tls is None else tls.server_context(),
             ssl_handshake_timeout=None if tls is None else self._hello_timeout_seconds,
         )
-        host, port = self._server.sockets[0].getsockname()[:2]
+        # For asyncio the backlog is also what it takes in one turn: the queue is set apart.
+        listener.listen(LISTEN_BACKLOG)
+        host, port = listener.getsockname()[:2]
         self.endpoint = Endpoint(host=host, port=port)
 
     async def close(self) -> None:
@@ -122,3 +128,19 @@
             logger.debug("connection-ended", kind=error.kind, detail=error.describe())
         else:
             logger.info("connection-refused", kind=error.kind, detail=error.describe())
+
+
+def _bind(endpoint: Endpoint) -> socket.socket:
+    """Return a bound socket that does not listen yet; raises `OSError`."""
+    family = socket.AF_INET6 if ":" in endpoint.host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listener.setblocking(False)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if family == socket.AF_INET6:
+            listener.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
+        listener.bind((endpoint.host, endpoint.port))
+    except OSError:
+        listener.close()
+        raise
+    return listener
--- a/src/jasperwalk_lab/simulator/faults.py
+++ b/src/jasperwalk_lab/simulator/faults.py
@@ -257,6 +257,7 @@
             await asyncio.sleep(MOVE_POLL_SECONDS)
         if not _serves(host, action.service):
             world.violated(f"move-stuck: {action.host} to {action.service}")
+        world.moving.discard(action.host)
         world.record.trace(world.now, f"serving {action.host} {action.service}")
         world.record.planned_ends[action.host].append(Interval(world.now, world.now))
 
--- a/src/jasperwalk_lab/simulator/operators.py
+++ b/src/jasperwalk_lab/simulator/operators.py
@@ -215,6 +215,7 @@
         """Take a host out of its service, and put it into another one."""
         layout, world = self.world.layout, self.world
         from_service = world.service_by_host[host]
+        world.moving.add(host)
         await self._set_members(from_service, without=host)
         world.service_by_host[host] = to_service
         await self._set_members(to_service, plus=host)
--- a/src/jasperwalk_lab/simulator/seams.py
+++ b/src/jasperwalk_lab/simulator/seams.py
@@ -58,6 +58,7 @@
     hello: Hello,
     connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
     tls: object = None,
+    **_: object,
 ) -> Connection:
     """Open a simulated connection."""
     process = current_process()
--- a/src/jasperwalk_lab/simulator/world.py
+++ b/src/jasperwalk_lab/simulator/world.py
@@ -61,6 +61,7 @@
         self.service_by_host = {
             host: service.name for service in layout.services for host in service.hosts()
         }
+        self.moving: set[str] = set()
         self.controls = [
             ControlHost(self, machine, machine) for machine in range(1, layout.replica_count + 1)
         ]
@@ -116,7 +117,14 @@
         return self.programs[host]
 
     def service_of_host(self, host: str) -> str:
-        """Return the service whose program runs on a host."""
+        """Return the service whose program runs on a host.
+
+        Who moves a host changes its program when the agent takes the new service up.
+        """
+        if host in self.moving:
+            agent = next(each.agent for each in self.agents if each.name == host)
+            if agent is not None and agent.view.service is not None:
+                return agent.view.service.name
         return self.service_by_host[host]
 
     def table_changed(self, process: SimulatedProcess, table: Any) -> None:
--- a/tests/agent/test_lending.py
+++ b/tests/agent/test_lending.py
@@ -23,7 +23,9 @@
 )
 from jasperwalk.agent.local_run import LocalRun
 from jasperwalk.agent.neighbours import Neighbours
-from jasperwalk.agent.relay import ANSWER_DECODER, RelayClient, RelayNotRun, serve_relay
+from jasperwalk.agent.relay import RelayClient
+from jasperwalk.agent.relay_messages import ANSWER_DECODER, RelayNotRun
+from jasperwalk.agent.relay_server import serve_relay
 from jasperwalk.agent.requests import (
     Answered,
     NotRun,
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -25,6 +25,7 @@
     RequestVote,
     VoteReply,
 )
+from jasperwalk.consensus.state import Role
 
 FOUNDING = Membership([Member(number, f"disk-{number}", True) for number in (1, 2, 3)])
 GROWN = FOUNDING.with_member(Member(4, "", False))
@@ -202,3 +203,48 @@
     append(node, 4, (0, 0), [command(1, 4)])
     (reply,), _ = finish(node)
     assert (reply.term, reply.success, node.last_index) == (5, False, 0)
+
+
+def test_a_follower_whose_host_stood_still_reads_what_waits_before_it_campaigns():
+    node = make_node()
+    append(node, 1, (0, 0), [], now=1.0)
+    finish(node)
+    node.tick(60.0)
+    assert node.role is Role.FOLLOWER
+    append(node, 1, (0, 0), [], now=60.1)
+    node.tick(60.9)
+    assert (node.role, node.leader_id) == (Role.FOLLOWER, 2)
+
+
+def test_a_follower_whose_host_is_always_late_still_campaigns():
+    node = make_node()
+    append(node, 1, (0, 0), [], now=1.0)
+    finish(node)
+    for now in (60.0, 61.0):
+        node.tick(now)
+    assert node.role is Role.PRE_CANDIDATE
+
+
+@pytest.mark.parametrize(("answered_at", "leads"), [(60.1, True), (None, False)])
+def test_a_leader_whose_host_stood_still_reads_what_waits_before_it_steps_down(answered_at, leads):
+    node = make_node()
+    elect(node)
+    finish(node)
+    node.tick(10.0)
+    node.tick(60.0)
+    assert node.is_leader
+    if answered_at is not None:
+        acknowledge(node, 1, 60.0, answered_at)
+    node.tick(60.3)
+    assert node.is_leader is leads
+
+
+def test_a_leader_steps_down_when_followers_would_have_campaigned():
+    node = make_node()
+    elect(node)
+    for tenths in range(1, 20):
+        node.tick(10.0 + tenths / 10)
+    assert node.is_leader
+    assert node.quorum_age(11.9) == pytest.approx(1.9)
+    node.tick(12.1)
+    assert not node.is_leader
--- a/tests/distribution/conftest.py
+++ b/tests/distribution/conftest.py
@@ -193,7 +193,7 @@
                 case Connect():
                     self.connects.append((now, effect.endpoint))
                     self.link = self.world.open_link(effect.endpoint)
-                    self.perform(self.core.connected(effect.endpoint, now), now)
+                    self.world.greet(self, now)
                 case Disconnect():
                     self.reasons.append(effect.reason)
                     self.drop_link()
@@ -253,6 +253,10 @@
         replica.links[link.number] = link
         return link
 
+    def greet(self, follower: Follower, now: float) -> None:
+        endpoint = follower.link.replica.endpoint
+        follower.perform(follower.core.connected(endpoint, now), now)
+
     def step(self) -> None:
         self.now += STEP_SECONDS
         for replica in self.replicas:
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -225,3 +225,37 @@
     assert core.message(ReplicaEndpoints(11, [lab.address(202)]), 0.1) == []
     core.message(Heartbeat(10, 0, 0), 0.2)
     assert core.replica == following
+
+
+def test_a_replica_that_regains_its_quorum_soon_is_kept(core) -> None:
+    core.message(Heartbeat(10, 0, 0), 0.1)
+    for now in (1.0, 1.9, 2.05):
+        assert leave_reason(core.message(Heartbeat(10, round(1000 * (now - 0.1)), 0), now)) is None
+    assert leave_reason(core.tick(2.11)) is None
+    assert not core.fresh(2.11)
+    assert leave_reason(core.message(Heartbeat(10, 0, 0), 2.12)) is None
+    assert core.fresh(2.12)
+
+
+def test_a_replica_without_its_quorum_is_left_within_the_spread(core) -> None:
+    core.message(Heartbeat(10, 0, 0), 0.1)
+    effects = []
+    for step in range(1, 32):
+        now = 0.1 + step / 10
+        effects += core.message(Heartbeat(10, 100 * step, 0), now)
+    assert leave_reason(effects) is LeaveReason.STALE_QUORUM
+
+
+def test_attempts_grow_rare_and_patient_while_no_replica_answers(core) -> None:
+    core.disconnected(0.0)
+    now, tried_at, waited = 0.0, [], []
+    while now < 120.0:
+        for effect in core.tick(now):
+            if isinstance(effect, Connect):
+                tried_at.append(now)
+            else:
+                waited.append(now - tried_at[-1])
+        now += 0.05
+    assert waited[0] == pytest.approx(2.0, abs=0.1)
+    assert waited[-1] == pytest.approx(8.0, abs=0.1)
+    assert len(tried_at) < 20
--- /dev/null
+++ b/tests/distribution/test_overload.py
@@ -0,0 +1,136 @@
+"""A fleet that lost its replicas for a while comes back by itself, though its return costs time.
+
+Every replica has one processor, on which the work for its subscribers waits in line, as on an
+event loop. A quorum holds while two of three replicas answer within an election time-out.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+import pytest
+
+from jasperwalk.distribution.publisher_events import PublisherConfig
+from jasperwalk.messages.distribution import SubscriberRole
+
+FOLLOWERS = 240
+JOIN_SECONDS = 0.03
+"""Time that a subscriber's arrival costs: the fleet is as heavy as 6,000 at 1.2 ms each."""
+MESSAGE_SECONDS = 0.0005
+STEP_SECONDS = 0.02
+ELECTION_SECONDS = 0.9
+QUORUM = 2
+SETTLE_SECONDS = 6.0
+LONGEST_RETURN_SECONDS = 20.0
+LONGEST_MOVE_SECONDS = 5.0
+
+
+def loaded_world(lab, seed: int):
+    class LoadedWorld(lab.World):
+        """A world whose replicas take time for their subscribers."""
+
+        def __init__(self) -> None:
+            super().__init__(seed, 3, PublisherConfig(snapshot_part_entries=8))
+            self.delivery_chance = 1.0
+            self.waiting = {each.endpoint: deque() for each in self.replicas}
+            self.spent = {each.endpoint: 0.0 for each in self.replicas}
+            self.elected_at = self.now
+            self.joins = 0
+            self.cut_off = None
+
+        def greet(self, follower, now: float) -> None:
+            link = follower.link
+            self.waiting[link.replica.endpoint].append((now, link, follower))
+
+        def deliver_to_replica(self, link, message) -> None:
+            self.waiting[link.replica.endpoint].append((self.now, link, message))
+
+        def step(self) -> None:
+            for replica in self.replicas:
+                self.work(replica)
+            self.follow_quorum()
+            super().step()
+
+        def work(self, replica) -> None:
+            self.spent[replica.endpoint] -= STEP_SECONDS
+            self.spent[replica.endpoint] = max(self.spent[replica.endpoint], -STEP_SECONDS)
+            waiting = self.waiting[replica.endpoint]
+            while waiting and self.spent[replica.endpoint] < 0:
+                _, link, work = waiting.popleft()
+                is_join = isinstance(work, type(self.followers[0]))
+                self.joins += is_join
+                self.spent[replica.endpoint] += JOIN_SECONDS if is_join else MESSAGE_SECONDS
+                if link.number not in replica.links:
+                    continue
+                if is_join:
+                    super().greet(work, self.now)
+                else:
+                    super().deliver_to_replica(link, work)
+
+        def lag(self, replica) -> float:
+            waiting = self.waiting[replica.endpoint]
+            return self.now - waiting[0][0] if waiting else 0.0
+
+        def follow_quorum(self) -> None:
+            prompt = [each for each in self.replicas if self.lag(each) < ELECTION_SECONDS]
+            if len(prompt) < QUORUM:
+                # An election takes one to two time-outs once the replicas answer again.
+                self.elected_at = self.now + 1.5 * ELECTION_SECONDS
+            for replica in self.replicas:
+                holds = replica in prompt and self.now >= self.elected_at
+                holds = holds and replica is not self.cut_off
+                if holds:
+                    replica.cut_off_since = None
+                elif replica.cut_off_since is None:
+                    replica.cut_off_since = self.now
+
+    return LoadedWorld()
+
+
+def fresh_count(world) -> int:
+    return sum(each.core.fresh(world.now) for each in world.followers)
+
+
+def joined_world(lab, seed: int):
+    """Return a world all of whose followers have joined, one after the other, and are fresh."""
+    world = loaded_world(lab, seed)
+    world.log.upsert(lab.service(1))
+    for replica in world.replicas:
+        replica.apply_to(1, world.now)
+    for number in range(FOLLOWERS):
+        world.add_follower(f"b{number}", SubscriberRole.BALANCER, lab.address(number))
+        world.run(STEP_SECONDS)
+    world.run(SETTLE_SECONDS)
+    assert fresh_count(world) == FOLLOWERS
+    world.joins = 0
+    return world
+
+
+@pytest.mark.parametrize(("outage_seconds", "most_joins"), [(2.5, 360), (8.0, 2400)])
+def test_a_fleet_comes_back_after_an_outage_of_control(lab, outage_seconds, most_joins) -> None:
+    world = joined_world(lab, seed=1)
+    world.elected_at = world.now + outage_seconds
+    world.run(outage_seconds)
+    began = world.now
+    while fresh_count(world) < FOLLOWERS and world.now - began < LONGEST_RETURN_SECONDS:
+        world.run(0.5)
+    print(f"back {world.now - began:.1f} s after {outage_seconds} s, {world.joins} joins")
+    assert fresh_count(world) == FOLLOWERS
+    assert world.joins <= most_joins
+
+
+def test_subscribers_of_a_cut_off_replica_are_on_a_fresh_one_within_seconds(lab) -> None:
+    world = joined_world(lab, seed=2)
+    cut_off, began = world.replicas[0], world.now
+    world.cut_off = cut_off
+    concerned = [each for each in world.followers if each.link.replica is cut_off]
+    moved: dict[str, float] = {}
+    while world.now - began < LONGEST_MOVE_SECONDS:
+        world.step()
+        for each in concerned:
+            elsewhere = each.link is not None and each.link.replica is not cut_off
+            if elsewhere and each.core.fresh(world.now):
+                moved.setdefault(each.core.facts.name, world.now - began)
+    times = sorted(moved.values())
+    assert len(times) == len(concerned) > FOLLOWERS // 5
+    print(f"moved after p50 {times[len(times) // 2]:.2f} s, longest {times[-1]:.2f} s")
--- a/tests/distribution/test_publisher.py
+++ b/tests/distribution/test_publisher.py
@@ -252,3 +252,51 @@
     opened = core.subscriber_opened(2, lab.subscribe(name="b2"), 0.0)
     assert of_type(ReplicaEndpoints, opened) == [ReplicaEndpoints(7, first)]
     assert len(of_type(ReplicaEndpoints, core.replicas_changed(9, second))) == 2
+
+
+def test_snapshots_begin_in_turn_and_refused_ones_come_back_one_by_one(lab, table) -> None:
+    core = PublisherCore(table, PublisherConfig(join_limit=2, retries_per_second=10))
+    core.tick(0.0, 0.0)
+    opened = [core.subscriber_opened(n, lab.subscribe(name=f"b{n}"), 0.0) for n in range(5)]
+    rejects = [each for effects in opened for each in of_type(Reject, effects)]
+    assert [each.kind for each in rejects] == ["too-many-snapshots"] * 3
+    assert [each.retry_after_ms for each in rejects] == [1000, 1100, 1200]
+    holds_a_table = lab.subscribe(name="b5", revision=2)
+    assert of_type(Reject, core.subscriber_opened(5, holds_a_table, 0.0)) == []
+    acknowledge(core, 0, 3, 0.1)
+    assert of_type(Reject, core.subscriber_opened(6, lab.subscribe(name="b6"), 0.1)) == []
+    assert of_type(Reject, core.subscriber_opened(7, lab.subscribe(name="b7"), 0.1)) != []
+    core.subscriber_closed(1)
+    assert of_type(Reject, core.subscriber_opened(8, lab.subscribe(name="b8"), 0.1)) == []
+
+
+def test_a_slow_join_keeps_others_out_for_a_bounded_time(lab, table) -> None:
+    core = PublisherCore(table, PublisherConfig(join_limit=1, join_seconds=2.0))
+    core.tick(0.0, 0.0)
+    core.subscriber_opened(1, lab.subscribe(name="b1"), 0.0)
+    assert of_type(Reject, core.subscriber_opened(2, lab.subscribe(name="b2"), 1.9)) != []
+    assert of_type(Reject, core.subscriber_opened(3, lab.subscribe(name="b3"), 2.0)) == []
+
+
+def test_turns_of_refused_subscribers_end_at_the_longest_retry(lab, core) -> None:
+    core.tick(0.0, math.inf)
+    waits = [
+        of_type(Reject, core.subscriber_opened(n, lab.subscribe(), 0.0))[0].retry_after_ms
+        for n in range(4000)
+    ]
+    assert (min(waits), max(waits)) == (1000, 4000)
+    assert max(waits.count(each) for each in set(waits)) <= 3
+
+
+def test_a_change_goes_out_in_slices_to_each_subscriber_once(lab, table) -> None:
+    core = PublisherCore(table, PublisherConfig(slice_subscribers=20))
+    core.tick(0.0, 0.0)
+    for number in range(50):
+        core.subscriber_opened(number, lab.subscribe(name=f"b{number}", revision=3), 0.0)
+    table.upsert(lab.member(3, 1), 4)
+    slices = [core.table_advanced(0.1)]
+    core.subscriber_closed(49)
+    while core.next_deadline() < 0.1:
+        slices.append(core.tick(0.1, 0.0))
+    assert [len(each) for each in slices] == [20, 20, 9]
+    assert {each.subscriber_id for effects in slices for each in effects} == set(range(49))
--- a/tests/transport/test_server_backlog.py
+++ b/tests/transport/test_server_backlog.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import contextlib
+import itertools
 import select
 import socket
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.transport.framed import ConnectionKind, make_hello
-from jasperwalk.transport.server import FramedServer
+from jasperwalk.transport.server import ACCEPTED_PER_TURN, FramedServer
 
 AT_ONCE = 300
 
@@ -35,3 +36,25 @@
             await server.close()
 
     assert asyncio.run(run()) == AT_ONCE
+
+
+def test_one_turn_of_the_loop_takes_few_of_the_connections_that_wait() -> None:
+    async def run() -> list[int]:
+        hello = make_hello(ConnectionKind.PEER, "tester", "zagreb", sender_id=1)
+        server = FramedServer(Endpoint(host="127.0.0.1", port=0), hello, {})
+        await server.start()
+        with contextlib.ExitStack() as stack:
+            for _ in range(AT_ONCE):
+                dialling = stack.enter_context(socket.socket())
+                dialling.setblocking(False)
+                dialling.connect_ex((server.endpoint.host, server.endpoint.port))
+            taken = [0]
+            while taken[-1] < AT_ONCE:
+                await asyncio.sleep(0)
+                taken.append(len(server._tasks))
+            await server.close()
+        return taken
+
+    taken = asyncio.run(run())
+    steps = [after - before for before, after in itertools.pairwise(taken)]
+    assert 0 < max(steps) <= ACCEPTED_PER_TURN
