A host that stands still keeps its flows; mass silence is doubted; simulator's last mends

Cause: its agent was frozen for 4.7 s; the witness asked it, had no Hello within 1.2 s and called it lost; the request itself completed after the thaw. Since offline_ms is 1000 that happens sooner. Now an agent is lost only if its port takes no connection: the kernel answers for a process that stands still. The new test failed on the former code (standing still: True expected, False). Ruled out: longer probes (any length loses to a longer freeze). Price: callers of an agent that hangs for good wait for their own time-out.

The silence of more than half of a hundred and more members is now doubted for 15 s.

--- a/src/jasperwalk/agent/relay.py
+++ b/src/jasperwalk/agent/relay.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import ssl
 
 import msgspec
 
@@ -35,12 +34,7 @@
 )
 from jasperwalk.errors import JasperwalkError
 from jasperwalk.messages.codec import encode
-from jasperwalk.transport.client import connect
-from jasperwalk.transport.errors import (
-    ConnectFailed,
-    ConnectionLost,
-    HelloTimeout,
-)
+from jasperwalk.transport.client import connect, port_accepts
 from jasperwalk.transport.framed import ConnectionKind, FramedConnection, make_hello
 from jasperwalk.transport.tls import LinkTls
 
@@ -74,20 +68,12 @@
             connection.abort()
 
     async def answers(self, target: Endpoint) -> bool:
-        """Tell whether the agent at `target` lives: whether it says anything at all."""
+        """Tell whether the agent at `target` is there: whether its port takes a connection.
+
+        An agent that stands still is there. It may go on at any time, and its flows with it.
+        """
         for _ in range(PROBE_ATTEMPTS):
-            try:
-                async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
-                    connection = await self.open(
-                        target, ConnectionKind.RELAY, PROBE_TIMEOUT_SECONDS
-                    )
-            except (ConnectFailed, ConnectionLost, HelloTimeout, TimeoutError) as error:
-                if isinstance(error.__cause__, ssl.SSLError):
-                    return True  # an expired certificate is no sign of a lost host
-            except JasperwalkError:
-                return True  # it spoke, though not as it should
-            else:
-                connection.abort()
+            if await port_accepts(target, PROBE_TIMEOUT_SECONDS):
                 return True
         return False
 
--- a/src/jasperwalk/membership/liveness.py
+++ b/src/jasperwalk/membership/liveness.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 import msgspec
@@ -17,6 +17,7 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.config.member_states import MemberStatus
 from jasperwalk.config.table import MemberEntry, OperatingStatus
+from jasperwalk.membership.mass_silence import MassSilence, MassSilenceConfig
 
 
 @dataclass(frozen=True)
@@ -28,6 +29,7 @@
     `offline_after_seconds`, for it stood still itself.
     A member that came back `flap_limit` times within `flap_window_seconds` has to be well for
     `flap_hold_seconds` before it is online again.
+    `mass_silence` says when the silence of many at once is doubted.
     """
 
     offline_after_seconds: float = 1.0
@@ -35,6 +37,7 @@
     flap_window_seconds: float = 60.0
     flap_limit: int = 3
     flap_hold_seconds: float = 10.0
+    mass_silence: MassSilenceConfig = field(default_factory=MassSilenceConfig)
 
 
 class AgentObservation(msgspec.Struct, frozen=True, gc=False):
@@ -61,6 +64,7 @@
     def __init__(self, config: LivenessConfig) -> None:
         self._config = config
         self._records: dict[Endpoint, _AgentRecord] = {}
+        self._mass_silence = MassSilence(config.mass_silence)
         self._grace_until = math.inf
         self._evaluated_at = -math.inf
 
@@ -91,6 +95,8 @@
             # A process that stood still finds every report old, its own fault included.
             self.leader_started(now)
         self._evaluated_at = now
+        members = list(members)
+        self._doubt_mass_silence(members, now)
         changes: list[MemberStatus] = []
         kept: dict[Endpoint, _AgentRecord] = {}
         for member in members:
@@ -103,6 +109,19 @@
         self._records = kept
         return changes
 
+    def _doubt_mass_silence(self, members: Sequence[MemberEntry], now: float) -> None:
+        """Start the grace period anew while too many are silent at once."""
+        online = [each for each in members if each.operating_status is OperatingStatus.ONLINE]
+        silent = sum(1 for each in online if self._is_silent(each, now))
+        if self._mass_silence.is_doubted(silent, len(online), now):
+            self._grace_until = max(self._grace_until, now + self._config.leader_grace_seconds)
+
+    def _is_silent(self, member: MemberEntry, now: float) -> bool:
+        record = self._records.get(member.address)
+        if record is None or record.incarnation != member.incarnation:
+            return True
+        return now - record.seen_at > self._config.offline_after_seconds
+
     def _follow_newer_process(
         self, record: _AgentRecord, observation: AgentObservation, seen_at: float
     ) -> None:
@@ -128,9 +147,7 @@
     ) -> OperatingStatus:
         if member.incarnation == 0:
             return member.operating_status
-        if record is None or record.incarnation != member.incarnation:
-            return self._status_without_report(member, now)
-        if now - record.seen_at > self._config.offline_after_seconds:
+        if record is None or self._is_silent(member, now):
             return self._status_without_report(member, now)
         if not record.healthy:
             return OperatingStatus.OFFLINE
--- a/src/jasperwalk/transport/client.py
+++ b/src/jasperwalk/transport/client.py
@@ -61,3 +61,17 @@
         connection.abort()
         raise
     return connection
+
+
+async def port_accepts(endpoint: Endpoint, timeout_seconds: float) -> bool:
+    """Tell whether a TCP connection to `endpoint` can be opened; nothing is said on it.
+
+    The kernel answers for a process that stands still, but not for one that is gone.
+    """
+    try:
+        async with asyncio.timeout(timeout_seconds):
+            _, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+    except (TimeoutError, OSError):
+        return False
+    writer.transport.abort()
+    return True
--- a/src/jasperwalk_lab/scale/capacity_page.py
+++ b/src/jasperwalk_lab/scale/capacity_page.py
@@ -82,7 +82,9 @@
   joined; every subscriber left at once, and their return kept the replicas from a lasting
   leader until the try was ended. The queue of connections to be taken (100 in the first two
   tries, 4,096 since) made returns slow; consensus and publishing in one loop (planned 3) is
-  still there. That such a state doesn't mend itself under overload is a fault.
+  still there. Since then subscribers are patient and joins are admitted (docs/DESIGN.md,
+  "Coming back from an outage"): in the core model the state mends itself; with real processes
+  it was not provoked again, so that much is not proved.
 - Agents' memory a flow and handshakes (10 a second a host) are not worked out on this page.
 - Entries beyond the largest E below: `scale-parts` measured the table itself at a region's size,
   the slopes are extrapolated.
--- a/src/jasperwalk_lab/simulator/clock.py
+++ b/src/jasperwalk_lab/simulator/clock.py
@@ -25,6 +25,11 @@
 SHORTEST_WAIT_SECONDS = 1e-4
 """Timers are no finer than this, as on a real machine. A drifting clock comes closer and closer
 to a deadline; it would never reach it by ever smaller steps."""
+TURNS_WITHOUT_TIME = 1_000
+"""Turns of the loop after which some time has passed, as on a real machine. A deadline may be
+due by one rounding and not yet by another; whoever waits for it would spin for ever."""
+MOST_TURNS = 100_000
+"""Turns without a wait after which a process is held to spin."""
 DISK_SYNC_SECONDS = (0.001, 0.02)
 """Least and longest time that a sync of a simulated disk takes."""
 
@@ -137,6 +142,8 @@
     def __init__(self) -> None:
         super().__init__()
         self.waited_seconds = 0.0
+        self._turns = 0
+        """Turns of the loop since it last had to wait."""
 
     def select(self, timeout: float | None = None) -> list[Any]:
         """Return at once."""
@@ -144,6 +151,13 @@
             raise RuntimeError("nothing is left to run in virtual time")
         if timeout > 0.0:
             self.waited_seconds += max(timeout, SHORTEST_WAIT_SECONDS)
+            self._turns = 0
+            return []
+        self._turns += 1
+        if self._turns % TURNS_WITHOUT_TIME == 0:
+            self.waited_seconds += SHORTEST_WAIT_SECONDS
+        if self._turns > MOST_TURNS:
+            raise RuntimeError(f"a process spins at {self.waited_seconds} s of virtual time")
         return []
 
 
--- a/src/jasperwalk_lab/simulator/network.py
+++ b/src/jasperwalk_lab/simulator/network.py
@@ -121,6 +121,18 @@
         listener.process.call(listener.accept, far)
         return near
 
+    async def accepts(
+        self, caller: SimulatedProcess, endpoint: Endpoint, timeout_seconds: float
+    ) -> bool:
+        """Answer as `jasperwalk.transport.client.port_accepts` does."""
+        listener = self.listeners.get(endpoint)
+        if listener is None or self._unreachable(caller, listener.process):
+            await asyncio.sleep(timeout_seconds)
+            return False
+        round_trip = self.delay(caller, listener.process) + self.delay(listener.process, caller)
+        await asyncio.sleep(round_trip)
+        return bool(listener.process.alive)
+
     def process_ended(self, process: SimulatedProcess) -> None:
         """Reset the connections of a dead process, unless its machine went with it."""
         for connection in self.connections.pop(process.name, []):
--- a/src/jasperwalk_lab/simulator/seams.py
+++ b/src/jasperwalk_lab/simulator/seams.py
@@ -67,6 +67,13 @@
     return opened
 
 
+async def port_accepts(endpoint: Endpoint, timeout_seconds: float) -> bool:
+    """Tell whether a simulated connection could be opened."""
+    process = current_process()
+    accepts: bool = await process.world.network.accepts(process, endpoint, timeout_seconds)
+    return accepts
+
+
 class SimulatedServer:
     """Stands in for `FramedServer`."""
 
@@ -304,6 +311,7 @@
         (secrets, seeded_secrets),
         (uuid, unique),
         (transport_client.connect, connect),
+        (transport_client.port_accepts, port_accepts),
         (FramedServer, SimulatedServer),
         (AdminServer, NoAdminServer),
         (FollowerRunner, RecordingRunner),
--- /dev/null
+++ b/tests/agent/test_relay.py
@@ -0,0 +1,33 @@
+"""Asking an agent whether it is there: one that stands still is, one that is gone is not."""
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.agent.relay import RelayClient
+
+
+@contextlib.contextmanager
+def standing_still():
+    """A port whose process reads nothing; the kernel takes connections for it."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        yield Endpoint(*listener.getsockname())
+
+
+@contextlib.contextmanager
+def gone():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        endpoint = Endpoint(*listener.getsockname())
+    yield endpoint
+
+
+@pytest.mark.parametrize(("agent", "answers"), [(standing_still, True), (gone, False)])
+def test_only_a_lost_agent_gives_no_answer(agent, answers):
+    async def ask(endpoint):
+        return await RelayClient("asker", "zagreb").answers(endpoint)
+
+    with agent() as endpoint:
+        assert asyncio.run(ask(endpoint)) == answers
--- a/tests/membership/test_liveness.py
+++ b/tests/membership/test_liveness.py
@@ -97,3 +97,49 @@
     tracker.observe(seen(), 100.0)
     tracker.evaluate([], 100.0)
     assert len(tracker.evaluate([member(ONLINE)], 100.0)) == 1
+
+
+def _many(count: int, silent: int) -> tuple[list[MemberEntry], list[AgentObservation]]:
+    """Make members of which the first `silent` are not heard any more from second 100 on."""
+    members, reports = [], []
+    for number in range(count):
+        address = Endpoint("127.0.0.1", 8000 + number)
+        members.append(msgspec.structs.replace(member(), address=address))
+        if number >= silent:
+            reports.append(msgspec.structs.replace(seen(), address=address))
+    return members, reports
+
+
+# Members, silent ones, and seconds until the silent ones are called offline.
+SILENCES = {
+    "a host": (400, 1, 3.5),
+    "a zone of four": (400, 100, 3.5),
+    "most of a small fleet": (90, 90, 3.5),
+    "most of a region": (400, 201, 22.0),
+    "all of a region": (400, 400, 22.0),
+}
+
+
+@pytest.mark.parametrize(("count", "silent", "expected"), SILENCES.values(), ids=SILENCES.keys())
+def test_the_silence_of_most_members_is_doubted_for_a_while(tracker, count, silent, expected):
+    members, heard = _many(count, silent)
+    for each in members:
+        tracker.observe(msgspec.structs.replace(seen(), address=each.address), 100.0)
+    now, changes = 100.0, []
+    while not changes:
+        now += 0.5
+        for report in heard:
+            tracker.observe(report, now)
+        changes = tracker.evaluate(members, now)
+    assert (now - 100.0, len(changes)) == (expected, silent)
+
+
+def test_members_that_come_back_while_their_silence_is_doubted_never_were_offline(tracker):
+    members, _ = _many(400, 400)
+    for half_second in range(200, 240):
+        now = half_second / 2
+        # From second 108 on they come back, forty each half second.
+        back = members[: max(0, (half_second - 216) * 40)] if now > 100.0 else members
+        for each in back:
+            tracker.observe(msgspec.structs.replace(seen(), address=each.address), now)
+        assert tracker.evaluate(members, now) == []
