Members are unhealthy or offline: only the flows of unheard agents go to a witness

Change: OperatingStatus has 'unhealthy' for an agent that says so itself and 'offline' for one that is not heard of. Both get no new work; only the latter's flows have a witness. Ruled out: no witness while draining (a back end that is down drains nothing).

The balancer had no test of its own for witnesses; it has one for every status now.

--- a/src/jasperwalk/config/table.py
+++ b/src/jasperwalk/config/table.py
@@ -31,11 +31,14 @@
 
 
 class OperatingStatus(enum.StrEnum):
-    """What control has seen of a member."""
+    """What control has seen of a member. Only `ONLINE` ones get new work."""
 
     UNREGISTERED = "unregistered"
     ONLINE = "online"
+    UNHEALTHY = "unhealthy"
+    """Its agent says that it takes no new work: the back end is down, or it is stopping."""
     OFFLINE = "offline"
+    """Its agent is not heard of; its flows may be lost."""
 
 
 class KeyPurpose(enum.StrEnum):
--- a/src/jasperwalk/membership/liveness.py
+++ b/src/jasperwalk/membership/liveness.py
@@ -1,8 +1,8 @@
 """Liveness of agents, judged by the leader from what all replicas see of them.
 
-A member is online while its registered process reports itself healthy. It is offline at once
-when it reports that its back end is down, and `offline_after_seconds` after its last report
-to any replica.
+A member is online while its registered process reports itself healthy, and unhealthy at once
+when it reports that it takes no new work. It is offline `offline_after_seconds` after its last
+report to any replica. An unhealthy member's agent lives, and open flows go on there.
 """
 
 from __future__ import annotations
@@ -19,6 +19,9 @@
 from jasperwalk.config.table import MemberEntry, OperatingStatus
 from jasperwalk.membership.mass_silence import MassSilence, MassSilenceConfig
 
+HEARD_STATUSES = frozenset({OperatingStatus.ONLINE, OperatingStatus.UNHEALTHY})
+WITHOUT_WORK_STATUSES = frozenset({OperatingStatus.UNHEALTHY, OperatingStatus.OFFLINE})
+
 
 @dataclass(frozen=True)
 class LivenessConfig:
@@ -150,7 +153,7 @@
         if record is None or self._is_silent(member, now):
             return self._status_without_report(member, now)
         if not record.healthy:
-            return OperatingStatus.OFFLINE
+            return OperatingStatus.UNHEALTHY
         if member.operating_status is OperatingStatus.ONLINE:
             return OperatingStatus.ONLINE
         held = self._flaps(record, now) and (
@@ -159,7 +162,7 @@
         return member.operating_status if held else OperatingStatus.ONLINE
 
     def _status_without_report(self, member: MemberEntry, now: float) -> OperatingStatus:
-        if member.operating_status is OperatingStatus.ONLINE and now >= self._grace_until:
+        if member.operating_status in HEARD_STATUSES and now >= self._grace_until:
             return OperatingStatus.OFFLINE
         return member.operating_status
 
@@ -176,7 +179,7 @@
         status: OperatingStatus,
         now: float,
     ) -> MemberStatus:
-        recovered = member.operating_status is OperatingStatus.OFFLINE
+        recovered = member.operating_status in WITHOUT_WORK_STATUSES
         if record is not None and recovered and status is OperatingStatus.ONLINE:
             self._note_recovery(record, now)
         return MemberStatus(
--- a/tests/balancer/test_core.py
+++ b/tests/balancer/test_core.py
@@ -403,3 +403,26 @@
         usual = core.handle(datagram, NOW)
         core.agent_refused(usual.destination, NOW)
         assert core.handle(datagram, NOW) == usual
+
+
+@pytest.mark.parametrize(
+    ("status", "to_its_agent"),
+    [
+        (OperatingStatus.ONLINE, True),
+        (OperatingStatus.UNREGISTERED, True),
+        (OperatingStatus.UNHEALTHY, True),
+        (OperatingStatus.OFFLINE, False),
+    ],
+)
+def test_only_the_flows_of_an_agent_that_is_not_heard_of_go_to_a_witness(status, to_its_agent):
+    table = make_table()
+    own = make_member("127.0.0.2", UREDNIK_ID)
+    changed = msgspec.structs.replace(own, operating_status=status)
+    table.update(table.revision + 1, [changed], [])
+    core = make_core(table)
+    packet = wrap(short(connection_id(own.address)))
+    for _ in range(2):
+        destination = core.handle(packet, NOW).destination
+        assert (destination == (own.address.host, own.address.port)) == to_its_agent
+        assert destination[0] in {"127.0.0.1", "127.0.0.2", "127.0.0.3"}
+    assert core.counters.witnessed == (0 if to_its_agent else 2)
