--- a/bench/distribution.py
+++ b/bench/distribution.py
@@ -13,7 +13,7 @@
 import socket
 import statistics
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -27,7 +27,7 @@
 from jasperwalk.distribution.follower import FollowerCore
 from jasperwalk.distribution.follower_events import FollowerConfig, SubscriberFacts
 from jasperwalk.distribution.publisher import PublisherCore
-from jasperwalk.distribution.publisher_events import PublisherConfig, SendTo
+from jasperwalk.distribution.publisher_events import PublisherConfig, PublisherEffect, SendTo
 from jasperwalk.messages import codec
 from jasperwalk.messages.distribution import (
     FROM_PUBLISHER_DECODER,
@@ -91,10 +91,7 @@
     for number in range(CHANGES):
         replica.change(number)
         started = time.perf_counter()
-        effects = replica.core.table_advanced(replica.now)
-        payloads = [effect.payload for effect in effects if isinstance(effect, SendTo)]
-        for payload in payloads:
-            write(payload)
+        payloads = replica.publish(write)
         times.flush.append(time.perf_counter() - started)
         times.messages += len(payloads)
         times.sent_bytes += sum(map(len, payloads))
@@ -132,6 +129,13 @@
     times.count.append(counted - taken)
 
 
+def _write(effects: Iterable[PublisherEffect], write: Callable[[bytes], int]) -> list[bytes]:
+    payloads = [effect.payload for effect in effects if isinstance(effect, SendTo)]
+    for payload in payloads:
+        write(payload)
+    return payloads
+
+
 class _Replica:
     """A publisher core over a table, with its subscribers' side reduced to revisions."""
 
@@ -158,11 +162,23 @@
     def change(self, number: int) -> None:
         """Change one member of one service, a while after the change before."""
         self.now += SECONDS_PER_CHANGE
-        self.core.tick(self.now, 0.0)
+        self._tick_until_idle()
         self.revision += 1
         member = _member(number % SERVICES, 0, weight=200 + number)
         assert self._table.upsert(member, self.revision)
 
+    def publish(self, write: Callable[[bytes], int]) -> list[bytes]:
+        """Write the change for every subscriber, slice by slice; return what was written."""
+        payloads = _write(self.core.table_advanced(self.now), write)
+        while self.core.next_deadline() <= self.now:
+            payloads += _write(self.core.tick(self.now, 0.0), write)
+        assert len(payloads) == SUBSCRIBERS
+        return payloads
+
+    def _tick_until_idle(self) -> None:
+        while self.core.next_deadline() <= self.now:
+            self.core.tick(self.now, 0.0)
+
     def last_delta(self) -> Delta:
         """Return what a balancer is sent of the last change."""
         changes = self._table.changes_since(self.revision - 1)
