--- a/src/jasperwalk/distribution/publisher.py
+++ b/src/jasperwalk/distribution/publisher.py
@@ -220,10 +220,6 @@
                 effects.extend(self._close_replaced(link))
         return effects
 
-    def agent_removed(self, address: Endpoint) -> None:
-        """Forget the registration of an address that control removed."""
-        self._registrations.remove(address)
-
     def _refusal(self, subscribe: Subscribe, now: float) -> CloseReason | None:
         if now - self._quorum_contact_at > self._config.stale_seconds:
             return CloseReason.STALE_REPLICA
--- a/src/jasperwalk/distribution/registrations.py
+++ b/src/jasperwalk/distribution/registrations.py
@@ -36,10 +36,6 @@
         """Note a committed registration, which replaces the former one of the address."""
         self._by_address[address] = Registration(boot_id=boot_id, incarnation=incarnation)
 
-    def remove(self, address: Endpoint) -> None:
-        """Forget the registration of an address."""
-        self._by_address.pop(address, None)
-
     def at(self, address: Endpoint) -> Registration | None:
         """Return the registration of an address."""
         return self._by_address.get(address)
--- a/src/jasperwalk/membership/liveness.py
+++ b/src/jasperwalk/membership/liveness.py
@@ -99,24 +99,30 @@
             self.leader_started(now)
         self._evaluated_at = now
         members = list(members)
-        self._doubt_mass_silence(members, now)
+        silences = [self._is_silent(member, now) for member in members]
+        self._doubt_mass_silence(members, silences, now)
         changes: list[MemberStatus] = []
         kept: dict[Endpoint, _AgentRecord] = {}
-        for member in members:
+        for member, silent in zip(members, silences, strict=True):
             record = self._records.get(member.address)
             if record is not None:
                 kept[member.address] = record
-            status = self._status(member, record, now)
+            status = self._status(member, record, silent, now)
             if status is not member.operating_status:
                 changes.append(self._change(member, record, status, now))
         self._records = kept
         return changes
 
-    def _doubt_mass_silence(self, members: Sequence[MemberEntry], now: float) -> None:
+    def _doubt_mass_silence(
+        self, members: Sequence[MemberEntry], silences: Sequence[bool], now: float
+    ) -> None:
         """Start the grace period anew while too many are silent at once."""
-        online = [each for each in members if each.operating_status is OperatingStatus.ONLINE]
-        silent = sum(1 for each in online if self._is_silent(each, now))
-        if self._mass_silence.is_doubted(silent, len(online), now):
+        of_online = [
+            silent
+            for member, silent in zip(members, silences, strict=True)
+            if member.operating_status is OperatingStatus.ONLINE
+        ]
+        if self._mass_silence.is_doubted(sum(of_online), len(of_online), now):
             self._grace_until = max(self._grace_until, now + self._config.leader_grace_seconds)
 
     def _is_silent(self, member: MemberEntry, now: float) -> bool:
@@ -146,11 +152,11 @@
         record.healthy = healthy
 
     def _status(
-        self, member: MemberEntry, record: _AgentRecord | None, now: float
+        self, member: MemberEntry, record: _AgentRecord | None, silent: bool, now: float
     ) -> OperatingStatus:
         if member.incarnation == 0:
             return member.operating_status
-        if record is None or self._is_silent(member, now):
+        if record is None or silent:
             return self._status_without_report(member, now)
         if not record.healthy:
             return OperatingStatus.UNHEALTHY
--- a/src/jasperwalk_lab/layout.py
+++ b/src/jasperwalk_lab/layout.py
@@ -70,10 +70,6 @@
         """Return the VIP and port of a service."""
         return next(each.listener for each in self.example.services() if each.name == service)
 
-    def service_names(self) -> list[str]:
-        """Return the names of all services."""
-        return [service.name for service in self.example.services()]
-
 
 class LoopbackHosts:
     """Hands out loopback addresses 127.x.y.1, .2, ... with x and y from the process ID."""
