--- a/src/jasperwalk/control/applied.py
+++ b/src/jasperwalk/control/applied.py
@@ -5,9 +5,12 @@
 import asyncio
 from collections import OrderedDict
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from jasperwalk.control.proposal_errors import OutcomeUnknown, ProposalError, ProposalLost
-from jasperwalk.control.state.outcomes import Outcome
+
+if TYPE_CHECKING:
+    from jasperwalk.control.state.outcomes import Outcome
 
 REMEMBERED_ENTRIES = 1024
 """Latest entries whose results are kept: a forwarded entry may be applied here before the
--- a/src/jasperwalk/control/leader_duties.py
+++ b/src/jasperwalk/control/leader_duties.py
@@ -16,6 +16,7 @@
 
 from jasperwalk.config.member_states import MemberStatus, PlatformState
 from jasperwalk.config.table import AdminState
+from jasperwalk.control.control_runner import ControlRunner
 from jasperwalk.control.in_force import SubscriberSighting
 from jasperwalk.control.key_duties import (
     AgentKeys,
@@ -26,7 +27,6 @@
 from jasperwalk.control.platform_poller import PlatformPoller
 from jasperwalk.control.proposal_errors import ProposalError
 from jasperwalk.control.proposals import Proposals
-from jasperwalk.control.raft_runner import RaftRunner
 from jasperwalk.control.region_view import RegionView
 from jasperwalk.control.state.commands import (
     Command,
@@ -64,7 +64,7 @@
     def __init__(
         self,
         config: DutiesConfig,
-        runner: RaftRunner,
+        runner: ControlRunner,
         proposals: Proposals,
         region: RegionView,
         poller: PlatformPoller | None,
--- a/src/jasperwalk/control/leader_queries.py
+++ b/src/jasperwalk/control/leader_queries.py
@@ -6,6 +6,7 @@
 import itertools
 from collections.abc import Callable
 
+from jasperwalk.control.control_runner import ControlRunner
 from jasperwalk.control.peer_links import PeerNetwork
 from jasperwalk.control.peer_messages import (
     AgentsAnswer,
@@ -15,7 +16,6 @@
     LeaderAnswer,
     LeaderQuery,
 )
-from jasperwalk.control.raft_runner import RaftRunner
 
 QUERY_TIMEOUT_SECONDS = 1.0
 """Time for the leader's answer; without it the asker says that it does not know."""
@@ -24,7 +24,7 @@
 class LeaderQueries:
     """Asks the leader, and matches its answers to those who wait."""
 
-    def __init__(self, runner: RaftRunner, network: PeerNetwork) -> None:
+    def __init__(self, runner: ControlRunner, network: PeerNetwork) -> None:
         self._runner = runner
         self._network = network
         self._numbers = itertools.count(1)
--- a/src/jasperwalk/control/peer_links.py
+++ b/src/jasperwalk/control/peer_links.py
@@ -9,17 +9,23 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
 from jasperwalk.addresses import Endpoint
-from jasperwalk.control.peer_messages import PEER_DECODER, LinkAlive, PeerMessage
+from jasperwalk.control.peer_messages import PEER_DECODER, LinkAlive
 from jasperwalk.errors import JasperwalkError
 from jasperwalk.messages import codec
-from jasperwalk.transport.client import connect
+from jasperwalk.transport.client import CONNECT_TIMEOUT_SECONDS, connect
 from jasperwalk.transport.errors import TlsError
 from jasperwalk.transport.framed import ConnectionKind, FramedConnection, make_hello
-from jasperwalk.transport.tls import LinkTls
+
+if TYPE_CHECKING:
+    import msgspec
+
+    from jasperwalk.transport.tls import LinkTls
 
 QUEUE_LIMIT_MESSAGES = 1024
 RECONNECT_SECONDS = 0.2
@@ -30,8 +36,19 @@
 SILENCE_LIMIT_SECONDS = 3.0
 """A link on which nothing came back for this long is opened anew."""
 
-MessageHandler = Callable[[int, PeerMessage], None]
-"""Takes the sender's replica ID and the message."""
+MessageHandler = Callable[[int, Any], None]
+"""Takes the sender's replica ID and the message (of the family that the decoder knows)."""
+
+
+@dataclass(frozen=True)
+class LinkTimes:
+    """Times of a link in seconds: opening, reopening, signs of life and their absence."""
+
+    connect_timeout: float = CONNECT_TIMEOUT_SECONDS
+    reconnect: float = RECONNECT_SECONDS
+    alive_interval: float = ALIVE_INTERVAL_SECONDS
+    silence_limit: float = SILENCE_LIMIT_SECONDS
+
 
 logger = structlog.get_logger(__name__)
 
@@ -46,9 +63,11 @@
         replica_id: int,
         cluster_id: str,
         tls: LinkTls | None = None,
+        times: LinkTimes | None = None,
     ) -> None:
         self.endpoint = endpoint
         self._tls = tls
+        self._times = times or LinkTimes()
         self.connected = False
         self.dropped_messages = 0
         self._hello = make_hello(ConnectionKind.PEER, name, cluster_id, replica_id)
@@ -64,11 +83,13 @@
 
     async def run(self) -> None:
         """Keep the link open."""
-        pause_seconds = RECONNECT_SECONDS
+        pause_seconds = self._times.reconnect
         while True:
             try:
-                connection = await connect(self.endpoint, self._hello, tls=self._tls)
-                pause_seconds = RECONNECT_SECONDS
+                connection = await connect(
+                    self.endpoint, self._hello, self._times.connect_timeout, self._tls
+                )
+                pause_seconds = self._times.reconnect
                 await self._serve(connection)
             except TlsError as error:
                 peer = str(self.endpoint)
@@ -83,7 +104,7 @@
         self.connected = True
         jobs = {
             asyncio.create_task(self._send_queued(connection)),
-            asyncio.create_task(_watch_for_silence(connection)),
+            asyncio.create_task(_watch_for_silence(connection, self._times.silence_limit)),
         }
         try:
             done, _ = await asyncio.wait(jobs, return_when=asyncio.FIRST_COMPLETED)
@@ -104,11 +125,11 @@
             await connection.send(await self._queue.get())
 
 
-async def _watch_for_silence(connection: FramedConnection) -> None:
+async def _watch_for_silence(connection: FramedConnection, limit_seconds: float) -> None:
     """Return when the peer has been silent for too long; raise when the link is lost."""
     with contextlib.suppress(TimeoutError):
         while True:
-            async with asyncio.timeout(SILENCE_LIMIT_SECONDS):
+            async with asyncio.timeout(limit_seconds):
                 await connection.receive()
 
 
@@ -122,7 +143,11 @@
         cluster_id: str,
         on_message: MessageHandler,
         tls: LinkTls | None = None,
+        decoder: codec.Decoder[Any] = PEER_DECODER,
+        times: LinkTimes | None = None,
     ) -> None:
+        self._decoder = decoder
+        self._times = times or LinkTimes()
         self._tls = tls
         self._name = name
         self._replica_id = replica_id
@@ -142,7 +167,7 @@
             if replica_id not in self._links:
                 self._open(replica_id, endpoint)
 
-    def send(self, replica_id: int, message: PeerMessage) -> bool:
+    def send(self, replica_id: int, message: msgspec.Struct) -> bool:
         """Send one message to a peer; False when it was certainly not sent."""
         link = self._links.get(replica_id)
         if link is None:
@@ -153,9 +178,13 @@
         """Count the messages that were dropped on the links that stand now."""
         return sum(link.dropped_messages for link in self._links.values())
 
+    def connected_ids(self) -> list[int]:
+        """Return the IDs of the peers to which a link stands."""
+        return [each for each, link in self._links.items() if link.connected]
+
     async def serve(self, connection: FramedConnection) -> None:
         """Take messages from a link that a peer opened, until it ends."""
-        beacon = asyncio.create_task(_send_alive(connection))
+        beacon = asyncio.create_task(_send_alive(connection, self._times.alive_interval))
         try:
             while True:
                 self._take(connection, await connection.receive())
@@ -172,7 +201,7 @@
     def _take(self, connection: FramedConnection, payload: bytes) -> None:
         sender = connection.peer.sender_id if connection.peer is not None else 0
         try:
-            message = PEER_DECODER.decode(payload)
+            message = self._decoder.decode(payload)
         except JasperwalkError as error:
             self.malformed_messages += 1
             logger.warning("peer-message-refused", sender=sender, detail=error.describe())
@@ -180,7 +209,9 @@
         self.on_message(sender, message)
 
     def _open(self, replica_id: int, endpoint: Endpoint) -> None:
-        link = PeerLink(endpoint, self._name, self._replica_id, self._cluster_id, self._tls)
+        link = PeerLink(
+            endpoint, self._name, self._replica_id, self._cluster_id, self._tls, self._times
+        )
         self._links[replica_id] = link
         self._tasks[replica_id] = asyncio.create_task(link.run())
 
@@ -189,9 +220,9 @@
         self._tasks.pop(replica_id).cancel()
 
 
-async def _send_alive(connection: FramedConnection) -> None:
+async def _send_alive(connection: FramedConnection, interval_seconds: float) -> None:
     payload = codec.encode(LinkAlive())
     with contextlib.suppress(JasperwalkError):
         while True:
             await connection.send(payload)
-            await asyncio.sleep(ALIVE_INTERVAL_SECONDS)
+            await asyncio.sleep(interval_seconds)
--- a/src/jasperwalk/control/proposals.py
+++ b/src/jasperwalk/control/proposals.py
@@ -22,6 +22,7 @@
 from jasperwalk.consensus.outcomes import MembershipRefused as CoreMembershipRefused
 from jasperwalk.consensus.outcomes import Overloaded as CoreOverloaded
 from jasperwalk.control.applied import AppliedEntry
+from jasperwalk.control.control_runner import ControlRunner
 from jasperwalk.control.peer_links import PeerNetwork
 from jasperwalk.control.peer_messages import (
     ForwardProposal,
@@ -37,7 +38,6 @@
     OutcomeUnknown,
     Overloaded,
 )
-from jasperwalk.control.raft_runner import RaftRunner
 from jasperwalk.control.state.commands import Command, encode_command
 from jasperwalk.control.state.outcomes import Outcome
 
@@ -54,7 +54,7 @@
 class Proposals:
     """Proposes commands and changes of the replicas, on the leader or through it."""
 
-    def __init__(self, runner: RaftRunner, network: PeerNetwork) -> None:
+    def __init__(self, runner: ControlRunner, network: PeerNetwork) -> None:
         self._runner = runner
         self._network = network
         self._numbers = itertools.count(1)
--- a/src/jasperwalk/control/raft_runner.py
+++ b/src/jasperwalk/control/raft_runner.py
@@ -11,10 +11,12 @@
 import math
 import secrets
 import time
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
+from typing import TYPE_CHECKING, Protocol
 
 import structlog
 
@@ -32,18 +34,21 @@
     Ready,
 )
 from jasperwalk.consensus.storage import FileStorage
-from jasperwalk.control.applied import AppliedEntries
 from jasperwalk.control.peer_links import PeerNetwork
 from jasperwalk.control.peer_messages import (
     RaftPayload,
     ReplicaChange,
 )
 from jasperwalk.control.replica_members import core_change, endpoints_of
-from jasperwalk.control.state.machine import ControlState
-from jasperwalk.control.state_applier import AppliedListener, StateApplier
 from jasperwalk.errors import JasperwalkError
 from jasperwalk.messages import codec
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from jasperwalk.consensus.durable import SnapshotData
+    from jasperwalk.consensus.entries import LogEntry
+
 HEARTBEAT_INTERVAL_SECONDS = 0.15
 ELECTION_TIMEOUT_SECONDS = 0.9
 """Least time without a leader before a campaign; the longest is twice that. A busy machine
@@ -73,6 +78,28 @@
     snapshot_interval_entries: int = SNAPSHOT_INTERVAL_ENTRIES
 
 
+class EntryApplier(Protocol):
+    """The replicated state machine, as the adapter feeds it."""
+
+    def bind(self, take_snapshot: Callable[[int, bytes], None]) -> None:
+        """Learn where serialised states go; called once, before anything else."""
+
+    def load(self, snapshot: SnapshotData) -> None:
+        """Start from a snapshot, before anything runs."""
+
+    def submit_snapshot(self, snapshot: SnapshotData) -> None:
+        """Go on from a leader's snapshot, after what was submitted before."""
+
+    def submit(self, entries: Sequence[LogEntry]) -> None:
+        """Apply these committed entries, after what was submitted before."""
+
+    async def run(self) -> None:
+        """Apply until cancelled."""
+
+    def close(self) -> None:
+        """Let go of threads."""
+
+
 class RaftRunner:
     """Runs one replica's core on a disk and a network, and feeds the state machine.
 
@@ -84,7 +111,7 @@
         self,
         config: RaftRunnerConfig,
         network: PeerNetwork,
-        listener: AppliedListener,
+        applier: EntryApplier,
         random: Random,
     ) -> None:
         self._config = config
@@ -94,9 +121,8 @@
         self._wake = asyncio.Event()
         self._disk = ThreadPoolExecutor(max_workers=1, thread_name_prefix="raft-disk")
         self._linked_membership: Membership | None = None
-        self._applier = StateApplier(
-            listener, config.snapshot_interval_entries, self._take_snapshot
-        )
+        self._applier = applier
+        applier.bind(self._take_snapshot)
         self.malformed_messages = 0
         # Loading blocks, but nothing else runs before the log has been read.
         self._storage = FileStorage(
@@ -111,16 +137,6 @@
         self._node = RaftNode(config.raft, durable, random, time.monotonic())
         self._link_members()
 
-    @property
-    def state(self) -> ControlState:
-        """The state machine; the object changes when a leader's snapshot is installed."""
-        return self._applier.state
-
-    @property
-    def applied(self) -> AppliedEntries:
-        """The applied entries, and who waits for them."""
-        return self._applier.applied
-
     @property
     def is_leader(self) -> bool:
         """Tell whether this replica leads, as far as it knows."""
--- a/src/jasperwalk/control/region_view.py
+++ b/src/jasperwalk/control/region_view.py
@@ -11,6 +11,7 @@
 import time
 
 from jasperwalk.addresses import Endpoint
+from jasperwalk.control.control_runner import ControlRunner
 from jasperwalk.control.in_force import InForce, InForceLedger, SubscriberSighting
 from jasperwalk.control.leader_queries import LeaderQueries
 from jasperwalk.control.peer_links import PeerNetwork
@@ -25,7 +26,6 @@
     ReportWanted,
 )
 from jasperwalk.control.publishing import Publishing
-from jasperwalk.control.raft_runner import RaftRunner
 from jasperwalk.control.subscriber_reports import SubscriberReport, SubscriberReporter
 from jasperwalk.messages.distribution import SubscriberRole
 
@@ -40,7 +40,7 @@
     """Reports to the leader while `run` runs; answers from the leader's ledger."""
 
     def __init__(
-        self, replica_id: int, runner: RaftRunner, network: PeerNetwork, publishing: Publishing
+        self, replica_id: int, runner: ControlRunner, network: PeerNetwork, publishing: Publishing
     ) -> None:
         self._replica_id = replica_id
         self._runner = runner
--- a/src/jasperwalk/control/replica.py
+++ b/src/jasperwalk/control/replica.py
@@ -13,6 +13,7 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.consensus.config import InitialMember, RaftConfig
 from jasperwalk.control.applied import AppliedEntry
+from jasperwalk.control.control_runner import ControlRunner
 from jasperwalk.control.leader_duties import DutiesConfig, LeaderDuties
 from jasperwalk.control.peer_links import PeerNetwork
 from jasperwalk.control.peer_messages import (
@@ -38,7 +39,6 @@
     ELECTION_TIMEOUT_SECONDS,
     HEARTBEAT_INTERVAL_SECONDS,
     SNAPSHOT_INTERVAL_ENTRIES,
-    RaftRunner,
     RaftRunnerConfig,
 )
 from jasperwalk.control.region_view import RegionView
@@ -114,7 +114,7 @@
         self.network = PeerNetwork(
             config.name, config.replica_id, config.cluster_id, self._take_message, config.tls
         )
-        self.runner = RaftRunner(config.runner_config(), self.network, self, random)
+        self.runner = ControlRunner(config.runner_config(), self.network, self, random)
         self.proposals = Proposals(self.runner, self.network)
         self.publishing = Publishing(
             self.state.table, config.publisher, self.proposals, self.runner.quorum_age
--- a/src/jasperwalk/control/replica_metrics.py
+++ b/src/jasperwalk/control/replica_metrics.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from jasperwalk.control.control_runner import ControlRunner
 from jasperwalk.control.peer_links import PeerNetwork
 from jasperwalk.control.publishing import Publishing
-from jasperwalk.control.raft_runner import RaftRunner
 from jasperwalk.control.region_view import RegionView
 from jasperwalk.control.state.machine import ControlState
 from jasperwalk.observability import MetricsRegistry
@@ -17,7 +17,7 @@
 class MeasuredReplica(Protocol):
     """What the metrics read of a replica."""
 
-    runner: RaftRunner
+    runner: ControlRunner
     network: PeerNetwork
     publishing: Publishing
     region: RegionView
--- a/src/jasperwalk/control/state_applier.py
+++ b/src/jasperwalk/control/state_applier.py
@@ -49,19 +49,26 @@
     """
 
     def __init__(
-        self, listener: AppliedListener, interval_entries: int, take_snapshot: SnapshotTaker
+        self,
+        listener: AppliedListener,
+        interval_entries: int,
+        take_snapshot: SnapshotTaker | None = None,
     ) -> None:
         self.state = ControlState()
         self.applied = AppliedEntries()
         self._listener = listener
         self._interval_entries = interval_entries
-        self._take_snapshot = take_snapshot
+        self._take_snapshot: SnapshotTaker = take_snapshot or _refuse_snapshot
         self._snapshot_index = 0
         self._snapshot_task: asyncio.Task[None] | None = None
         self._waiting: deque[SnapshotData | Sequence[LogEntry]] = deque()
         self._wake = asyncio.Event()
         self._workers = ThreadPoolExecutor(WORKER_COUNT, thread_name_prefix="state")
 
+    def bind(self, take_snapshot: SnapshotTaker) -> None:
+        """Learn where serialised states go; called once, before anything else."""
+        self._take_snapshot = take_snapshot
+
     def load(self, snapshot: SnapshotData) -> None:
         """Start from a snapshot, before anything runs; raises `MalformedState`."""
         self._replace(snapshot, _restore(snapshot.state))
@@ -141,6 +148,10 @@
             task.result()
 
 
+def _refuse_snapshot(index: int, state: bytes) -> None:
+    raise RuntimeError(f"state at {index} ({len(state)} bytes) has no log to go to")
+
+
 def _restore(data: bytes) -> ControlState:
     """Restore a state; raises `MalformedState`.
 
--- a/src/jasperwalk/transport/client.py
+++ b/src/jasperwalk/transport/client.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import ssl
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.errors import JasperwalkError
@@ -14,8 +16,9 @@
     Hello,
     explain_tls,
 )
-from jasperwalk.transport.identity import check_server, identity_of
-from jasperwalk.transport.tls import LinkTls
+
+if TYPE_CHECKING:
+    from jasperwalk.transport.tls import LinkTls
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 """Time within which a TCP connection has to stand."""
@@ -46,11 +49,11 @@
         raise ConnectFailed(endpoint=str(endpoint), reason=str(error)) from error
     connection = FramedConnection(reader, writer)
     try:
-        if tls is not None:
-            connection.identity = identity_of(writer.get_extra_info("peercert"))
-        peer = await connection.exchange_hello(hello, hello_timeout_seconds)
-        if connection.identity is not None:
-            check_server(connection.identity, peer, hello.kind)
+        if tls is None:
+            await connection.exchange_hello(hello, hello_timeout_seconds)
+        else:
+            certificate = writer.get_extra_info("peercert")
+            await _exchange_identified(connection, hello, hello_timeout_seconds, certificate)
     except ConnectionLost as error:
         connection.abort()
         if tls is None:
@@ -63,6 +66,21 @@
     return connection
 
 
+async def _exchange_identified(
+    connection: FramedConnection,
+    hello: Hello,
+    timeout_seconds: float,
+    certificate: Mapping[str, Any] | None,
+) -> None:
+    """Exchange Hellos with a server whose certificate has to fit the connection's kind."""
+    # Loaded here only: processes without TLS start without a certificate library.
+    from jasperwalk.transport.identity import check_server, identity_of  # noqa: PLC0415
+
+    connection.identity = identity_of(certificate)
+    peer = await connection.exchange_hello(hello, timeout_seconds)
+    check_server(connection.identity, peer, hello.kind)
+
+
 async def port_accepts(endpoint: Endpoint, timeout_seconds: float) -> bool:
     """Tell whether a TCP connection to `endpoint` can be opened; nothing is said on it.
 
--- a/src/jasperwalk/transport/server.py
+++ b/src/jasperwalk/transport/server.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable, Mapping
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
@@ -18,8 +18,9 @@
     FramedConnection,
     Hello,
 )
-from jasperwalk.transport.identity import check_client, identity_of
-from jasperwalk.transport.tls import LinkTls
+
+if TYPE_CHECKING:
+    from jasperwalk.transport.tls import LinkTls
 
 ConnectionHandler = Callable[[FramedConnection], Awaitable[None]]
 """Serves one connection until it returns; the server closes the connection afterwards."""
@@ -97,6 +98,9 @@
     ) -> None:
         try:
             if self._tls is not None:
+                # Loaded here only: processes without TLS start without a certificate library.
+                from jasperwalk.transport.identity import identity_of  # noqa: PLC0415
+
                 connection.identity = identity_of(certificate)
             await self._greet_and_handle(connection)
         except JasperwalkError as error:
@@ -114,6 +118,8 @@
     async def _greet_and_handle(self, connection: FramedConnection) -> None:
         peer = await connection.exchange_hello(self._hello, self._hello_timeout_seconds)
         if connection.identity is not None:
+            from jasperwalk.transport.identity import check_client  # noqa: PLC0415
+
             check_client(connection.identity, peer)
         handler = self._handlers.get(peer.kind)
         if handler is None:
