--- /dev/null
+++ b/src/jasperwalk/agent/datagrams/__init__.py
@@ -0,0 +1,1 @@
+"""The agent of the datagram plane."""
--- /dev/null
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -0,0 +1,293 @@
+"""The agent's core: it admits new flows to its host and knows which flows the host holds.
+
+Every packet of the host passes here, both ways, so this table and the host are the truth that
+balancers ask. An agent that restarted has an empty table: it hands packets of unknown flows to
+its host, which hands back what it does not hold. Sans-IO: time is a parameter, datagrams
+leave through three senders.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from jasperwalk.agent.datagrams.host import HostState
+from jasperwalk.agent.datagrams.load import LoadMeter
+from jasperwalk.fleet.messages import HostPhase
+from jasperwalk.flows.codec import PacketCodec, SocketAddress
+from jasperwalk.flows.frames import (
+    REQUEST_HEAD,
+    AgentReply,
+    FrameKind,
+    RefusalReason,
+    encode_reply,
+    service_tag,
+)
+from jasperwalk.observability.decisions import DecisionLog
+
+FULL_FACTOR = 4
+"""Requests under way, as a multiple of the host's capacity, at which new flows are refused."""
+ENDED_LINGER_SECONDS = 6.0
+"""A flow that ended is kept this long: its last packets may be sent again."""
+STUCK_REQUEST_SECONDS = 8.0
+"""A request without a packet for this long no longer counts as under way."""
+LIFETIME_SLACK_SECONDS = 10.0
+
+
+@dataclass(slots=True, eq=False)
+class HeldFlow:
+    """A flow at the host. `confirmed` is False while only a balancer believes that it is."""
+
+    balancer: SocketAddress
+    opened_at: float
+    seen_at: float
+    busy: bool = False
+    confirmed: bool = True
+    caller_ended: bool = False
+    host_ended: bool = False
+
+    def has_ended(self) -> bool:
+        """Tell whether both sides have sent their last."""
+        return self.caller_ended and self.host_ended
+
+
+@dataclass
+class AgentCounters:
+    """What the agent did since it started."""
+
+    packets_in: int = 0
+    packets_out: int = 0
+    frames_malformed: int = 0
+    host_packets_malformed: int = 0
+    flows_accepted: int = 0
+    flows_refused: int = 0
+    packets_returned: int = 0
+    other_service_drops: int = 0
+
+
+@dataclass
+class FlowAgent:
+    """Admits, carries, answers balancers; call `sweep` every second."""
+
+    codec: PacketCodec
+    service: str
+    host: HostState
+    to_host: Callable[[bytes], None]
+    to_balancer: Callable[[bytes, SocketAddress], None]
+    to_caller: Callable[[bytes, SocketAddress], None]
+    log: DecisionLog
+    started_at: float
+    flow_lifetime_seconds: float
+    counters: AgentCounters = field(default_factory=AgentCounters)
+    _flows: dict[bytes, HeldFlow] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Prepare what every frame needs."""
+        self._tag = service_tag(self.service)
+        self.meter = LoadMeter(self.started_at)
+
+    def __len__(self) -> int:
+        """Return the number of flows in the table."""
+        return len(self._flows)
+
+    # From balancers
+
+    def receive_frame(self, data: bytes, sender: SocketAddress, now: float) -> None:
+        """Take a balancer's frame."""
+        if len(data) < REQUEST_HEAD.size:
+            self.counters.frames_malformed += 1
+            return
+        kind, _flags, tag = REQUEST_HEAD.unpack_from(data)
+        body = data[REQUEST_HEAD.size :]
+        if kind == FrameKind.FIND:
+            self._find(body, tag, sender, now)
+        elif not self.codec.is_whole(body):
+            self.counters.frames_malformed += 1
+        elif kind == FrameKind.CARRY:
+            self._carry(body, tag, sender, now)
+        elif kind == FrameKind.OPEN:
+            self._open(body, tag, sender, now)
+        else:
+            self.counters.frames_malformed += 1
+
+    def _find(self, key: bytes, tag: int, sender: SocketAddress, now: float) -> None:
+        if len(key) != self.codec.flow_key_bytes:
+            self.counters.frames_malformed += 1
+            return
+        flow = self._flows.get(key)
+        if tag != self._tag or self.host.phase is HostPhase.GONE:
+            kind = FrameKind.NOT_HELD
+        elif flow is not None and flow.confirmed:
+            kind = FrameKind.HELD
+            flow.balancer = sender
+        else:
+            kind = FrameKind.NOT_HELD if self._knows_all_flows(now) else FrameKind.UNSURE
+        self._reply(kind, 0, key, sender, now)
+
+    def _knows_all_flows(self, now: float) -> bool:
+        """Tell whether no flow can be older than this process."""
+        return now - self.started_at > self.flow_lifetime_seconds
+
+    def _carry(self, packet: bytes, tag: int, sender: SocketAddress, now: float) -> None:
+        key = self.codec.flow_key(packet)
+        if tag != self._tag:
+            # The address was another service's when the balancer learned it.
+            self.counters.other_service_drops += 1
+            self._reply(FrameKind.RETURNED, 0, key, sender, now, packet)
+            return
+        flow = self._flows.get(key)
+        if flow is None:
+            if self._knows_all_flows(now):
+                self._reply(FrameKind.RETURNED, 0, key, sender, now, packet)
+                return
+            flow = self._flows[key] = HeldFlow(sender, now, now, confirmed=False)
+        flow.balancer = sender
+        flow.seen_at = now
+        self._note_caller_packet(flow, packet, now)
+        self.counters.packets_in += 1
+        self.to_host(packet)
+
+    def _note_caller_packet(self, flow: HeldFlow, packet: bytes, now: float) -> None:
+        if self.codec.payload_bytes(packet):
+            self._set_busy(flow, True, now)
+        if self.codec.is_ending(packet) or self.codec.is_reset(packet):
+            flow.caller_ended = True
+        if self.codec.is_reset(packet):
+            flow.host_ended = True
+            self._set_busy(flow, False, now)
+
+    def _set_busy(self, flow: HeldFlow, busy: bool, now: float) -> None:
+        if flow.busy != busy:
+            flow.busy = busy
+            self.meter.change(1 if busy else -1, now)
+
+    def _open(self, packet: bytes, tag: int, sender: SocketAddress, now: float) -> None:
+        key = self.codec.flow_key(packet)
+        reason = self._refusal(tag)
+        flow = self._flows.get(key)
+        is_copy = flow is not None and not flow.has_ended()
+        if reason is RefusalReason.FULL and is_copy:
+            reason = None
+        if reason is not None:
+            self.counters.flows_refused += 1
+            self._reply(FrameKind.REFUSED, reason, key, sender, now)
+            return
+        if not is_copy:
+            self._admit(key, sender, now)
+        self._reply(FrameKind.ACCEPTED, 0, key, sender, now)
+        self.to_host(packet)
+
+    def _refusal(self, tag: int) -> RefusalReason | None:
+        """Return why a new flow is refused now, None where it is taken."""
+        if tag != self._tag:
+            return RefusalReason.OTHER_SERVICE
+        if self.host.phase is HostPhase.DRAINING:
+            return RefusalReason.DRAINING
+        if self.host.phase is not HostPhase.READY:
+            return RefusalReason.NOT_READY
+        if self.meter.busy >= FULL_FACTOR * self.host.capacity:
+            return RefusalReason.FULL
+        return None
+
+    def _admit(self, key: bytes, sender: SocketAddress, now: float) -> None:
+        old = self._flows.get(key)
+        if old is not None:
+            self._set_busy(old, False, now)
+        flow = HeldFlow(sender, now, now)
+        self._flows[key] = flow
+        # Its first request is on the way.
+        self._set_busy(flow, True, now)
+        self.counters.flows_accepted += 1
+        self.log.note(
+            "flow-admitted",
+            flow=self.codec.describe(key),
+            busy=self.meter.busy,
+            capacity=self.host.capacity,
+            host=self.host.host_id,
+            host_call=self.host.call_number,
+            host_heard_ms=round(1000 * (now - self.host.heard_at)),
+        )
+
+    def _reply(
+        self,
+        kind: FrameKind,
+        flags: int,
+        key: bytes,
+        sender: SocketAddress,
+        now: float,
+        packet: bytes = b"",
+    ) -> None:
+        reply = AgentReply(
+            kind=kind,
+            flags=flags,
+            tag=self._tag,
+            load=self.meter.load(now),
+            capacity=self.host.capacity,
+            flow_key=key,
+            packet=packet,
+        )
+        self.to_balancer(encode_reply(reply), sender)
+
+    # From the host
+
+    def receive_host_packet(self, packet: bytes, now: float) -> None:
+        """Take a packet of the host beside this agent."""
+        if not self.codec.is_whole(packet):
+            self.counters.host_packets_malformed += 1
+            return
+        if self.codec.is_returned(packet):
+            self._host_returned(self.codec.restore_returned(packet), now)
+            return
+        key = self.codec.reverse_flow_key(packet)
+        flow = self._flows.get(key)
+        if flow is not None:
+            self._note_host_packet(key, flow, packet, now)
+        self.counters.packets_out += 1
+        self.to_caller(packet, self.codec.caller_of(key))
+
+    def _note_host_packet(self, key: bytes, flow: HeldFlow, packet: bytes, now: float) -> None:
+        flow.seen_at = now
+        if not flow.confirmed:
+            flow.confirmed = True
+            self._reply(FrameKind.HELD, 0, key, flow.balancer, now)
+        if self.codec.payload_bytes(packet):
+            self._set_busy(flow, False, now)
+        if self.codec.is_ending(packet) or self.codec.is_reset(packet):
+            flow.host_ended = True
+            self._set_busy(flow, False, now)
+        if self.codec.is_reset(packet):
+            flow.caller_ended = True
+
+    def _host_returned(self, packet: bytes, now: float) -> None:
+        """Give a packet that the host does not hold back to the balancer."""
+        key = self.codec.flow_key(packet)
+        flow = self._flows.pop(key, None)
+        if flow is None:
+            return
+        self._set_busy(flow, False, now)
+        self.counters.packets_returned += 1
+        is_opening = self.codec.is_opening(packet)
+        self.log.note(
+            "packet-returned",
+            flow=self.codec.describe(key),
+            opening=is_opening,
+            held_ms=round(1000 * (now - flow.opened_at)),
+            host=self.host.host_id,
+        )
+        if is_opening:
+            self._reply(FrameKind.REFUSED, RefusalReason.RETURNED, key, flow.balancer, now)
+        else:
+            self._reply(FrameKind.RETURNED, 0, key, flow.balancer, now, packet)
+
+    # Time
+
+    def sweep(self, now: float) -> None:
+        """Forget flows that ended or cannot be alive any longer; call every second."""
+        longest = self.flow_lifetime_seconds + LIFETIME_SLACK_SECONDS
+        for key, flow in list(self._flows.items()):
+            idle = now - flow.seen_at
+            if idle > STUCK_REQUEST_SECONDS:
+                self._set_busy(flow, False, now)
+            if (flow.has_ended() and idle > ENDED_LINGER_SECONDS) or idle > longest:
+                self._set_busy(flow, False, now)
+                del self._flows[key]
--- /dev/null
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -0,0 +1,179 @@
+"""The agent process of the datagram plane: sockets, the host's calls, the link home."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import time
+from collections.abc import Callable
+
+import structlog
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.agent.datagrams.flow_agent import FlowAgent
+from jasperwalk.agent.datagrams.host import HostAnnouncement, HostState
+from jasperwalk.fleet.home_link import HomeLink
+from jasperwalk.fleet.messages import HomeMessage, HostPhase, NodeRecord, NodeRole
+from jasperwalk.fleet.settings import AgentNodeSettings
+from jasperwalk.flows.codec import PacketCodec, SocketAddress
+from jasperwalk.flows.sockets import DatagramSocket
+from jasperwalk.observability.decisions import DecisionLog
+from jasperwalk.transport.http_server import HttpHandler, HttpServer
+
+SWEEP_SECONDS = 1.0
+FAREWELL_SECONDS = 0.05
+"""Time for the last announcement to leave before the process ends."""
+INCARNATION_BITS = 62
+
+logger = structlog.get_logger(__name__)
+
+
+class HostDesk:
+    """Takes the announcements of the host beside the agent; answers hold at once."""
+
+    def __init__(self, host: HostState, on_change: Callable[[], None]) -> None:
+        self._host = host
+        self._on_change = on_change
+
+    def announce(self, news: HostAnnouncement) -> bool:
+        """Take an announcement; return False for one that was overtaken."""
+        before = (self._host.host_id, self._host.phase)
+        taken = self._host.announce(news, time.monotonic())
+        if before != (self._host.host_id, self._host.phase):
+            self._log("host-announced", news.call_number)
+            self._on_change()
+        elif not taken:
+            self._log("host-announcement-late", news.call_number)
+        return taken
+
+    def leave(self, host_id: str) -> bool:
+        """Take a host's goodbye."""
+        taken = self._host.leave(host_id)
+        self._log("host-leaves", self._host.call_number)
+        self._on_change()
+        return taken
+
+    def _log(self, event: str, call_number: int) -> None:
+        host = self._host
+        logger.info(event, host=host.host_id, phase=host.phase.value, host_call=call_number)
+
+
+HostInterface = Callable[[HostDesk], HttpHandler]
+"""Makes the handler of the host's calls."""
+ReadinessInterface = Callable[[Callable[[], bool]], HttpHandler]
+
+
+class AgentProcess:
+    """Owns an agent's parts; `run` serves until its stop event is set."""
+
+    def __init__(
+        self,
+        settings: AgentNodeSettings,
+        reload: Callable[[], AgentNodeSettings],
+        codec: PacketCodec,
+        host_interface: HostInterface,
+        readiness_interface: ReadinessInterface,
+    ) -> None:
+        self._settings = settings
+        self._random = random.Random(secrets.randbits(64))
+        self._incarnation = secrets.randbits(INCARNATION_BITS)
+        self._gone = False
+        host_endpoint = Endpoint.parse(settings.host)
+        self._host_address: SocketAddress = (host_endpoint.host, host_endpoint.port)
+        frames = Endpoint.parse(settings.frames_listen)
+        self._callers_port = settings.callers_port or frames.port
+        self.host = HostState()
+        self._frames = DatagramSocket(frames, self._frame)
+        host_packets = Endpoint.parse(settings.host_packets_listen)
+        self._host_packets = DatagramSocket(host_packets, self._host_packet)
+        self.core = FlowAgent(
+            codec=codec,
+            service=settings.service,
+            host=self.host,
+            to_host=self._send_to_host,
+            to_balancer=self._frames.send,
+            to_caller=self._send_to_caller,
+            log=DecisionLog(time.monotonic),
+            started_at=time.monotonic(),
+            flow_lifetime_seconds=settings.flow_lifetime_ms / 1000,
+        )
+        self._link = HomeLink(
+            self._record, lambda: reload().replicas(), self._news, self._linked, self._random
+        )
+        desk = HostDesk(self.host, self._link.announce)
+        self._host_calls = HttpServer(
+            Endpoint.parse(settings.host_calls_listen), host_interface(desk)
+        )
+        self._readiness = HttpServer(
+            Endpoint.parse(settings.readiness_listen), readiness_interface(lambda: not self._gone)
+        )
+
+    def _record(self) -> NodeRecord:
+        now = time.monotonic()
+        return NodeRecord(
+            name=self._settings.name,
+            incarnation=self._incarnation,
+            role=NodeRole.AGENT,
+            zone=self._settings.zone,
+            endpoint=self._frames.endpoint,
+            service=self._settings.service,
+            phase=HostPhase.GONE if self._gone else self.host.phase,
+            capacity=self.host.capacity,
+            slow_start_seconds=self.host.slow_start_seconds(now),
+        )
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until `stop` is set."""
+        await self._host_calls.start()
+        await self._readiness.start()
+        self._frames.start()
+        self._host_packets.start()
+        logger.info(
+            "agent-started",
+            incarnation=self._incarnation,
+            service=self._settings.service,
+            zone=self._settings.zone,
+        )
+        jobs = [asyncio.create_task(self._link.run()), asyncio.create_task(self._sweep())]
+        await stop.wait()
+        await self._say_goodbye()
+        for job in jobs:
+            job.cancel()
+        await asyncio.gather(*jobs, return_exceptions=True)
+        self._frames.close()
+        self._host_packets.close()
+        await self._host_calls.close()
+        await self._readiness.close()
+        logger.info("agent-stopped", **vars(self.core.counters))
+
+    async def _say_goodbye(self) -> None:
+        """Tell the home where the host is gone, so that its flows are not waited for."""
+        if not self.host.has_left():
+            return
+        self._gone = True
+        self._link.announce()
+        await asyncio.sleep(FAREWELL_SECONDS)
+
+    def _frame(self, data: bytes, sender: SocketAddress) -> None:
+        self.core.receive_frame(data, sender, time.monotonic())
+
+    def _host_packet(self, data: bytes, _sender: SocketAddress) -> None:
+        self.core.receive_host_packet(data, time.monotonic())
+
+    def _send_to_host(self, packet: bytes) -> None:
+        self._host_packets.send(packet, self._host_address)
+
+    def _send_to_caller(self, packet: bytes, caller: SocketAddress) -> None:
+        self._host_packets.send(packet, (caller[0], self._callers_port))
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            self.core.sweep(time.monotonic())
+
+    def _linked(self, _linked: bool) -> None:
+        """Do nothing: the answers to the host hold without the link."""
+
+    def _news(self, _message: HomeMessage) -> None:
+        """Ignore the home's news: the link itself keeps the replicas' addresses."""
--- a/src/jasperwalk/agent/health_report.py
+++ b/src/jasperwalk/agent/health_report.py
@@ -9,7 +9,7 @@
 from jasperwalk.agent.endpoint import AgentEndpoint
 from jasperwalk.agent.health import BackendHealth
 from jasperwalk.distribution.runner import FollowerRunner
-from jasperwalk.observability import HealthFact, HealthReport
+from jasperwalk.observability.admin import HealthFact, HealthReport
 
 
 class AgentHealth:
--- a/src/jasperwalk/agent/process.py
+++ b/src/jasperwalk/agent/process.py
@@ -45,7 +45,8 @@
 from jasperwalk.distribution.follower_events import FollowerConfig, SubscriberFacts
 from jasperwalk.distribution.runner import FollowerRunner
 from jasperwalk.messages.distribution import SubscriberRole
-from jasperwalk.observability import AdminServer, MetricsRegistry
+from jasperwalk.observability.admin import AdminServer
+from jasperwalk.observability.metrics import MetricsRegistry
 from jasperwalk.runtime import stop_event
 from jasperwalk.settings import AgentSettings
 from jasperwalk.transport.framed import ConnectionKind, make_hello
--- /dev/null
+++ b/src/jasperwalk/balancer/datagrams/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer of the datagram plane."""
--- /dev/null
+++ b/src/jasperwalk/balancer/datagrams/flow_balancer.py
@@ -0,0 +1,331 @@
+"""The balancer's core: every caller's packet goes to the agent that holds its flow.
+
+The truth of who holds a flow lies with the hosts and the agents beside them; this table is a
+cache. A packet of a flow that is not in it is held back for the few milliseconds that asking
+the agents takes (see `search`). Sans-IO: datagrams leave through `send`, time is a parameter.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from jasperwalk.balancer.datagrams.search import Search, SearchVerdict
+from jasperwalk.balancer.datagrams.targets import SUSPECT_SECONDS, Target, TargetPool
+from jasperwalk.errors import MalformedMessage
+from jasperwalk.flows.codec import PacketCodec, SocketAddress
+from jasperwalk.flows.frames import AgentReply, FrameKind, RefusalReason, decode_reply
+from jasperwalk.flows.routes import RouteEntry, RouteTable
+from jasperwalk.observability.decisions import DecisionLog
+
+OPEN_TIMEOUT_SECONDS = 0.1
+"""An agent answers a new flow within a few milliseconds; after this the next one is tried."""
+MAXIMUM_TRIES = 4
+"""Agents that are tried for one new flow before its caller is told to try again."""
+FLOW_LIFETIME_SECONDS = 70.0
+"""A cached flow without a packet for this long is forgotten."""
+MAXIMUM_SEARCHES = 4096
+
+DatagramSender = Callable[[bytes, SocketAddress], None]
+
+
+@dataclass(slots=True, eq=False)
+class Opening:
+    """A new flow whose agent has not answered yet."""
+
+    packet: bytes
+    route: RouteEntry
+    service: str
+    started_at: float
+    deadline: float
+    tried: list[Target]
+
+
+@dataclass(slots=True, eq=False)
+class Flow:
+    """A cached flow; `opening` is None once an agent has accepted it."""
+
+    target: Target
+    seen_at: float
+    opening: Opening | None = None
+
+
+@dataclass
+class FlowCounters:
+    """What the balancer did since it started."""
+
+    packets_carried: int = 0
+    packets_malformed: int = 0
+    replies_malformed: int = 0
+    flows_opened: int = 0
+    flows_not_opened: int = 0
+    open_retries: int = 0
+    searches: int = 0
+    searches_found: int = 0
+    searches_given_up: int = 0
+    flows_reset: int = 0
+    not_ready_drops: int = 0
+
+
+@dataclass
+class FlowBalancer:
+    """Routes packets; call `tick` every few milliseconds while `has_pending`."""
+
+    codec: PacketCodec
+    routes: RouteTable
+    pool: TargetPool
+    send: DatagramSender
+    reset: DatagramSender
+    log: DecisionLog
+    counters: FlowCounters = field(default_factory=FlowCounters)
+    _flows: dict[bytes, Flow] = field(default_factory=dict)
+    _openings: dict[bytes, Flow] = field(default_factory=dict)
+    _searches: dict[bytes, Search] = field(default_factory=dict)
+
+    def __len__(self) -> int:
+        """Return the number of cached flows."""
+        return len(self._flows)
+
+    def has_pending(self) -> bool:
+        """Tell whether `tick` has anything to do."""
+        return bool(self._openings or self._searches)
+
+    # Callers' packets
+
+    def receive(self, packet: bytes, now: float) -> None:
+        """Take a caller's packet."""
+        codec = self.codec
+        if not codec.is_whole(packet):
+            self.counters.packets_malformed += 1
+            return
+        key = codec.flow_key(packet)
+        flow = self._flows.get(key)
+        if flow is None:
+            self._receive_unknown(key, packet, now)
+            return
+        flow.seen_at = now
+        target = flow.target
+        if target.departed:
+            del self._flows[key]
+            self._openings.pop(key, None)
+            self._receive_unknown(key, packet, now)
+            return
+        self.counters.packets_carried += 1
+        head = target.open_head if codec.is_opening(packet) else target.carry_head
+        self.send(head + packet, target.address)
+
+    def _receive_unknown(self, key: bytes, packet: bytes, now: float) -> None:
+        if not self.routes.version:
+            self.counters.not_ready_drops += 1
+            return
+        route = self.routes.find(self.codec.listener_of(key))
+        if route is None:
+            self._reset(key, packet, "no-route")
+        elif self.codec.is_opening(packet):
+            self._open(key, packet, route, now)
+        else:
+            self._search(key, packet, route, now)
+
+    def _reset(self, key: bytes, packet: bytes, reason: str) -> None:
+        """Tell the caller at once that its flow is not to be; it decides when to come back."""
+        if self.codec.is_reset(packet):
+            return
+        self.counters.flows_reset += 1
+        self.log.note(
+            "flow-reset",
+            flow=self.codec.describe(key),
+            reason=reason,
+            routes_version=self.routes.version,
+            agents_known=len(self.pool),
+        )
+        self.reset(self.codec.reset_for(packet), self.codec.caller_of(key))
+
+    # New flows
+
+    def _open(self, key: bytes, packet: bytes, route: RouteEntry, now: float) -> None:
+        service = route.turns.next()
+        if service is None:
+            self._reset(key, packet, "no-service")
+            return
+        opening = Opening(packet, route, service, now, now, [])
+        self._try_next(key, opening, now)
+
+    def _try_next(self, key: bytes, opening: Opening, now: float) -> None:
+        target = self._next_target(opening, now)
+        if target is None:
+            self._flows.pop(key, None)
+            self._openings.pop(key, None)
+            self.counters.flows_not_opened += 1
+            self._reset(key, opening.packet, f"no-host-after-{len(opening.tried)}-tries")
+            return
+        opening.tried.append(target)
+        opening.deadline = now + OPEN_TIMEOUT_SECONDS
+        target.sent_since += 1
+        flow = Flow(target, now, opening)
+        self._flows[key] = flow
+        self._openings[key] = flow
+        self.send(target.open_head + opening.packet, target.address)
+
+    def _next_target(self, opening: Opening, now: float) -> Target | None:
+        if len(opening.tried) >= MAXIMUM_TRIES:
+            return None
+        target = self.pool.choose(opening.service, opening.tried, now)
+        if target is not None:
+            return target
+        for service in opening.route.route.services():
+            target = self.pool.choose(service, opening.tried, now)
+            if target is not None:
+                return target
+        return None
+
+    def _opened(self, key: bytes, flow: Flow, opening: Opening, now: float) -> None:
+        flow.opening = None
+        del self._openings[key]
+        self.counters.flows_opened += 1
+        self.log.note(
+            "flow-opened",
+            flow=self.codec.describe(key),
+            service=flow.target.record.service,
+            agent=flow.target.record.name,
+            tries=len(opening.tried),
+            waited_ms=round(1000 * (now - opening.started_at), 1),
+            load=round(flow.target.load, 2),
+            routes_version=self.routes.version,
+        )
+
+    def _refused(self, key: bytes, flow: Flow, reply: AgentReply, now: float) -> None:
+        opening = flow.opening
+        assert opening is not None
+        self.counters.open_retries += 1
+        self.log.note(
+            "flow-refused",
+            flow=self.codec.describe(key),
+            agent=flow.target.record.name,
+            reason=RefusalReason(reply.flags).name.lower().replace("_", "-"),
+            load=round(reply.load, 2),
+        )
+        self._try_next(key, opening, now)
+
+    # Flows that are not in the table
+
+    def _search(self, key: bytes, packet: bytes, route: RouteEntry, now: float) -> None:
+        search = self._searches.get(key)
+        if search is not None:
+            search.hold(packet)
+            return
+        if len(self._searches) >= MAXIMUM_SEARCHES:
+            return
+        self._start_search(key, packet, route, now)
+
+    def _start_search(self, key: bytes, packet: bytes, route: RouteEntry, now: float) -> Search:
+        self.counters.searches += 1
+        search = Search(key, packet, sorted(route.past_services), now)
+        self._searches[key] = search
+        self._advance(search, now)
+        return search
+
+    def _advance(self, search: Search, now: float) -> None:
+        """Send what the search wants sent, and end it once it has a verdict."""
+        for target, datagram in search.advance(self.pool, now):
+            self.send(datagram, target.address)
+        if search.verdict is SearchVerdict.OPEN:
+            return
+        del self._searches[search.key]
+        if search.verdict is SearchVerdict.FOUND:
+            self._found(search, now)
+        elif search.verdict is SearchVerdict.NOWHERE:
+            self._reset(search.key, search.packets[-1], "held-nowhere")
+        else:
+            self.counters.searches_given_up += 1
+            self.log.note(
+                "flow-not-found",
+                flow=self.codec.describe(search.key),
+                asked=len(search.asked),
+                unanswered=",".join(search.unanswered()),
+                rounds=search.rounds,
+            )
+
+    def _found(self, search: Search, now: float) -> None:
+        target = search.holder
+        assert target is not None
+        self.counters.searches_found += 1
+        self._flows[search.key] = Flow(target, now)
+        self.log.note(
+            "flow-found",
+            flow=self.codec.describe(search.key),
+            agent=target.record.name,
+            asked=len(search.asked),
+            waited_ms=round(1000 * (now - search.started_at), 1),
+        )
+        for packet in search.packets:
+            self.send(target.carry_head + packet, target.address)
+
+    # Agents' answers
+
+    def receive_reply(self, data: bytes, sender: SocketAddress, now: float) -> None:
+        """Take a frame of an agent."""
+        try:
+            reply = decode_reply(data, self.codec.flow_key_bytes)
+        except MalformedMessage:
+            self.counters.replies_malformed += 1
+            return
+        target = self.pool.at(sender)
+        if target is None:
+            return
+        target.note_load(reply.load, now)
+        key = reply.flow_key
+        flow = self._flows.get(key)
+        search = self._searches.get(key)
+        if reply.kind in (FrameKind.ACCEPTED, FrameKind.REFUSED):
+            if flow is not None and flow.target is target and flow.opening is not None:
+                self._opening_answered(key, flow, reply, now)
+        elif search is not None:
+            search.note_answer(target, reply.kind)
+            self._advance(search, now)
+        elif reply.kind is FrameKind.RETURNED:
+            self._returned(key, flow, target, reply.packet, now)
+
+    def _opening_answered(self, key: bytes, flow: Flow, reply: AgentReply, now: float) -> None:
+        assert flow.opening is not None
+        if reply.kind is FrameKind.ACCEPTED:
+            self._opened(key, flow, flow.opening, now)
+        else:
+            self._refused(key, flow, reply, now)
+
+    def _returned(
+        self, key: bytes, flow: Flow | None, target: Target, packet: bytes, now: float
+    ) -> None:
+        """Look for the holder of a flow that the agent's host does not hold."""
+        if flow is not None and flow.target is not target:
+            self.send(flow.target.carry_head + packet, flow.target.address)
+            return
+        self._flows.pop(key, None)
+        self._openings.pop(key, None)
+        route = self.routes.find(self.codec.listener_of(key))
+        if route is None:
+            self._reset(key, packet, "no-route")
+            return
+        search = self._start_search(key, packet, route, now)
+        search.note_answer(target, FrameKind.RETURNED)
+
+    # Time
+
+    def tick(self, now: float) -> None:
+        """Give up waiting for agents that do not answer."""
+        for key, flow in list(self._openings.items()):
+            opening = flow.opening
+            if opening is not None and now >= opening.deadline:
+                flow.target.suspect_until = now + SUSPECT_SECONDS
+                self.counters.open_retries += 1
+                self._try_next(key, opening, now)
+        for search in list(self._searches.values()):
+            if now >= search.deadline and search.key in self._searches:
+                self._advance(search, now)
+
+    def sweep(self, now: float) -> None:
+        """Forget flows and agents that are long gone; call every few seconds."""
+        oldest = now - FLOW_LIFETIME_SECONDS
+        for key in [key for key, flow in self._flows.items() if flow.seen_at < oldest]:
+            del self._flows[key]
+            self._openings.pop(key, None)
+        self.pool.forget_old(now, FLOW_LIFETIME_SECONDS)
--- /dev/null
+++ b/src/jasperwalk/balancer/datagrams/process.py
@@ -0,0 +1,205 @@
+"""The balancer process of the datagram plane: sockets, the home's news, readiness."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import time
+from collections.abc import Callable
+
+import structlog
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.balancer.datagrams.flow_balancer import FlowBalancer
+from jasperwalk.balancer.datagrams.targets import TargetPool
+from jasperwalk.fleet.home_link import HomeLink
+from jasperwalk.fleet.messages import (
+    FleetUpdate,
+    HomeMessage,
+    HomeStatus,
+    NodeRecord,
+    NodeRole,
+    RoutesUpdate,
+)
+from jasperwalk.fleet.settings import BalancerNodeSettings
+from jasperwalk.flows.codec import PacketCodec, SocketAddress
+from jasperwalk.flows.routes import FlowRoute, RouteSet, RouteTable
+from jasperwalk.flows.sockets import DatagramSocket
+from jasperwalk.observability.decisions import DecisionLog
+from jasperwalk.transport.http_server import HttpHandler, HttpServer
+
+TICK_SECONDS = 0.02
+SWEEP_SECONDS = 4.0
+LEAVING_SECONDS = 1.6
+"""After a stop signal the balancer is not ready but carries packets until the fabric, which
+asks twice a second and wants two misses, sends it none."""
+INCARNATION_BITS = 62
+
+ReadinessInterface = Callable[[Callable[[], bool]], HttpHandler]
+"""Makes the handler of the fabric's readiness calls from the balancer's own answer."""
+
+logger = structlog.get_logger(__name__)
+
+
+class BalancerProcess:
+    """Owns a balancer's parts; `run` serves until its stop event is set."""
+
+    def __init__(
+        self,
+        settings: BalancerNodeSettings,
+        reload: Callable[[], BalancerNodeSettings],
+        codec: PacketCodec,
+        interface: ReadinessInterface,
+    ) -> None:
+        self._settings = settings
+        self._reload = reload
+        self._codec = codec
+        self._random = random.Random(secrets.randbits(64))
+        self._incarnation = secrets.randbits(INCARNATION_BITS)
+        self._stopping = False
+        self._has_agents = False
+        self._was_ready = False
+        self._link_routes: dict[Endpoint, FlowRoute] = {}
+        self._link_version = 0
+        self.routes = RouteTable()
+        self.pool = TargetPool(settings.zone, self._random)
+        self._callers = DatagramSocket(Endpoint.parse(settings.callers_listen), self._packet)
+        self._frames = DatagramSocket(Endpoint.parse(settings.frames_listen), self._frame)
+        self._callers_port = Endpoint.parse(settings.callers_listen).port
+        self.core = FlowBalancer(
+            codec=codec,
+            routes=self.routes,
+            pool=self.pool,
+            send=self._frames.send,
+            reset=self._send_to_caller,
+            log=DecisionLog(time.monotonic),
+        )
+        self._ticking = False
+        self._link = HomeLink(
+            self._record, lambda: reload().replicas(), self._news, self._linked, self._random
+        )
+        self._http = HttpServer(Endpoint.parse(settings.readiness_listen), interface(self.is_ready))
+
+    def _record(self) -> NodeRecord:
+        return NodeRecord(
+            name=self._settings.name,
+            incarnation=self._incarnation,
+            role=NodeRole.BALANCER,
+            zone=self._settings.zone,
+            endpoint=self._frames.endpoint,
+        )
+
+    def is_ready(self) -> bool:
+        """Tell whether the fabric may send packets here."""
+        ready = bool(self.routes.version) and self._has_agents and not self._stopping
+        if ready != self._was_ready:
+            self._was_ready = ready
+            logger.info("readiness", ready=ready, routes_version=self.routes.version)
+        return ready
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until `stop` is set, then until the fabric sends no more."""
+        await self._http.start()
+        self._callers.start()
+        self._frames.start()
+        logger.info("balancer-started", incarnation=self._incarnation, zone=self._settings.zone)
+        jobs = [asyncio.create_task(self._link.run()), asyncio.create_task(self._sweep())]
+        await stop.wait()
+        self._stopping = True
+        logger.info("balancer-stopping", flows=len(self.core))
+        await asyncio.sleep(min(LEAVING_SECONDS, self._settings.stop_grace_ms / 2000))
+        for job in jobs:
+            job.cancel()
+        await asyncio.gather(*jobs, return_exceptions=True)
+        self._callers.close()
+        self._frames.close()
+        await self._http.close()
+        logger.info("balancer-stopped", **vars(self.core.counters))
+
+    # Datagrams
+
+    def _packet(self, data: bytes, _sender: SocketAddress) -> None:
+        self.core.receive(data, time.monotonic())
+        if not self._ticking and self.core.has_pending():
+            self._start_ticking()
+
+    def _frame(self, data: bytes, sender: SocketAddress) -> None:
+        self.core.receive_reply(data, sender, time.monotonic())
+        if not self._ticking and self.core.has_pending():
+            self._start_ticking()
+
+    def _send_to_caller(self, packet: bytes, caller: SocketAddress) -> None:
+        self._callers.send(packet, (caller[0], self._callers_port))
+
+    def _start_ticking(self) -> None:
+        self._ticking = True
+        asyncio.get_running_loop().call_later(TICK_SECONDS, self._tick)
+
+    def _tick(self) -> None:
+        self._ticking = False
+        self.core.tick(time.monotonic())
+        if self.core.has_pending():
+            self._start_ticking()
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            self.core.sweep(time.monotonic())
+
+    # The home's news
+
+    def _linked(self, linked: bool) -> None:
+        if linked:
+            self._link_routes = {}
+            self._link_version = 0
+
+    def _news(self, message: HomeMessage) -> None:
+        if isinstance(message, FleetUpdate):
+            self._fleet_changed(message)
+        elif isinstance(message, RoutesUpdate):
+            self._routes_changed(message)
+        elif isinstance(message, HomeStatus) and message.current:
+            self._home_is_current(message)
+
+    def _fleet_changed(self, update: FleetUpdate) -> None:
+        self._has_agents = True
+        self.pool.update(update, time.monotonic())
+        for record in update.records:
+            logger.info(
+                "agent-changed",
+                agent=record.name,
+                service=record.service,
+                phase=record.phase.value,
+                capacity=record.capacity,
+                incarnation=record.incarnation,
+            )
+        for endpoint in update.removed:
+            logger.info("agent-unlisted", endpoint=str(endpoint))
+
+    def _routes_changed(self, update: RoutesUpdate) -> None:
+        """Follow the link's versions; what is put in force is decided by `_put_in_force`."""
+        for listener in update.removed:
+            self._link_routes.pop(listener, None)
+        for route in update.changed:
+            self._link_routes[route.listener] = route
+        self._link_version = update.version
+        if self.routes.version:
+            self._put_in_force()
+
+    def _home_is_current(self, status: HomeStatus) -> None:
+        """Put the first routes of this life in force, from a home that is surely current."""
+        if not self.routes.version and self._link_version >= status.version:
+            self._put_in_force()
+
+    def _put_in_force(self) -> None:
+        routes = RouteSet(self._link_version, list(self._link_routes.values()))
+        before = self.routes.version
+        if self.routes.replace(routes):
+            logger.info(
+                "routes-in-force",
+                version=self.routes.version,
+                before=before,
+                routes=len(self.routes),
+                home=str(self._link.home),
+            )
--- /dev/null
+++ b/src/jasperwalk/balancer/datagrams/search.py
@@ -0,0 +1,126 @@
+"""Finding the agent that holds a flow, without sending its packets to several hosts.
+
+The agents of the route's services are asked by name of the flow; the packets wait here. An
+agent that started later than its host cannot know: only if none of the others holds the flow
+is one packet shown to such hosts, one after the other, which hand it back if it is not
+theirs. The second round asks every agent, because a route may have named other services when
+the flow was opened. Only when every agent has denied the flow twice is it held nowhere.
+"""
+
+from __future__ import annotations
+
+import enum
+
+from jasperwalk.balancer.datagrams.targets import Target, TargetPool
+from jasperwalk.flows.frames import FrameKind
+
+ANSWER_SECONDS = 0.06
+"""How long a round waits for agents that do not answer."""
+PROBE_SECONDS = 0.06
+"""How long one host may take to hand a packet back."""
+ROUND_PAUSE_SECONDS = 0.25
+"""Pause between the first round and the second."""
+LONGEST_SECONDS = 1.0
+MAXIMUM_HELD_PACKETS = 16
+ROUNDS = 2
+
+Datagram = tuple[Target, bytes]
+
+
+class SearchVerdict(enum.Enum):
+    """How a search stands."""
+
+    OPEN = "open"
+    FOUND = "found"
+    NOWHERE = "nowhere"
+    """Every agent has denied the flow, twice."""
+    UNKNOWN = "unknown"
+    """Some agents did not answer; the caller's next packet begins a new search."""
+
+
+class Search:
+    """One flow's search; sans-IO: `advance` returns what is to be sent."""
+
+    def __init__(self, key: bytes, packet: bytes, services: list[str], now: float) -> None:
+        self.key = key
+        self.packets = [packet]
+        self.started_at = now
+        self.deadline = now
+        self.rounds = 0
+        self.verdict = SearchVerdict.OPEN
+        self.holder: Target | None = None
+        self.asked: dict[Target, FrameKind | None] = {}
+        self._services = services
+        self._probed: set[Target] = set()
+        self._returned: set[Target] = set()
+        self._probing: Target | None = None
+        self._pausing = False
+
+    def hold(self, packet: bytes) -> None:
+        """Keep another packet of the flow."""
+        if len(self.packets) < MAXIMUM_HELD_PACKETS:
+            self.packets.append(packet)
+
+    def note_answer(self, target: Target, kind: FrameKind) -> None:
+        """Take an agent's answer."""
+        if kind is FrameKind.HELD:
+            self.holder = target
+            self.verdict = SearchVerdict.FOUND
+            return
+        if kind is FrameKind.RETURNED:
+            self._probed.add(target)
+            self._returned.add(target)
+            if self._probing is target:
+                self._probing = None
+        self.asked[target] = kind
+
+    def unanswered(self) -> list[str]:
+        """Return the names of the agents that did not answer."""
+        return [target.record.name for target, kind in self.asked.items() if kind is None]
+
+    def advance(self, pool: TargetPool, now: float) -> list[Datagram]:
+        """Go on as far as answers and time allow."""
+        if self.verdict is not SearchVerdict.OPEN:
+            return []
+        if self.rounds == 0:
+            return self._begin_round(pool.of_services(self._services), now)
+        if self._pausing:
+            if now < self.deadline:
+                return []
+            self._pausing = False
+            return self._begin_round(pool.all_targets(), now)
+        waits = self._probing is not None or self.unanswered()
+        if waits and now < self.deadline:
+            return []
+        return self._probe_next(now) or self._end_round(now)
+
+    def _begin_round(self, targets: list[Target], now: float) -> list[Datagram]:
+        self.rounds += 1
+        self.deadline = now + ANSWER_SECONDS
+        self.asked = dict.fromkeys(targets)
+        return [(target, target.find_head + self.key) for target in targets]
+
+    def _probe_next(self, now: float) -> list[Datagram]:
+        """Show the first packet to the next host whose agent does not know."""
+        for target, kind in self.asked.items():
+            if kind is FrameKind.UNSURE and target not in self._probed and not target.departed:
+                self._probed.add(target)
+                self._probing = target
+                self.deadline = now + PROBE_SECONDS
+                return [(target, target.search_head + self.packets[0])]
+        return []
+
+    def _end_round(self, now: float) -> list[Datagram]:
+        self._probing = None
+        denied = all(self._has_denied(target, kind) for target, kind in self.asked.items())
+        if self.rounds < ROUNDS:
+            self._pausing = True
+            self.deadline = now + ROUND_PAUSE_SECONDS
+        elif denied and self.asked:
+            self.verdict = SearchVerdict.NOWHERE
+        else:
+            self.verdict = SearchVerdict.UNKNOWN
+        return []
+
+    def _has_denied(self, target: Target, kind: FrameKind | None) -> bool:
+        return kind is FrameKind.NOT_HELD or target in self._returned or target.departed
--- /dev/null
+++ b/src/jasperwalk/balancer/datagrams/targets.py
@@ -0,0 +1,183 @@
+"""The agents as one balancer knows them, and the choice of one for a new flow.
+
+What the directory says decides who may be chosen. How busy each agent is comes with its
+answers on the data path, so it costs no control traffic; what this balancer sent since the
+last answer is added. An agent that leaves the directory without saying goodbye may only have
+lost its control link: it stays usable for a while, because an agent that is really gone does
+not answer and is passed over.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.fleet.messages import FleetUpdate, HostPhase, NodeRecord
+from jasperwalk.flows.codec import SocketAddress
+from jasperwalk.flows.frames import FLAG_SEARCH, FrameKind, encode_request, service_tag
+
+UNLISTED_USABLE_SECONDS = 8.0
+"""How long an agent that left the directory may still be chosen for new flows."""
+SUSPECT_SECONDS = 1.0
+"""How long an agent that did not answer is chosen only if no other is left."""
+OTHER_ZONE_COST = 0.12
+"""What crossing zones adds to an agent's relative load: bytes between zones are paid for."""
+SLOW_START_FACTOR = 2.0
+"""How much an agent's load counts while its host is in slow start."""
+JITTER = 0.05
+"""Balancers that know the same loads shall not all choose the same agent."""
+UNKNOWN_CAPACITY = 1
+
+
+@dataclass(slots=True, eq=False)
+class Target:
+    """One process of an agent; frames for it are prepared."""
+
+    record: NodeRecord
+    address: SocketAddress
+    tag: int
+    carry_head: bytes
+    search_head: bytes
+    open_head: bytes
+    find_head: bytes
+    load: float = 0.0
+    load_at: float = float("-inf")
+    sent_since: int = 0
+    suspect_until: float = float("-inf")
+    slow_until: float = float("-inf")
+    unlisted_since: float | None = None
+    departed: bool = False
+    """True once the agent said that its host is gone, or another process took its address."""
+
+    def note_load(self, load: float, now: float) -> None:
+        """Take the load of an answer."""
+        self.load = load
+        self.load_at = now
+        self.sent_since = 0
+        self.suspect_until = float("-inf")
+
+    def relative_load(self, now: float) -> float:
+        """Return requests under way for each slot, as far as known."""
+        capacity = max(self.record.capacity, UNKNOWN_CAPACITY)
+        load = (self.load + self.sent_since) / capacity
+        return (load + 1.0 / capacity) * SLOW_START_FACTOR if now < self.slow_until else load
+
+    def is_usable(self, now: float) -> bool:
+        """Tell whether new flows may be sent there."""
+        if self.departed or self.record.phase is not HostPhase.READY:
+            return False
+        return self.unlisted_since is None or now - self.unlisted_since < UNLISTED_USABLE_SECONDS
+
+
+def make_target(record: NodeRecord, now: float) -> Target:
+    """Prepare a target for an agent's record."""
+    tag = service_tag(record.service)
+    return Target(
+        record=record,
+        address=(record.endpoint.host, record.endpoint.port),
+        tag=tag,
+        carry_head=encode_request(FrameKind.CARRY, 0, tag, b""),
+        search_head=encode_request(FrameKind.CARRY, FLAG_SEARCH, tag, b""),
+        open_head=encode_request(FrameKind.OPEN, 0, tag, b""),
+        find_head=encode_request(FrameKind.FIND, 0, tag, b""),
+        slow_until=now + record.slow_start_seconds,
+    )
+
+
+@dataclass
+class TargetPool:
+    """All agents that this balancer knows; sans-IO."""
+
+    zone: str
+    source: random.Random
+    _targets: dict[Endpoint, Target] = field(default_factory=dict)
+    _by_service: dict[str, list[Target]] = field(default_factory=dict)
+    _by_address: dict[SocketAddress, Target] = field(default_factory=dict)
+
+    def update(self, update: FleetUpdate, now: float) -> None:
+        """Take the directory's news in."""
+        if update.whole:
+            listed = {record.endpoint for record in update.records}
+            self._unlist([each for each in self._targets if each not in listed], now)
+        self._unlist(update.removed, now)
+        for record in update.records:
+            self._take(record, now)
+        self._index()
+
+    def _unlist(self, endpoints: Iterable[Endpoint], now: float) -> None:
+        for endpoint in endpoints:
+            target = self._targets.get(endpoint)
+            if target is not None and target.unlisted_since is None:
+                target.unlisted_since = now
+
+    def _take(self, record: NodeRecord, now: float) -> None:
+        held = self._targets.get(record.endpoint)
+        is_same_service = held is not None and held.record.service == record.service
+        if held is None or not is_same_service or held.departed:
+            if held is not None:
+                held.departed = True
+            held = self._targets[record.endpoint] = make_target(record, now)
+        # A restarted agent has the same host beside it: its flows go on.
+        held.record = record
+        held.unlisted_since = None
+        held.slow_until = now + record.slow_start_seconds
+        held.departed = record.phase is HostPhase.GONE
+
+    def _index(self) -> None:
+        self._by_service = {}
+        self._by_address = {}
+        for target in self._targets.values():
+            self._by_service.setdefault(target.record.service, []).append(target)
+            self._by_address[target.address] = target
+
+    def forget_old(self, now: float, lifetime_seconds: float) -> None:
+        """Forget agents that left longer ago than any flow may last."""
+        for endpoint, target in list(self._targets.items()):
+            left_at = target.unlisted_since
+            if left_at is not None and now - left_at > lifetime_seconds:
+                target.departed = True
+                del self._targets[endpoint]
+        self._index()
+
+    def at(self, address: SocketAddress) -> Target | None:
+        """Return the target that sends from this address."""
+        return self._by_address.get(address)
+
+    def choose(self, service: str, excluded: Collection[Target], now: float) -> Target | None:
+        """Return the least loaded usable agent of a service, None where there is none."""
+        best: Target | None = None
+        best_cost = 0.0
+        for target in self._by_service.get(service, ()):
+            if target in excluded or not target.is_usable(now):
+                continue
+            cost = self._cost(target, now)
+            if best is None or cost < best_cost:
+                best, best_cost = target, cost
+        return best
+
+    def _cost(self, target: Target, now: float) -> float:
+        cost = target.relative_load(now) + self.source.random() * JITTER
+        if target.record.zone != self.zone:
+            cost += OTHER_ZONE_COST
+        if now < target.suspect_until:
+            cost += 1000.0
+        return cost
+
+    def of_services(self, services: Collection[str]) -> list[Target]:
+        """Return every agent of these services that may hold flows, leaving ones too."""
+        return [
+            target
+            for service in services
+            for target in self._by_service.get(service, ())
+            if not target.departed
+        ]
+
+    def all_targets(self) -> list[Target]:
+        """Return every agent that may hold flows."""
+        return [target for target in self._targets.values() if not target.departed]
+
+    def __len__(self) -> int:
+        """Return how many agents are known."""
+        return len(self._targets)
--- a/src/jasperwalk/balancer/process.py
+++ b/src/jasperwalk/balancer/process.py
@@ -22,14 +22,9 @@
 from jasperwalk.distribution.follower_table import FollowerTable
 from jasperwalk.distribution.runner import FollowerRunner
 from jasperwalk.messages.distribution import SubscriberRole
-from jasperwalk.observability import (
-    AdminServer,
-    HealthFact,
-    HealthReport,
-    MetricsRegistry,
-    configure_logging,
-    get_logger,
-)
+from jasperwalk.observability.admin import AdminServer, HealthFact, HealthReport
+from jasperwalk.observability.logs import configure_logging, get_logger
+from jasperwalk.observability.metrics import MetricsRegistry
 from jasperwalk.routing.connection_ids import UnusableConnectionIdKey
 from jasperwalk.runtime import stop_event
 from jasperwalk.settings.models import BalancerSettings
--- a/src/jasperwalk/cli/daemons.py
+++ b/src/jasperwalk/cli/daemons.py
@@ -12,7 +12,7 @@
 from jasperwalk.cli.exit_codes import ExitCode
 from jasperwalk.cli.operation import ExampleCommand
 from jasperwalk.errors import JasperwalkError
-from jasperwalk.observability import configure_logging, get_logger
+from jasperwalk.observability.logs import configure_logging, get_logger
 from jasperwalk.runtime import run
 from jasperwalk.settings import (
     AgentSettings,
--- a/src/jasperwalk/consensus/core.py
+++ b/src/jasperwalk/consensus/core.py
@@ -82,6 +82,15 @@
         """Whether this replica leads in its term, as far as it knows."""
         return self._state.role is Role.LEADER
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether this replica leads and has committed an entry of its own term.
+
+        Only then does it know everything that earlier leaders committed.
+        """
+        leadership = self._leading()
+        return leadership is not None and leadership.first_index <= self._state.commit_index
+
     @property
     def is_transferring(self) -> bool:
         """Whether this leader hands its leadership over and takes no proposals."""
--- a/src/jasperwalk/consensus/storage.py
+++ b/src/jasperwalk/consensus/storage.py
@@ -31,6 +31,14 @@
 LOCK_NAME = "lock"
 
 
+def stored_replica_id(folder: Path) -> int | None:
+    """Return whose data folder it is, None for one that is not complete; raises `StorageError`."""
+    path = folder / IDENTITY_NAME
+    if not path.exists():
+        return None
+    return decode_record(path, read_framed_file(path), Identity).replica_id
+
+
 class FileStorage:
     """Loads a replica's state and makes batches durable; blocking, one caller at a time.
 
--- a/src/jasperwalk/control/api.py
+++ b/src/jasperwalk/control/api.py
@@ -22,7 +22,8 @@
 )
 from jasperwalk.control.replica import ControlReplica
 from jasperwalk.errors import JasperwalkError
-from jasperwalk.observability import HealthReport, MetricsRegistry, add_admin_routes
+from jasperwalk.observability.admin import HealthReport, add_admin_routes
+from jasperwalk.observability.metrics import MetricsRegistry
 from jasperwalk.transport.tls import LinkTls
 
 MAXIMUM_BODY_BYTES = 512 * 1024
--- a/src/jasperwalk/control/applied.py
+++ b/src/jasperwalk/control/applied.py
@@ -5,44 +5,44 @@
 import asyncio
 from collections import OrderedDict
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Generic, TypeVar
 
 from jasperwalk.control.proposal_errors import OutcomeUnknown, ProposalError, ProposalLost
 
-if TYPE_CHECKING:
-    from jasperwalk.control.state.outcomes import Outcome
-
 REMEMBERED_ENTRIES = 1024
 """Latest entries whose results are kept: a forwarded entry may be applied here before the
 leader's reply with its index arrives."""
 
 
+OutcomeType = TypeVar("OutcomeType")
+
+
 @dataclass(frozen=True)
-class AppliedEntry:
+class AppliedEntry(Generic[OutcomeType]):
     """One applied entry; `outcome` is None where the entry was no command."""
 
     index: int
     term: int
-    outcome: Outcome | None
+    outcome: OutcomeType | None
 
 
 @dataclass(frozen=True)
-class Waiter:
+class Waiter(Generic[OutcomeType]):
     """A proposal that waits for the entry of `term` at its index."""
 
     term: int
-    future: asyncio.Future[AppliedEntry]
+    future: asyncio.Future[AppliedEntry[OutcomeType]]
 
 
-class AppliedEntries:
+class AppliedEntries(Generic[OutcomeType]):
     """Results of applied entries, by index, and the proposals that wait for them."""
 
     def __init__(self) -> None:
         self.index = 0
-        self._latest: OrderedDict[int, AppliedEntry] = OrderedDict()
-        self._waiters: dict[int, list[Waiter]] = {}
+        self._latest: OrderedDict[int, AppliedEntry[OutcomeType]] = OrderedDict()
+        self._waiters: dict[int, list[Waiter[OutcomeType]]] = {}
 
-    def record(self, entry: AppliedEntry) -> None:
+    def record(self, entry: AppliedEntry[OutcomeType]) -> None:
         """Note an applied entry and answer those who wait for its index."""
         self.index = entry.index
         self._latest[entry.index] = entry
@@ -58,7 +58,9 @@
             for waiter in self._waiters.pop(waited_index):
                 _fail(waiter, OutcomeUnknown())
 
-    async def wait(self, index: int, term: int, timeout_seconds: float) -> AppliedEntry:
+    async def wait(
+        self, index: int, term: int, timeout_seconds: float
+    ) -> AppliedEntry[OutcomeType]:
         """Return the entry once applied.
 
         Raises `ProposalLost` when an entry of another term took its place, and
@@ -77,14 +79,14 @@
         finally:
             self._discard(index, waiter)
 
-    def _settle_late(self, index: int, waiter: Waiter) -> None:
+    def _settle_late(self, index: int, waiter: Waiter[OutcomeType]) -> None:
         entry = self._latest.get(index)
         if entry is None:
             _fail(waiter, OutcomeUnknown())
         else:
             _settle(waiter, entry)
 
-    def _discard(self, index: int, waiter: Waiter) -> None:
+    def _discard(self, index: int, waiter: Waiter[OutcomeType]) -> None:
         """Forget a waiter that gave up, so that a stalled log does not collect them."""
         waiters = self._waiters.get(index)
         if waiters is not None and waiter in waiters:
@@ -93,13 +95,13 @@
                 del self._waiters[index]
 
 
-def _settle(waiter: Waiter, entry: AppliedEntry) -> None:
+def _settle(waiter: Waiter[OutcomeType], entry: AppliedEntry[OutcomeType]) -> None:
     if waiter.term != entry.term:
         _fail(waiter, ProposalLost())
     elif not waiter.future.done():
         waiter.future.set_result(entry)
 
 
-def _fail(waiter: Waiter, error: ProposalError) -> None:
+def _fail(waiter: Waiter[OutcomeType], error: ProposalError) -> None:
     if not waiter.future.done():
         waiter.future.set_exception(error)
--- a/src/jasperwalk/control/control_runner.py
+++ b/src/jasperwalk/control/control_runner.py
@@ -8,6 +8,7 @@
 from jasperwalk.control.peer_links import PeerNetwork
 from jasperwalk.control.raft_runner import RaftRunner, RaftRunnerConfig
 from jasperwalk.control.state.machine import ControlState
+from jasperwalk.control.state.outcomes import Outcome
 from jasperwalk.control.state_applier import AppliedListener, StateApplier
 
 
@@ -30,6 +31,6 @@
         return self._state_applier.state
 
     @property
-    def applied(self) -> AppliedEntries:
+    def applied(self) -> AppliedEntries[Outcome]:
         """The applied entries, and who waits for them."""
         return self._state_applier.applied
--- /dev/null
+++ b/src/jasperwalk/control/fleet/autopilot.py
@@ -0,0 +1,133 @@
+"""Keeps the replicas' member list right without an operator.
+
+A replica whose disk was lost, or a machine that replaces another, comes with a new replica
+ID and asks to join. It becomes a learner at once. It gets a vote when the system is founded,
+or when it replaces a voter: one with the same address (whose disk is gone), or one that has
+been silent for a while. Only then is the replaced voter removed: the number of disks that
+hold what was committed never falls below what it was. A silent voter without a successor
+keeps its place, because a smaller quorum would put entries on fewer disks.
+
+Replicas beyond the voters stay learners and stand by.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from jasperwalk.consensus.entries import Member, Membership
+from jasperwalk.consensus.members import (
+    AddLearner,
+    MembershipChange,
+    PromoteLearner,
+    RemoveReplica,
+)
+from jasperwalk.control.fleet.messages import JoinRequest
+
+REPLACE_AFTER_SECONDS = 4.0
+"""A voter that was not heard for this long may be replaced by a learner that stands by."""
+REQUEST_LIFETIME_SECONDS = 3.0
+"""A newcomer repeats its request; one that has not for this long is gone."""
+ODD_DIVISOR = 2
+
+
+@dataclass
+class Newcomer:
+    """A replica that asked to join, and when it last did."""
+
+    request: JoinRequest
+    asked_at: float
+
+
+@dataclass
+class Autopilot:
+    """Decides the next change of the member list on the leader; sans-IO."""
+
+    newcomers: dict[int, Newcomer] = field(default_factory=dict)
+
+    def note_request(self, request: JoinRequest, now: float) -> None:
+        """Remember a newcomer."""
+        self.newcomers[request.replica_id] = Newcomer(request, now)
+
+    def next_change(
+        self, membership: Membership, contact_ages: Mapping[int, float], now: float
+    ) -> MembershipChange | None:
+        """Return the next change, None where the list is right.
+
+        `contact_ages` holds the seconds since each replica was heard.
+        """
+        self._forget_old_requests(now)
+        return (
+            self._surplus_voter(membership, contact_ages)
+            or self._promotion(membership, contact_ages)
+            or self._addition(membership)
+            or self._stale_learner(membership, contact_ages)
+        )
+
+    def _forget_old_requests(self, now: float) -> None:
+        for replica_id, newcomer in list(self.newcomers.items()):
+            if now - newcomer.asked_at > REQUEST_LIFETIME_SECONDS:
+                del self.newcomers[replica_id]
+
+    def _addition(self, membership: Membership) -> AddLearner | None:
+        for replica_id, newcomer in self.newcomers.items():
+            known = membership.find(replica_id) is not None or replica_id in membership.removed
+            if not known:
+                return AddLearner(replica_id, str(newcomer.request.address))
+        return None
+
+    def _promotion(
+        self, membership: Membership, contact_ages: Mapping[int, float]
+    ) -> PromoteLearner | None:
+        replaceable = self._replaceable(membership, contact_ages)
+        for member in membership.members:
+            newcomer = self.newcomers.get(member.replica_id)
+            if member.voting or contact_ages.get(member.replica_id, 0.0) > REPLACE_AFTER_SECONDS:
+                continue
+            is_founding = newcomer is not None and newcomer.request.founding
+            if is_founding or replaceable:
+                return PromoteLearner(member.replica_id)
+        return None
+
+    def _replaceable(
+        self, membership: Membership, contact_ages: Mapping[int, float]
+    ) -> list[Member]:
+        """Return the voters that a successor may replace; the surely lost ones come first."""
+        voters = [member for member in membership.members if member.voting]
+        moved = [member for member in voters if self._has_new_replica_at(member, membership)]
+        silent = [
+            member
+            for member in voters
+            if contact_ages.get(member.replica_id, 0.0) > REPLACE_AFTER_SECONDS
+        ]
+        return moved + silent
+
+    def _has_new_replica_at(self, voter: Member, membership: Membership) -> bool:
+        """Tell whether a newcomer asks from the voter's address: the voter's disk is gone."""
+        for replica_id, newcomer in self.newcomers.items():
+            same_address = str(newcomer.request.address) == voter.address
+            if replica_id != voter.replica_id and same_address:
+                return replica_id not in membership.removed
+        return False
+
+    def _surplus_voter(
+        self, membership: Membership, contact_ages: Mapping[int, float]
+    ) -> RemoveReplica | None:
+        """Remove a replaced voter.
+
+        Numbers of voters are odd but for the time of a replacement; an even number with a
+        silent voter protects no better than the odd one below it.
+        """
+        if len(membership.voter_ids()) % ODD_DIVISOR:
+            return None
+        replaceable = self._replaceable(membership, contact_ages)
+        return RemoveReplica(replaceable[0].replica_id) if replaceable else None
+
+    def _stale_learner(
+        self, membership: Membership, contact_ages: Mapping[int, float]
+    ) -> RemoveReplica | None:
+        for member in membership.members:
+            silent = contact_ages.get(member.replica_id, 0.0) > REPLACE_AFTER_SECONDS
+            if not member.voting and silent and member.replica_id not in self.newcomers:
+                return RemoveReplica(member.replica_id)
+        return None
--- /dev/null
+++ b/src/jasperwalk/control/fleet/directory.py
@@ -0,0 +1,151 @@
+"""The directory of nodes on one control replica: who is linked where in the fleet.
+
+The nodes themselves are the source of truth. Each is linked to one replica, its home, and the
+homes tell each other; nothing of it is in the replicated log. Two homes may claim the same
+node for a moment (its old link is not known to be dead yet): the newest claim counts.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.control.fleet.messages import HomedNodes, ReplicaBeat
+from jasperwalk.fleet.messages import FleetUpdate, NodeRecord, NodeRole
+
+CLAIM_LIFETIME_SECONDS = 6.0
+"""A silent replica's claims are kept this long: its nodes find another home meanwhile."""
+
+OWN_ID = 0
+"""Key of this replica's own claims; a replica ID is never 0, and may change in a life."""
+
+
+@dataclass
+class HomeClaims:
+    """What one replica says of the nodes linked to it."""
+
+    life: int
+    sequence: int
+    heard_at: float
+    records: dict[Endpoint, NodeRecord] = field(default_factory=dict)
+
+
+class NodeDirectory:
+    """Merges the claims of all homes; sans-IO, time in seconds is a parameter."""
+
+    def __init__(self, life: int) -> None:
+        self._life = life
+        self._claims: dict[int, HomeClaims] = {OWN_ID: HomeClaims(life, 0, 0.0)}
+        self._merged: dict[Endpoint, NodeRecord] = {}
+        self._changed: dict[Endpoint, None] = {}
+
+    @property
+    def sequence(self) -> int:
+        """Number of the changes of this replica's own nodes so far."""
+        return self._claims[OWN_ID].sequence
+
+    def announce(self, record: NodeRecord) -> HomedNodes:
+        """Take a linked node's record; return the news for the other replicas."""
+        own = self._claims[OWN_ID]
+        own.records[record.endpoint] = record
+        self._merge(record)
+        own.sequence += 1
+        return HomedNodes(self._life, own.sequence, False, [record], [])
+
+    def unlink(self, record: NodeRecord) -> HomedNodes | None:
+        """Note that a node's link ended; None if a newer process took its place."""
+        own = self._claims[OWN_ID]
+        held = own.records.get(record.endpoint)
+        if held is None or held.incarnation != record.incarnation:
+            return None
+        del own.records[record.endpoint]
+        self._drop(record.endpoint, held)
+        own.sequence += 1
+        return HomedNodes(self._life, own.sequence, False, [], [record.endpoint])
+
+    def own_nodes(self) -> HomedNodes:
+        """Return all nodes linked to this replica, for a replica that missed a change."""
+        own = self._claims[OWN_ID]
+        return HomedNodes(self._life, own.sequence, True, list(own.records.values()), [])
+
+    def take_beat(self, sender: int, beat: ReplicaBeat, now: float) -> bool:
+        """Take a replica's sign of life; return True if its nodes must be asked for."""
+        claims = self._claims.get(sender)
+        if claims is None:
+            claims = self._claims[sender] = HomeClaims(0, 0, now)
+        claims.heard_at = now
+        return (claims.life, claims.sequence) != (beat.life, beat.sequence)
+
+    def take_nodes(self, sender: int, news: HomedNodes, now: float) -> bool:
+        """Take another replica's news; return True if a change before it was missed."""
+        claims = self._claims.setdefault(sender, HomeClaims(0, 0, now))
+        claims.heard_at = now
+        if not news.whole:
+            if news.life != claims.life or news.sequence != claims.sequence + 1:
+                return True
+        else:
+            listed = {record.endpoint for record in news.records}
+            self._release(claims, [each for each in claims.records if each not in listed])
+        claims.life = news.life
+        claims.sequence = news.sequence
+        self._release(claims, news.removed)
+        for record in news.records:
+            if claims.records.get(record.endpoint) != record:
+                claims.records[record.endpoint] = record
+                self._merge(record)
+        return False
+
+    def expire(self, now: float) -> None:
+        """Forget the claims of replicas that have been silent for too long."""
+        for replica_id, claims in list(self._claims.items()):
+            silent = now - claims.heard_at > CLAIM_LIFETIME_SECONDS
+            if replica_id != OWN_ID and silent:
+                del self._claims[replica_id]
+                self._release(claims, list(claims.records))
+
+    def _release(self, claims: HomeClaims, endpoints: Iterable[Endpoint]) -> None:
+        for endpoint in endpoints:
+            record = claims.records.pop(endpoint, None)
+            if record is not None:
+                self._drop(endpoint, record)
+
+    def _merge(self, record: NodeRecord) -> None:
+        if self._merged.get(record.endpoint) != record:
+            self._merged[record.endpoint] = record
+            self._changed[record.endpoint] = None
+
+    def _drop(self, endpoint: Endpoint, record: NodeRecord) -> None:
+        """Forget a claim; another home's claim of the same node takes its place."""
+        held = self._merged.get(endpoint)
+        if held is None or held.incarnation != record.incarnation:
+            return
+        for claims in self._claims.values():
+            other = claims.records.get(endpoint)
+            if other is not None:
+                self._merge(other)
+                return
+        del self._merged[endpoint]
+        self._changed[endpoint] = None
+
+    def agents(self) -> FleetUpdate:
+        """Return every agent, for a balancer that links up."""
+        records = [each for each in self._merged.values() if each.role is NodeRole.AGENT]
+        return FleetUpdate(whole=True, records=records, removed=[])
+
+    def take_changes(self) -> FleetUpdate | None:
+        """Return the agents that changed since the last call, None where there is nothing."""
+        changed, self._changed = self._changed, {}
+        held = [self._merged[each] for each in changed if each in self._merged]
+        records = [record for record in held if record.role is NodeRole.AGENT]
+        removed = [each for each in changed if each not in self._merged]
+        if not records and not removed:
+            return None
+        return FleetUpdate(whole=False, records=records, removed=removed)
+
+    def counts(self) -> dict[str, int]:
+        """Return how many nodes of each role are known, for logs."""
+        counts = {role.value: 0 for role in NodeRole}
+        for record in self._merged.values():
+            counts[record.role] += 1
+        return counts
--- /dev/null
+++ b/src/jasperwalk/control/fleet/home_links.py
@@ -0,0 +1,158 @@
+"""The links that balancers and agents open to this replica, their home.
+
+A link that is silent for too long is closed; the node's record leaves the directory with it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import structlog
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.control.fleet.directory import NodeDirectory
+from jasperwalk.control.fleet.messages import HomedNodes
+from jasperwalk.errors import JasperwalkError
+from jasperwalk.fleet.messages import (
+    NODE_DECODER,
+    Announce,
+    FleetUpdate,
+    HomeStatus,
+    NodeRecord,
+    NodeRole,
+    RoutesUpdate,
+)
+from jasperwalk.flows.routes import FlowRoute, RouteSet
+from jasperwalk.messages import codec
+from jasperwalk.transport.framed import FramedConnection
+
+NODE_SILENCE_SECONDS = 1.6
+"""A node pings several times in this span; without any message its link is closed."""
+
+logger = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True)
+class HomeView:
+    """What a home tells its nodes of itself."""
+
+    current: bool
+    routes: RouteSet
+    replicas: list[Endpoint]
+
+
+@dataclass(eq=False)
+class NodeLink:
+    """One linked node and what it was sent."""
+
+    connection: FramedConnection
+    record: NodeRecord | None = None
+    sent_version: int = 0
+    sent_routes: dict[Endpoint, FlowRoute] = field(default_factory=dict)
+
+    def send(self, message: HomeStatus | FleetUpdate | RoutesUpdate) -> None:
+        """Queue a message; raises as `FramedConnection.write` does."""
+        self.connection.write(codec.encode(message))
+
+    def send_routes(self, routes: RouteSet) -> None:
+        """Send what changed since the last version that was sent."""
+        if routes.version <= self.sent_version:
+            return
+        listed = {route.listener: route for route in routes.routes}
+        changed = [route for each, route in listed.items() if self.sent_routes.get(each) != route]
+        removed = [each for each in self.sent_routes if each not in listed]
+        self.send(RoutesUpdate(self.sent_version, routes.version, changed, removed))
+        self.sent_version = routes.version
+        self.sent_routes = listed
+
+
+class HomeLinks:
+    """Serves the nodes' links; `tell_replicas` passes news of them on."""
+
+    def __init__(
+        self,
+        directory: NodeDirectory,
+        view: Callable[[], HomeView],
+        tell_replicas: Callable[[HomedNodes], None],
+    ) -> None:
+        self._directory = directory
+        self._view = view
+        self._tell_replicas = tell_replicas
+        self._links: set[NodeLink] = set()
+
+    async def serve(self, connection: FramedConnection) -> None:
+        """Serve one node's link until it ends or is silent for too long."""
+        link = NodeLink(connection)
+        self._links.add(link)
+        reason = "silent"
+        try:
+            while True:
+                async with asyncio.timeout(NODE_SILENCE_SECONDS):
+                    payload = await connection.receive()
+                self._take(link, payload)
+        except TimeoutError:
+            connection.abort()
+        except JasperwalkError as error:
+            reason = error.kind
+            connection.abort()
+        finally:
+            self._links.discard(link)
+            self._forget(link, reason)
+
+    def _take(self, link: NodeLink, payload: bytes) -> None:
+        message = NODE_DECODER.decode(payload)
+        view = self._view()
+        if isinstance(message, Announce):
+            self._announced(link, message.record)
+        link.send(HomeStatus(view.current, view.routes.version, view.replicas))
+
+    def _announced(self, link: NodeLink, record: NodeRecord) -> None:
+        is_new = link.record is None
+        link.record = record
+        logger.info(
+            "node-announced",
+            node=record.name,
+            role=record.role.value,
+            service=record.service,
+            phase=record.phase.value,
+            incarnation=record.incarnation,
+            new_link=is_new,
+        )
+        news = self._directory.announce(record)
+        self._tell_replicas(news)
+        if is_new and record.role is NodeRole.BALANCER:
+            link.send(self._directory.agents())
+            link.send_routes(self._view().routes)
+        self.publish_fleet()
+
+    def _forget(self, link: NodeLink, reason: str) -> None:
+        if link.record is None:
+            return
+        logger.info("node-lost", node=link.record.name, reason=reason)
+        news = self._directory.unlink(link.record)
+        if news is not None:
+            self._tell_replicas(news)
+        self.publish_fleet()
+
+    def publish_fleet(self) -> None:
+        """Send the linked balancers what changed in the directory."""
+        changes = self._directory.take_changes()
+        if changes is not None:
+            self._to_balancers(lambda link: link.send(changes))
+
+    def publish_routes(self) -> None:
+        """Send the linked balancers the routes in force."""
+        routes = self._view().routes
+        self._to_balancers(lambda link: link.send_routes(routes))
+
+    def _to_balancers(self, send: Callable[[NodeLink], None]) -> None:
+        for link in list(self._links):
+            if link.record is None or link.record.role is not NodeRole.BALANCER:
+                continue
+            try:
+                send(link)
+            except JasperwalkError as error:
+                logger.warning("node-link-stuck", node=link.record.name, kind=error.kind)
+                link.connection.abort()
--- /dev/null
+++ b/src/jasperwalk/control/fleet/joining.py
@@ -0,0 +1,60 @@
+"""How a replica that is no member asks to be taken in, and how the others answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.control.fleet.messages import JOIN_DECODER, JoinReply, JoinRequest
+from jasperwalk.errors import JasperwalkError, MalformedMessage
+from jasperwalk.messages import codec
+from jasperwalk.transport.client import connect
+from jasperwalk.transport.framed import ConnectionKind, FramedConnection, make_hello
+
+ANSWER_TIMEOUT_SECONDS = 0.6
+
+
+async def ask_to_join(
+    request: JoinRequest, name: str, cluster_id: str, addresses: Sequence[Endpoint]
+) -> JoinReply | None:
+    """Ask the replicas one after the other, and the leader they name; None without an answer."""
+    for address in addresses:
+        reply = await _ask(request, name, cluster_id, address)
+        if reply is not None and reply.leader is not None and reply.leader != address:
+            reply = await _ask(request, name, cluster_id, reply.leader) or reply
+        if reply is not None:
+            return reply
+    return None
+
+
+async def _ask(
+    request: JoinRequest, name: str, cluster_id: str, address: Endpoint
+) -> JoinReply | None:
+    hello = make_hello(ConnectionKind.REPORTER, name, cluster_id, request.replica_id)
+    try:
+        async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
+            connection = await connect(address, hello, ANSWER_TIMEOUT_SECONDS)
+            try:
+                await connection.send(codec.encode(request))
+                reply = JOIN_DECODER.decode(await connection.receive())
+            finally:
+                connection.abort()
+    except (TimeoutError, JasperwalkError):
+        return None
+    return reply if isinstance(reply, JoinReply) else None
+
+
+class JoinDesk:
+    """Answers join requests; `decide` looks at the member list and notes the request."""
+
+    def __init__(self, decide: Callable[[JoinRequest], JoinReply]) -> None:
+        self._decide = decide
+
+    async def serve(self, connection: FramedConnection) -> None:
+        """Answer one request."""
+        async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
+            request = JOIN_DECODER.decode(await connection.receive())
+        if not isinstance(request, JoinRequest):
+            raise MalformedMessage(reason="expected a join request")
+        await connection.send(codec.encode(self._decide(request)))
--- /dev/null
+++ b/src/jasperwalk/control/fleet/messages.py
@@ -0,0 +1,85 @@
+"""Messages of the datagram plane's control replicas among each other."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.control.peer_messages import LinkAlive, RaftPayload
+from jasperwalk.fleet.messages import NodeRecord
+from jasperwalk.messages.codec import Decoder
+
+
+class ReplicaBeat(msgspec.Struct, frozen=True, array_like=True, tag=311):
+    """A replica to all others, at a steady pace.
+
+    `life` names the sender's process. `leading` tells that it leads and has committed an
+    entry of its own term; `version` is the configuration it holds. `sequence` numbers the
+    changes of the nodes that are linked to it.
+    """
+
+    life: int
+    leading: bool
+    version: int
+    sequence: int
+
+
+class HomedNodes(msgspec.Struct, frozen=True, array_like=True, tag=312):
+    """A replica's linked nodes: all of them (`whole`), or the one change before `sequence`."""
+
+    life: int
+    sequence: int
+    whole: bool
+    records: list[NodeRecord]
+    removed: list[Endpoint]
+
+
+class HomedNodesWanted(msgspec.Struct, frozen=True, array_like=True, tag=313):
+    """A replica missed a change: send all linked nodes."""
+
+
+ReplicaMessage = RaftPayload | LinkAlive | ReplicaBeat | HomedNodes | HomedNodesWanted
+REPLICA_DECODER: Decoder[ReplicaMessage] = Decoder(ReplicaMessage)
+
+
+class JoinRequest(msgspec.Struct, frozen=True, array_like=True, tag=321):
+    """A replica to any other: am I a member, and if not, take me in.
+
+    `founding` tells that the whole system starts for the first time.
+    """
+
+    replica_id: int
+    address: Endpoint
+    founding: bool
+
+
+class JoinStatus(enum.StrEnum):
+    """The answer to a join request."""
+
+    MEMBER = "member"
+    PENDING = "pending"
+    REMOVED = "removed"
+    NOT_LEADER = "not-leader"
+
+
+class ReplicaAddress(msgspec.Struct, frozen=True, array_like=True):
+    """A replica and where it listens."""
+
+    replica_id: int
+    address: Endpoint
+
+
+class JoinReply(msgspec.Struct, frozen=True, array_like=True, tag=322):
+    """The answer; `leader` is where to ask instead, where the asked replica knows it.
+
+    `replicas` are the members: a newcomer has to reach them before its log names them.
+    """
+
+    status: JoinStatus
+    leader: Endpoint | None
+    replicas: list[ReplicaAddress]
+
+
+JOIN_DECODER: Decoder[JoinRequest | JoinReply] = Decoder(JoinRequest | JoinReply)
--- /dev/null
+++ b/src/jasperwalk/control/fleet/process.py
@@ -0,0 +1,169 @@
+"""The control process of the datagram plane: a replica's lives, its port, its operators."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+from collections.abc import Callable
+from pathlib import Path
+
+import structlog
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.consensus.disk.failures import StorageError
+from jasperwalk.consensus.outcomes import InvariantBroken
+from jasperwalk.control.fleet.configurations import ConfigurationService
+from jasperwalk.control.fleet.directory import NodeDirectory
+from jasperwalk.control.fleet.home_links import HomeLinks, HomeView
+from jasperwalk.control.fleet.identity import open_identity, renew_identity
+from jasperwalk.control.fleet.joining import JoinDesk
+from jasperwalk.control.fleet.messages import HomedNodes, JoinReply, JoinRequest, JoinStatus
+from jasperwalk.control.fleet.replica import FleetReplica, ReplicaRemoved
+from jasperwalk.control.fleet.settings import FleetControlSettings
+from jasperwalk.errors import JasperwalkError
+from jasperwalk.fleet.messages import CLUSTER_ID
+from jasperwalk.flows.routes import RouteSet
+from jasperwalk.transport.framed import ConnectionKind, FramedConnection, make_hello
+from jasperwalk.transport.http_server import HttpHandler, HttpServer
+from jasperwalk.transport.server import FramedServer
+
+REOPEN_SECONDS = 0.4
+"""Pause before a replica whose disk failed opens it again."""
+LIFE_BITS = 62
+TRANSFER_TIMEOUT_SECONDS = 1.0
+
+OperatorsInterface = Callable[[ConfigurationService, int], HttpHandler]
+"""Makes the handler of operators' calls; the number is the port at which all replicas listen."""
+
+logger = structlog.get_logger(__name__)
+
+
+class FleetControl:
+    """Owns everything of one control process; `run` serves until its stop event is set."""
+
+    def __init__(self, settings: FleetControlSettings, interface: OperatorsInterface) -> None:
+        self._settings = settings
+        self._address = settings.replica_endpoint()
+        self._life = secrets.randbits(LIFE_BITS)
+        self._random = random.Random(self._life)
+        self._replica: FleetReplica | None = None
+        self._renew = False
+        self.directory = NodeDirectory(self._life)
+        self._homes = HomeLinks(self.directory, self._home_view, self._tell_replicas)
+        operators = settings.operators_endpoint()
+        service = ConfigurationService(lambda: self._replica)
+        self._http = HttpServer(operators, interface(service, operators.port))
+        hello = make_hello(ConnectionKind.PEER, settings.name, CLUSTER_ID)
+        handlers = {
+            ConnectionKind.PEER: self._serve_peer,
+            ConnectionKind.SUBSCRIBER: self._homes.serve,
+            ConnectionKind.REPORTER: JoinDesk(self._answer_join).serve,
+        }
+        self._server = FramedServer(self._address, hello, handlers)
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until `stop` is set."""
+        await self._server.start()
+        await self._http.start()
+        logger.info(
+            "control-started",
+            address=str(self._address),
+            operators=self._settings.operators_listen,
+            seeds=",".join(self._settings.seeds),
+            founding=self._settings.founding,
+        )
+        lives = asyncio.create_task(self._live())
+        stopped = asyncio.create_task(stop.wait())
+        await asyncio.wait((lives, stopped), return_when=asyncio.FIRST_COMPLETED)
+        if lives.done():
+            lives.result()
+        if self._replica is not None:
+            await self._hand_over(self._replica)
+        lives.cancel()
+        await asyncio.gather(lives, return_exceptions=True)
+        await self._http.close()
+        await self._server.close()
+        logger.info("control-stopped")
+
+    async def _hand_over(self, replica: FleetReplica) -> None:
+        try:
+            async with asyncio.timeout(TRANSFER_TIMEOUT_SECONDS):
+                await replica.runner.transfer_leadership()
+        except TimeoutError:
+            logger.warning("leadership-not-handed-over", replica_id=replica.replica_id)
+
+    async def _live(self) -> None:
+        """Run one life after the other."""
+        while True:
+            try:
+                replica = self._open_replica()
+            except StorageError as error:
+                logger.error("storage-not-usable", kind=error.kind, detail=error.describe())
+                await asyncio.sleep(REOPEN_SECONDS)
+                continue
+            self._replica = replica
+            try:
+                await replica.run()
+            except ReplicaRemoved:
+                self._renew = True
+            except (StorageError, InvariantBroken) as error:
+                logger.error("replica-failed", kind=error.kind, detail=error.describe())
+            finally:
+                self._replica = None
+                await replica.close()
+            await asyncio.sleep(REOPEN_SECONDS)
+
+    def _open_replica(self) -> FleetReplica:
+        settings = self._settings
+        folder = Path(settings.data_folder)
+        seeds = settings.seed_endpoints()
+        if self._renew:
+            identity = renew_identity(folder)
+            self._renew = False
+        else:
+            identity = open_identity(folder, self._address, seeds, settings.founding)
+        logger.info("replica-opened", replica_id=identity.replica_id, folder=identity.folder.name)
+        return FleetReplica(
+            identity=identity,
+            name=settings.name,
+            address=self._address,
+            seeds=seeds,
+            founding=settings.founding,
+            directory=self.directory,
+            life=self._life,
+            random=self._random,
+            on_change=self._publish,
+        )
+
+    def _publish(self) -> None:
+        self._homes.publish_fleet()
+        self._homes.publish_routes()
+
+    def _home_view(self) -> HomeView:
+        replica = self._replica
+        if replica is None:
+            return HomeView(current=False, routes=RouteSet(0, []), replicas=[])
+        replicas: list[Endpoint] = list(replica.runner.endpoints().values())
+        routes = replica.applier.state.route_set()
+        return HomeView(replica.is_current(), routes, replicas)
+
+    def _tell_replicas(self, news: HomedNodes) -> None:
+        if self._replica is not None:
+            self._replica.tell_replicas(news)
+
+    def _answer_join(self, request: JoinRequest) -> JoinReply:
+        if self._replica is None:
+            return JoinReply(JoinStatus.NOT_LEADER, None, [])
+        return self._replica.answer_join(request)
+
+    async def _serve_peer(self, connection: FramedConnection) -> None:
+        if self._replica is None:
+            raise ReplicaNotOpen()
+        await self._replica.network.serve(connection)
+
+
+class ReplicaNotOpen(JasperwalkError):
+    """The replica's log is not open now; the caller tries again."""
+
+    kind = "replica-not-open"
--- /dev/null
+++ b/src/jasperwalk/control/fleet/replica.py
@@ -0,0 +1,283 @@
+"""One life of a control replica: its log, its links to the others, its membership.
+
+A life ends when its disk fails or when the cluster has removed the replica; the process then
+begins another one (see `process`). The directory of nodes outlives it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+import structlog
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.consensus.config import InitialMember, RaftConfig
+from jasperwalk.consensus.outcomes import Proposed
+from jasperwalk.control.fleet.applier import VersionedApplier
+from jasperwalk.control.fleet.autopilot import Autopilot
+from jasperwalk.control.fleet.directory import NodeDirectory
+from jasperwalk.control.fleet.identity import ReplicaIdentity
+from jasperwalk.control.fleet.joining import ask_to_join
+from jasperwalk.control.fleet.messages import (
+    REPLICA_DECODER,
+    HomedNodes,
+    HomedNodesWanted,
+    JoinReply,
+    JoinRequest,
+    JoinStatus,
+    ReplicaAddress,
+    ReplicaBeat,
+    ReplicaMessage,
+)
+from jasperwalk.control.peer_links import LinkTimes, PeerNetwork
+from jasperwalk.control.peer_messages import LinkAlive, RaftPayload
+from jasperwalk.control.raft_runner import RaftRunner, RaftRunnerConfig
+from jasperwalk.errors import JasperwalkError
+from jasperwalk.fleet.messages import CLUSTER_ID
+
+PEER_LINK_TIMES = LinkTimes(
+    connect_timeout=0.5, reconnect=0.15, alive_interval=0.25, silence_limit=0.9
+)
+HEARTBEAT_SECONDS = 0.12
+ELECTION_TIMEOUT_SECONDS = 0.7
+BEAT_SECONDS = 0.25
+"""Pace of the replicas' signs of life to each other."""
+CURRENT_SECONDS = 1.0
+"""Age of the leader's sign of life, and of its quorum contact, up to which a replica counts
+as holding the newest configuration."""
+JOIN_INTERVAL_SECONDS = 0.5
+AUTOPILOT_SECONDS = 0.1
+
+logger = structlog.get_logger(__name__)
+
+
+class ReplicaRemoved(JasperwalkError):
+    """The cluster has removed this replica; it has to begin anew under another ID."""
+
+    kind = "replica-removed"
+
+
+@dataclass
+class LeaderSign:
+    """The last sign of life of a replica that leads."""
+
+    replica_id: int = 0
+    version: int = 0
+    heard_at: float = float("-inf")
+
+
+class FleetReplica:
+    """Runs one life; `run` ends by cancellation or with the failure that ended the life."""
+
+    def __init__(
+        self,
+        identity: ReplicaIdentity,
+        name: str,
+        address: Endpoint,
+        seeds: list[Endpoint],
+        founding: bool,
+        directory: NodeDirectory,
+        life: int,
+        random: Random,
+        on_change: Callable[[], None],
+    ) -> None:
+        """Read the log; raises `StorageError`."""
+        self._identity = identity
+        self._name = name
+        self._address = address
+        self._seeds = seeds
+        self._founding = founding
+        self._directory = directory
+        self._life = life
+        self._autopilot = Autopilot()
+        self._leader_sign = LeaderSign()
+        self._on_change = on_change
+        self._leading = False
+        self.applier = VersionedApplier(on_change)
+        self.network = PeerNetwork(
+            name,
+            identity.replica_id,
+            CLUSTER_ID,
+            self._take,
+            decoder=REPLICA_DECODER,
+            times=PEER_LINK_TIMES,
+        )
+        self.runner = RaftRunner(self._runner_config(), self.network, self.applier, random)
+
+    def _runner_config(self) -> RaftRunnerConfig:
+        members = tuple(
+            InitialMember(replica_id, str(address))
+            for replica_id, address in sorted(self._identity.founders.items())
+        )
+        raft = RaftConfig(
+            initial_members=members,
+            heartbeat_interval_seconds=HEARTBEAT_SECONDS,
+            election_timeout_seconds=ELECTION_TIMEOUT_SECONDS,
+        )
+        return RaftRunnerConfig(
+            cluster_id=CLUSTER_ID,
+            replica_id=self._identity.replica_id,
+            folder=self._identity.folder,
+            raft=raft,
+            peers=dict(self._identity.founders),
+        )
+
+    @property
+    def replica_id(self) -> int:
+        """The ID of this life."""
+        return self._identity.replica_id
+
+    async def run(self) -> None:
+        """Serve until cancelled; raises `StorageError` or `ReplicaRemoved`."""
+        jobs = (self.runner.run(), self._beat(), self._join(), self._pilot())
+        tasks = [asyncio.create_task(job) for job in jobs]
+        try:
+            await asyncio.gather(*tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def close(self) -> None:
+        """Close links and files."""
+        await self.network.close()
+        self.runner.close()
+
+    def is_current(self) -> bool:
+        """Tell whether this replica surely holds the newest acknowledged configuration."""
+        if self.runner.quorum_age() > CURRENT_SECONDS:
+            return False
+        if self.runner.is_leader:
+            return self.runner.is_settled
+        sign = self._leader_sign
+        is_fresh = time.monotonic() - sign.heard_at <= CURRENT_SECONDS
+        is_leaders = sign.replica_id == self.runner.leader_id
+        return is_fresh and is_leaders and self.applier.state.held.version >= sign.version
+
+    def leader_address(self) -> Endpoint | None:
+        """Return the leader's replica end point, None where it is not known."""
+        leader_id = self.runner.leader_id
+        return None if leader_id is None else self.runner.endpoints().get(leader_id)
+
+    def tell_replicas(self, news: HomedNodes) -> None:
+        """Pass news of the linked nodes on."""
+        for replica_id in self.network.connected_ids():
+            self.network.send(replica_id, news)
+
+    def _take(self, sender: int, message: ReplicaMessage) -> None:
+        now = time.monotonic()
+        match message:
+            case RaftPayload():
+                self.runner.take(sender, message)
+            case ReplicaBeat():
+                self._take_beat(sender, message, now)
+            case HomedNodes():
+                if self._directory.take_nodes(sender, message, now):
+                    self.network.send(sender, HomedNodesWanted())
+                self._on_change()
+            case HomedNodesWanted():
+                self.network.send(sender, self._directory.own_nodes())
+            case LinkAlive():
+                pass
+
+    def _take_beat(self, sender: int, beat: ReplicaBeat, now: float) -> None:
+        if beat.leading:
+            self._leader_sign = LeaderSign(sender, beat.version, now)
+        if self._directory.take_beat(sender, beat, now):
+            self.network.send(sender, HomedNodesWanted())
+
+    async def _beat(self) -> None:
+        while True:
+            beat = ReplicaBeat(
+                life=self._life,
+                leading=self.runner.is_settled,
+                version=self.applier.state.held.version,
+                sequence=self._directory.sequence,
+            )
+            for replica_id in self.network.connected_ids():
+                self.network.send(replica_id, beat)
+            self._directory.expire(time.monotonic())
+            self._on_change()
+            self._log_leadership()
+            await asyncio.sleep(BEAT_SECONDS)
+
+    def _log_leadership(self) -> None:
+        if self.runner.is_leader != self._leading:
+            self._leading = self.runner.is_leader
+            event = "leadership-won" if self._leading else "leadership-lost"
+            logger.info(event, replica_id=self.replica_id, term=self.runner.term)
+
+    # Membership
+
+    def is_voter(self) -> bool:
+        """Tell whether this replica votes, as far as its log tells."""
+        member = self.runner.membership.find(self.replica_id)
+        return member is not None and member.voting
+
+    async def _join(self) -> None:
+        """Ask to be taken in while this replica has no vote; learn of a removal."""
+        while True:
+            await asyncio.sleep(JOIN_INTERVAL_SECONDS)
+            lonely = self.runner.quorum_age() > CURRENT_SECONDS
+            if self._identity.founders and not lonely:
+                continue
+            if self.is_voter() and not lonely:
+                continue
+            request = JoinRequest(self.replica_id, self._address, self._founding)
+            reply = await ask_to_join(request, self._name, CLUSTER_ID, self._others())
+            if reply is not None:
+                self._take_reply(reply)
+
+    def _others(self) -> list[Endpoint]:
+        known = list(self.runner.endpoints().values())
+        addresses = [*known, *(seed for seed in self._seeds if seed not in known)]
+        return [address for address in addresses if address != self._address]
+
+    def _take_reply(self, reply: JoinReply) -> None:
+        if reply.status is JoinStatus.REMOVED:
+            logger.warning("replica-removed", replica_id=self.replica_id)
+            raise ReplicaRemoved()
+        peers = {each.replica_id: each.address for each in reply.replicas}
+        peers.pop(self.replica_id, None)
+        self.runner.add_peers(peers)
+
+    def answer_join(self, request: JoinRequest) -> JoinReply:
+        """Answer a replica that asks whether it is a member."""
+        endpoints = self.runner.endpoints()
+        replicas = [ReplicaAddress(each, address) for each, address in endpoints.items()]
+        return JoinReply(self._join_status(request), self.leader_address(), replicas)
+
+    def _join_status(self, request: JoinRequest) -> JoinStatus:
+        if not self.runner.is_settled or not self.is_current():
+            return JoinStatus.NOT_LEADER
+        membership = self.runner.membership
+        if request.replica_id in membership.removed:
+            return JoinStatus.REMOVED
+        self._autopilot.note_request(request, time.monotonic())
+        member = membership.find(request.replica_id)
+        return JoinStatus.PENDING if member is None else JoinStatus.MEMBER
+
+    async def _pilot(self) -> None:
+        """On the leader, keep the member list right."""
+        while True:
+            await asyncio.sleep(AUTOPILOT_SECONDS)
+            if not self.runner.is_settled:
+                continue
+            ages = self.runner.contact_ages()
+            change = self._autopilot.next_change(self.runner.membership, ages, time.monotonic())
+            if change is None:
+                continue
+            outcome = self.runner.change_members(change)
+            logger.info(
+                "membership-change",
+                change=type(change).__name__,
+                replica_id=change.replica_id,
+                outcome=outcome.kind,
+                reason=getattr(outcome, "reason", ""),
+                voters=len(self.runner.membership.voter_ids()),
+                proposed=isinstance(outcome, Proposed),
+            )
--- /dev/null
+++ b/src/jasperwalk/control/fleet/settings.py
@@ -0,0 +1,39 @@
+"""Settings of a control replica of the datagram plane."""
+
+from __future__ import annotations
+
+import msgspec
+
+from jasperwalk.addresses import Endpoint
+
+
+class FleetControlSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """A settings file's content; end points are `IPV4:PORT`.
+
+    `seeds` are replicas as they stood when the file was written; all of them found the
+    system at its first start, which `founding` marks.
+    """
+
+    name: str
+    zone: str
+    data_folder: str
+    operators_listen: str
+    replica_listen: str
+    seeds: list[str] = []
+    founding: bool = False
+    founding_seeds: list[str] = []
+    metrics_listen: str = ""
+    log_level: str = "info"
+
+    def operators_endpoint(self) -> Endpoint:
+        """Return where operators call; raises `InvalidAddress`."""
+        return Endpoint.parse(self.operators_listen)
+
+    def replica_endpoint(self) -> Endpoint:
+        """Return where replicas and nodes connect; raises `InvalidAddress`."""
+        return Endpoint.parse(self.replica_listen)
+
+    def seed_endpoints(self) -> list[Endpoint]:
+        """Return the seeds' replica end points: their hosts at this replica's own port."""
+        port = self.replica_endpoint().port
+        return sorted(Endpoint(Endpoint.parse(seed).host, port) for seed in self.seeds)
--- a/src/jasperwalk/control/process.py
+++ b/src/jasperwalk/control/process.py
@@ -11,13 +11,9 @@
 from jasperwalk.control.replica import ControlReplica, ReplicaConfig
 from jasperwalk.distribution.publisher_events import PublisherConfig
 from jasperwalk.membership.liveness import LivenessConfig
-from jasperwalk.observability import (
-    HealthFact,
-    HealthReport,
-    MetricsRegistry,
-    configure_logging,
-    get_logger,
-)
+from jasperwalk.observability.admin import HealthFact, HealthReport
+from jasperwalk.observability.logs import configure_logging, get_logger
+from jasperwalk.observability.metrics import MetricsRegistry
 from jasperwalk.runtime import stop_event
 from jasperwalk.settings.models import ControlSettings
 from jasperwalk.transport.identity import ProcessRole
--- a/src/jasperwalk/control/proposals.py
+++ b/src/jasperwalk/control/proposals.py
@@ -98,7 +98,7 @@
         append: Callable[[], Proposed],
         forwarded: Callable[[int], ForwardedMessage],
         timeout_seconds: float,
-    ) -> AppliedEntry:
+    ) -> AppliedEntry[Outcome]:
         if self._waiting >= MAXIMUM_WAITING_PROPOSALS:
             raise Overloaded()
         self._waiting += 1
--- a/src/jasperwalk/control/raft_runner.py
+++ b/src/jasperwalk/control/raft_runner.py
@@ -11,7 +11,7 @@
 import math
 import secrets
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -25,6 +25,7 @@
 from jasperwalk.consensus.core import RaftNode
 from jasperwalk.consensus.durable import PersistBatch
 from jasperwalk.consensus.entries import Membership
+from jasperwalk.consensus.members import MembershipChange
 from jasperwalk.consensus.messages import RaftMessage
 from jasperwalk.consensus.outcomes import (
     InvariantBroken,
@@ -142,6 +143,11 @@
         """Tell whether this replica leads, as far as it knows."""
         return self._node.is_leader
 
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether this replica leads and knows everything that was committed before."""
+        return self._node.is_settled and not self._node.is_transferring
+
     @property
     def leader_id(self) -> int | None:
         """The leader's replica ID, None when this replica knows of none."""
@@ -189,12 +195,23 @@
         self._wake.set()
         return outcome
 
-    def propose_replica_change(self, change: ReplicaChange) -> MembershipOutcome:
-        """Append a change of the replicas to the log, if this replica leads."""
-        outcome = self._node.propose_membership(core_change(change), time.monotonic())
+    def change_members(self, change: MembershipChange) -> MembershipOutcome:
+        """Append a change of the replicas, as the core names it, if this replica leads."""
+        outcome = self._node.propose_membership(change, time.monotonic())
         self._wake.set()
         return outcome
 
+    def add_peers(self, peers: Mapping[int, Endpoint]) -> None:
+        """Learn of replicas that neither the settings nor the log of a newcomer name."""
+        known = self._config.peers
+        if any(known.get(replica_id) != address for replica_id, address in peers.items()):
+            known.update(peers)
+            self._network.set_peers(self.endpoints())
+
+    def propose_replica_change(self, change: ReplicaChange) -> MembershipOutcome:
+        """Append a change of the replicas to the log, if this replica leads."""
+        return self.change_members(core_change(change))
+
     async def transfer_leadership(self) -> None:
         """Let another replica lead, if this one does, and wait until it is known to.
 
--- a/src/jasperwalk/control/replica.py
+++ b/src/jasperwalk/control/replica.py
@@ -48,7 +48,7 @@
 from jasperwalk.control.state.outcomes import Outcome, Registered
 from jasperwalk.control.subscriber_reports import SubscriberReport
 from jasperwalk.distribution.publisher_events import PublisherConfig
-from jasperwalk.observability import MetricsRegistry
+from jasperwalk.observability.metrics import MetricsRegistry
 from jasperwalk.transport.framed import ConnectionKind, make_hello
 from jasperwalk.transport.server import FramedServer
 from jasperwalk.transport.tls import LinkTls
@@ -206,7 +206,7 @@
             age_ms = int(quorum_age * 1000) if math.isfinite(quorum_age) else None
             raise StaleReplica(quorum_age_ms=age_ms, leader_id=self.runner.leader_id)
 
-    def entry_applied(self, entry: AppliedEntry) -> None:
+    def entry_applied(self, entry: AppliedEntry[Outcome]) -> None:
         """Tell the publisher of committed registrations."""
         if isinstance(entry.outcome, Registered):
             record = self.state.agent(Endpoint.parse(entry.outcome.address))
--- a/src/jasperwalk/control/replica_metrics.py
+++ b/src/jasperwalk/control/replica_metrics.py
@@ -11,7 +11,7 @@
 from jasperwalk.control.publishing import Publishing
 from jasperwalk.control.region_view import RegionView
 from jasperwalk.control.state.machine import ControlState
-from jasperwalk.observability import MetricsRegistry
+from jasperwalk.observability.metrics import MetricsRegistry
 
 
 class MeasuredReplica(Protocol):
--- a/src/jasperwalk/control/state_applier.py
+++ b/src/jasperwalk/control/state_applier.py
@@ -32,7 +32,7 @@
 class AppliedListener(Protocol):
     """What is told of the state machine's progress."""
 
-    def entry_applied(self, entry: AppliedEntry) -> None:
+    def entry_applied(self, entry: AppliedEntry[Outcome]) -> None:
         """Take note of one applied entry."""
 
     def batch_applied(self) -> None:
@@ -55,7 +55,7 @@
         take_snapshot: SnapshotTaker | None = None,
     ) -> None:
         self.state = ControlState()
-        self.applied = AppliedEntries()
+        self.applied: AppliedEntries[Outcome] = AppliedEntries()
         self._listener = listener
         self._interval_entries = interval_entries
         self._take_snapshot: SnapshotTaker = take_snapshot or _refuse_snapshot
@@ -110,7 +110,9 @@
             return
         for entry in work:
             outcome = await self._apply(entry) if entry.kind is EntryKind.COMMAND else None
-            applied = AppliedEntry(index=entry.index, term=entry.term, outcome=outcome)
+            applied: AppliedEntry[Outcome] = AppliedEntry(
+                index=entry.index, term=entry.term, outcome=outcome
+            )
             self._listener.entry_applied(applied)
             self.applied.record(applied)
         self._listener.batch_applied()
--- /dev/null
+++ b/src/jasperwalk/fleet/home_link.py
@@ -0,0 +1,143 @@
+"""A node's link to its home: one control replica of those it knows.
+
+The node announces itself, pings, and takes what the home sends. It looks for another home
+when the link fails, falls silent, or when the home says for a while that it is not current
+(it is cut off from the other replicas).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Iterable
+
+import structlog
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.errors import JasperwalkError
+from jasperwalk.fleet.messages import (
+    CLUSTER_ID,
+    HOME_DECODER,
+    Announce,
+    HomeMessage,
+    HomeStatus,
+    NodePing,
+    NodeRecord,
+)
+from jasperwalk.messages import codec
+from jasperwalk.transport.client import connect
+from jasperwalk.transport.framed import ConnectionKind, FramedConnection, make_hello
+
+CONNECT_TIMEOUT_SECONDS = 0.4
+RETRY_SECONDS = 0.1
+PING_SECONDS = 0.4
+SILENCE_SECONDS = 1.2
+"""A home answers every ping; without any message for this long it is given up."""
+NOT_CURRENT_SECONDS = 1.0
+"""How long a home may be not current before another one is tried."""
+
+logger = structlog.get_logger(__name__)
+
+
+class HomeLost(JasperwalkError):
+    """The home cannot be used any longer, though its connection stands."""
+
+    kind = "home-not-current"
+
+
+class HomeLink:
+    """Keeps a node linked; `run` never ends by itself."""
+
+    def __init__(
+        self,
+        record: Callable[[], NodeRecord],
+        seeds: Callable[[], Iterable[Endpoint]],
+        on_message: Callable[[HomeMessage], None],
+        on_link: Callable[[bool], None],
+        source: random.Random,
+    ) -> None:
+        """`record` gives what is announced, `seeds` the replicas that the settings name."""
+        self._record = record
+        self._seeds = seeds
+        self._on_message = on_message
+        self._on_link = on_link
+        self._random = source
+        self._replicas: list[Endpoint] = []
+        self._connection: FramedConnection | None = None
+        self._current_at = 0.0
+        self.home: Endpoint | None = None
+
+    def announce(self) -> None:
+        """Send the record again, after a change; a link that fails sends it when it is back."""
+        if self._connection is None:
+            return
+        try:
+            self._connection.write(codec.encode(Announce(self._record())))
+        except JasperwalkError as error:
+            logger.info("announcement-waits", kind=error.kind)
+
+    async def run(self) -> None:
+        """Stay linked until cancelled."""
+        while True:
+            for replica in self._candidates():
+                await self._try(replica)
+            await asyncio.sleep(RETRY_SECONDS)
+
+    def _candidates(self) -> list[Endpoint]:
+        """Return the replicas in the order of trying; the one just lost comes last."""
+        known = list(dict.fromkeys([*self._replicas, *self._seeds()]))
+        self._random.shuffle(known)
+        known.sort(key=lambda replica: replica == self.home)
+        return known
+
+    async def _try(self, replica: Endpoint) -> None:
+        hello = make_hello(ConnectionKind.SUBSCRIBER, self._record().name, CLUSTER_ID)
+        try:
+            connection = await connect(
+                replica, hello, CONNECT_TIMEOUT_SECONDS, None, CONNECT_TIMEOUT_SECONDS
+            )
+        except JasperwalkError as error:
+            logger.debug("home-not-reached", home=str(replica), kind=error.kind)
+            return
+        self.home = replica
+        await self._use(connection, replica)
+
+    async def _use(self, connection: FramedConnection, replica: Endpoint) -> None:
+        self._connection = connection
+        self._current_at = time.monotonic()
+        logger.info("home-linked", home=str(replica))
+        self._on_link(True)
+        pinging = asyncio.create_task(self._ping(connection))
+        try:
+            await connection.send(codec.encode(Announce(self._record())))
+            while True:
+                async with asyncio.timeout(SILENCE_SECONDS):
+                    payload = await connection.receive()
+                self._take(HOME_DECODER.decode(payload))
+        except TimeoutError:
+            logger.info("home-lost", home=str(replica), kind="silent")
+        except JasperwalkError as error:
+            logger.info("home-lost", home=str(replica), kind=error.kind)
+        finally:
+            pinging.cancel()
+            await asyncio.gather(pinging, return_exceptions=True)
+            self._connection = None
+            connection.abort()
+            self._on_link(False)
+
+    async def _ping(self, connection: FramedConnection) -> None:
+        while True:
+            await asyncio.sleep(PING_SECONDS)
+            await connection.send(codec.encode(NodePing()))
+
+    def _take(self, message: HomeMessage) -> None:
+        now = time.monotonic()
+        if isinstance(message, HomeStatus):
+            if message.replicas:
+                self._replicas = message.replicas
+            if message.current:
+                self._current_at = now
+        self._on_message(message)
+        if now - self._current_at > NOT_CURRENT_SECONDS:
+            raise HomeLost()
--- /dev/null
+++ b/src/jasperwalk/fleet/settings.py
@@ -0,0 +1,97 @@
+"""Settings of the datagram plane's nodes, and how a settings file is read.
+
+A settings file is TOML. Keys that are not known are ignored, because what writes the file may
+be newer than this program; a missing or malformed key is an error that names it.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import ClassVar, TypeVar
+
+import msgspec
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.errors import JasperwalkError
+
+SettingsType = TypeVar("SettingsType", bound=msgspec.Struct)
+
+
+@dataclass(eq=False)
+class InvalidSettings(JasperwalkError):
+    """A settings file that cannot be used."""
+
+    kind: ClassVar[str] = "invalid-settings"
+    path: str
+    reason: str
+
+    def describe(self) -> str:
+        """Name the file and what is wrong in it."""
+        return f"{self.path}: {self.reason}"
+
+
+class BalancerNodeSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """A balancer's settings; end points are `IPV4:PORT`, times are milliseconds."""
+
+    name: str
+    zone: str
+    callers_listen: str
+    readiness_listen: str
+    frames_listen: str
+    replica_port: int
+    seeds: list[str]
+    flow_lifetime_ms: int = 60_000
+    stop_grace_ms: int = 6_000
+    metrics_listen: str = ""
+    log_level: str = "info"
+
+    def replicas(self) -> list[Endpoint]:
+        """Return the control replicas that the settings name."""
+        return seed_replicas(self.seeds, self.replica_port)
+
+
+class AgentNodeSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """An agent's settings; end points are `IPV4:PORT`, times are milliseconds.
+
+    `host` takes packets, `host_packets_listen` is where the host sends its own.
+    `callers_port` is the port of callers' addresses at which the fabric takes packets; 0
+    means the one of `frames_listen`.
+    """
+
+    name: str
+    zone: str
+    service: str
+    host: str
+    frames_listen: str
+    host_packets_listen: str
+    host_calls_listen: str
+    readiness_listen: str
+    replica_port: int
+    seeds: list[str]
+    callers_port: int = 0
+    flow_lifetime_ms: int = 60_000
+    stop_grace_ms: int = 6_000
+    metrics_listen: str = ""
+    log_level: str = "info"
+
+    def replicas(self) -> list[Endpoint]:
+        """Return the control replicas that the settings name."""
+        return seed_replicas(self.seeds, self.replica_port)
+
+
+def seed_replicas(seeds: list[str], port: int) -> list[Endpoint]:
+    """Return the seeds' hosts at the port where replicas listen; raises `InvalidAddress`."""
+    return [Endpoint(Endpoint.parse(seed).host, port) for seed in seeds]
+
+
+def read_settings(path: Path, settings_type: type[SettingsType]) -> SettingsType:
+    """Read a settings file; raises `InvalidSettings`."""
+    try:
+        content = tomllib.loads(path.read_text(encoding="utf-8"))
+        return msgspec.convert(content, settings_type)
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise InvalidSettings(str(path), str(error)) from error
+    except msgspec.ValidationError as error:
+        raise InvalidSettings(str(path), str(error)) from error
--- /dev/null
+++ b/src/jasperwalk/flows/codec.py
@@ -0,0 +1,58 @@
+"""What the datagram plane asks of a packet codec.
+
+The plane never looks into a packet by itself. A flow key names a flow as its caller sees it
+(the caller's end point and the listener's); its bytes are opaque but for the calls below.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+SocketAddress = tuple[str, int]
+"""An IPv4 address as text and a port, as sockets take them."""
+
+
+class PacketCodec(Protocol):
+    """Reads the heads of a fabric's packets; every method but `is_whole` wants whole ones."""
+
+    flow_key_bytes: int
+    """Length of a flow key."""
+
+    def is_whole(self, packet: bytes) -> bool:
+        """Tell whether the packet has a full head and the length that its head names."""
+
+    def flow_key(self, packet: bytes) -> bytes:
+        """Return the flow's key, from a packet that its caller sent."""
+
+    def reverse_flow_key(self, packet: bytes) -> bytes:
+        """Return the flow's key, from a packet that its back end sent."""
+
+    def listener_of(self, flow_key: bytes) -> bytes:
+        """Return the six bytes (address, port) of the listener, as `Endpoint.pack` gives them."""
+
+    def caller_of(self, flow_key: bytes) -> SocketAddress:
+        """Return where packets for the caller are sent, but for the fabric's own port."""
+
+    def is_opening(self, packet: bytes) -> bool:
+        """Tell whether the packet asks for a new flow."""
+
+    def is_returned(self, packet: bytes) -> bool:
+        """Tell whether a back end handed a caller's packet back."""
+
+    def restore_returned(self, packet: bytes) -> bytes:
+        """Return the caller's packet from one that was handed back."""
+
+    def is_reset(self, packet: bytes) -> bool:
+        """Tell whether the packet ends its flow at once."""
+
+    def is_ending(self, packet: bytes) -> bool:
+        """Tell whether the packet is its sender's last."""
+
+    def payload_bytes(self, packet: bytes) -> int:
+        """Return the length of the data that the packet carries."""
+
+    def reset_for(self, packet: bytes) -> bytes:
+        """Return the packet that resets the flow of a caller's packet."""
+
+    def describe(self, flow_key: bytes) -> str:
+        """Return the flow's ID in logs: caller and listener as text."""
--- /dev/null
+++ b/src/jasperwalk/flows/frames.py
@@ -0,0 +1,111 @@
+"""Datagrams between balancers and agents.
+
+Every frame begins with its kind, its flags and a 32-bit tag of the service that the sender
+means (an address may belong to another service by now). Frames towards an agent go on with a
+caller's packet or, for `FIND`, with a flow key. Frames towards a balancer go on with the
+agent's load, the flow key and, for `RETURNED`, the caller's packet.
+"""
+
+from __future__ import annotations
+
+import enum
+import struct
+from dataclasses import dataclass
+from zlib import crc32
+
+from jasperwalk.errors import MalformedMessage
+
+
+class FrameKind(enum.IntEnum):
+    """What a frame says; values are part of the protocol."""
+
+    OPEN = 1
+    """Balancer: take this new flow, or refuse it."""
+    CARRY = 2
+    """Balancer: a packet of a flow that you hold."""
+    FIND = 3
+    """Balancer: do you hold this flow?"""
+    ACCEPTED = 11
+    """Agent: the new flow went to my host."""
+    REFUSED = 12
+    """Agent: my host does not take this new flow; the flags hold a `RefusalReason`."""
+    HELD = 13
+    """Agent: the flow is at my host."""
+    NOT_HELD = 14
+    """Agent: the flow is not at my host."""
+    UNSURE = 15
+    """Agent: I started later than my host and don't know; a packet would tell."""
+    RETURNED = 16
+    """Agent: my host does not hold the flow of this packet."""
+
+
+class RefusalReason(enum.IntEnum):
+    """Why an agent refuses a new flow."""
+
+    NOT_READY = 1
+    DRAINING = 2
+    FULL = 3
+    OTHER_SERVICE = 4
+    RETURNED = 5
+
+
+REQUEST_HEAD = struct.Struct("!BBI")
+"""Kind, flags, service tag: in front of what a balancer sends."""
+REPLY_HEAD = struct.Struct("!BBIHH")
+"""Kind, flags, service tag, load in `LOAD_UNITS`, capacity: in front of what an agent sends."""
+
+FLAG_SEARCH = 1
+"""On `CARRY`: the balancer does not know the holder; hand the packet back rather than guess."""
+
+LOAD_UNIT = 0.01
+"""Requests under way that one unit of the load field stands for."""
+HIGHEST_LOAD = 0xFFFF
+
+
+def service_tag(service: str) -> int:
+    """Return the tag of a service's name."""
+    return crc32(service.encode())
+
+
+def encode_request(kind: FrameKind, flags: int, tag: int, body: bytes) -> bytes:
+    """Encode a frame from a balancer to an agent."""
+    return REQUEST_HEAD.pack(kind, flags, tag) + body
+
+
+@dataclass(frozen=True, slots=True)
+class AgentReply:
+    """A frame from an agent. `load` counts requests, `packet` is empty but for `RETURNED`."""
+
+    kind: FrameKind
+    flags: int
+    tag: int
+    load: float
+    capacity: int
+    flow_key: bytes
+    packet: bytes
+
+
+def encode_reply(reply: AgentReply) -> bytes:
+    """Encode a frame from an agent to a balancer."""
+    load = min(int(reply.load / LOAD_UNIT), HIGHEST_LOAD)
+    head = REPLY_HEAD.pack(reply.kind, reply.flags, reply.tag, load, reply.capacity)
+    return head + reply.flow_key + reply.packet
+
+
+def decode_reply(data: bytes, flow_key_bytes: int) -> AgentReply:
+    """Decode a frame from an agent; raises `MalformedMessage`."""
+    key_end = REPLY_HEAD.size + flow_key_bytes
+    if len(data) < key_end:
+        raise MalformedMessage(reason=f"agent's frame of {len(data)} bytes")
+    kind, flags, tag, load, capacity = REPLY_HEAD.unpack_from(data)
+    if not FrameKind.ACCEPTED <= kind <= FrameKind.RETURNED:
+        raise MalformedMessage(reason=f"agent's frame of kind {kind}")
+    return AgentReply(
+        kind=FrameKind(kind),
+        flags=flags,
+        tag=tag,
+        load=load * LOAD_UNIT,
+        capacity=capacity,
+        flow_key=data[REPLY_HEAD.size : key_end],
+        packet=data[key_end:],
+    )
--- /dev/null
+++ b/src/jasperwalk/flows/routes.py
@@ -0,0 +1,110 @@
+"""Routes of the datagram plane: which services take the new flows of a listener."""
+
+from __future__ import annotations
+
+import msgspec
+
+from jasperwalk.addresses import Endpoint
+
+
+class RouteBackend(msgspec.Struct, frozen=True, array_like=True):
+    """One service of a route and its share of the route's new flows."""
+
+    service: str
+    weight: float
+
+
+class FlowRoute(msgspec.Struct, frozen=True, array_like=True):
+    """A listener (address and port of callers' packets) and the services behind it."""
+
+    name: str
+    listener: Endpoint
+    backends: list[RouteBackend]
+
+    def services(self) -> list[str]:
+        """Return the names of the services."""
+        return [backend.service for backend in self.backends]
+
+
+class RouteSet(msgspec.Struct, frozen=True, array_like=True):
+    """All routes of a configuration's version."""
+
+    version: int
+    routes: list[FlowRoute]
+
+
+class WeightedTurns:
+    """Smooth weighted round robin over a route's services.
+
+    Every service's credit grows by its weight at each turn; the one with the most credit is
+    chosen and pays the sum of the weights. Shares are exact over any stretch of turns, which
+    random draws would reach only after many.
+    """
+
+    def __init__(self, backends: list[RouteBackend]) -> None:
+        self._backends = [backend for backend in backends if backend.weight > 0]
+        self._total = sum(backend.weight for backend in self._backends)
+        self._credits = [0.0] * len(self._backends)
+
+    def next(self) -> str | None:
+        """Return the service of the next new flow, None where no service has a weight."""
+        if not self._backends:
+            return None
+        best = 0
+        for position, backend in enumerate(self._backends):
+            self._credits[position] += backend.weight
+            if self._credits[position] > self._credits[best]:
+                best = position
+        self._credits[best] -= self._total
+        return self._backends[best].service
+
+
+class RouteEntry:
+    """A route in use: its turns, and every service that it has named so far.
+
+    Flows that were opened before a change of the route stay with a service that the route no
+    longer names, so that service is still asked for them.
+    """
+
+    __slots__ = ("past_services", "route", "turns")
+
+    def __init__(self, route: FlowRoute, past_services: frozenset[str]) -> None:
+        self.route = route
+        self.turns = WeightedTurns(route.backends)
+        self.past_services = past_services | frozenset(route.services())
+
+
+class RouteTable:
+    """The routes in force on one balancer; the version never goes back."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self._entries: dict[bytes, RouteEntry] = {}
+
+    def replace(self, routes: RouteSet) -> bool:
+        """Put a newer version in force; return False for one that is not newer."""
+        if routes.version <= self.version:
+            return False
+        self.version = routes.version
+        entries: dict[bytes, RouteEntry] = {}
+        for route in routes.routes:
+            listener = route.listener.pack()
+            entries[listener] = self._entry(listener, route)
+        self._entries = entries
+        return True
+
+    def _entry(self, listener: bytes, route: FlowRoute) -> RouteEntry:
+        current = self._entries.get(listener)
+        if current is None:
+            return RouteEntry(route, frozenset())
+        if current.route.backends == route.backends:
+            return current
+        return RouteEntry(route, current.past_services)
+
+    def find(self, listener: bytes) -> RouteEntry | None:
+        """Return the route of a listener, None where there is none."""
+        return self._entries.get(listener)
+
+    def __len__(self) -> int:
+        """Return the number of routes."""
+        return len(self._entries)
--- /dev/null
+++ b/src/jasperwalk/flows/sockets.py
@@ -0,0 +1,68 @@
+"""UDP sockets on an event loop: several datagrams a wake-up, never blocking."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.flows.codec import SocketAddress
+
+DATAGRAMS_PER_WAKE_UP = 32
+LONGEST_DATAGRAM = 2048
+RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+
+DatagramHandler = Callable[[bytes, SocketAddress], None]
+
+
+class DatagramSocket:
+    """A bound socket that hands what it receives to a handler."""
+
+    def __init__(self, endpoint: Endpoint, handler: DatagramHandler) -> None:
+        """Bind; raises `OSError`."""
+        self._handler = handler
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        with contextlib.suppress(OSError):
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._socket.bind((endpoint.host, endpoint.port))
+        self.dropped = 0
+        """Datagrams that the kernel did not take; their senders send again."""
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """The end point, with its real port."""
+        host, port = self._socket.getsockname()[:2]
+        return Endpoint(host, port)
+
+    def start(self) -> None:
+        """Receive on the running loop."""
+        asyncio.get_running_loop().add_reader(self._socket.fileno(), self._receive)
+
+    def _receive(self) -> None:
+        receive = self._socket.recvfrom
+        handler = self._handler
+        for _ in range(DATAGRAMS_PER_WAKE_UP):
+            try:
+                data, sender = receive(LONGEST_DATAGRAM)
+            except BlockingIOError:
+                return
+            except OSError:
+                # An earlier datagram was refused by a dead port; nothing was lost here.
+                continue
+            handler(data, sender)
+
+    def send(self, data: bytes, address: SocketAddress) -> None:
+        """Send one datagram, or drop it."""
+        try:
+            self._socket.sendto(data, address)
+        except OSError:
+            self.dropped += 1
+
+    def close(self) -> None:
+        """Stop receiving and close."""
+        with contextlib.suppress(RuntimeError, OSError):
+            asyncio.get_running_loop().remove_reader(self._socket.fileno())
+        self._socket.close()
--- a/src/jasperwalk_lab/baselines/process.py
+++ b/src/jasperwalk_lab/baselines/process.py
@@ -12,7 +12,7 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.balancer.core import BalancerCore
 from jasperwalk.balancer.process import PROCESS_KIND, BalancerProcess
-from jasperwalk.observability import configure_logging
+from jasperwalk.observability.logs import configure_logging
 from jasperwalk.routing.candidates import CandidateIndex
 from jasperwalk.runtime import stop_event
 from jasperwalk.settings.models import BalancerSettings
--- a/src/jasperwalk_lab/simulator/hosts.py
+++ b/src/jasperwalk_lab/simulator/hosts.py
@@ -12,7 +12,8 @@
 from jasperwalk.balancer.process import BalancerProcess
 from jasperwalk.control.applied import AppliedEntry
 from jasperwalk.control.replica import ControlReplica, ReplicaConfig
-from jasperwalk.observability import MetricsRegistry
+from jasperwalk.control.state.outcomes import Outcome
+from jasperwalk.observability.metrics import MetricsRegistry
 from jasperwalk.settings.models import LOOPBACK_NETWORK, AgentSettings, BalancerSettings
 from jasperwalk_lab.simulator.clock import SimulatedProcess, current_process
 from jasperwalk_lab.simulator.disk import Disk
@@ -29,7 +30,7 @@
 class WatchedReplica(ControlReplica):
     """The product's replica, which also shows the world every entry that it applies."""
 
-    def entry_applied(self, entry: AppliedEntry) -> None:
+    def entry_applied(self, entry: AppliedEntry[Outcome]) -> None:
         """Take note of one applied entry."""
         process = current_process()
         process.world.applied(process.name, entry)
--- a/src/jasperwalk_lab/simulator/seams.py
+++ b/src/jasperwalk_lab/simulator/seams.py
@@ -37,7 +37,7 @@
 from jasperwalk.distribution.runner import FollowerRunner
 from jasperwalk.errors import JasperwalkError
 from jasperwalk.membership.platform import PlatformList
-from jasperwalk.observability import AdminServer
+from jasperwalk.observability.admin import AdminServer
 from jasperwalk.transport import client as transport_client
 from jasperwalk.transport.framed import ConnectionKind, Hello
 from jasperwalk.transport.server import FramedServer
--- a/src/jasperwalk_lab/simulator/world.py
+++ b/src/jasperwalk_lab/simulator/world.py
@@ -12,6 +12,7 @@
 from jasperwalk.config.table import AdminState, KeyPurpose, OperatingStatus
 from jasperwalk.control.applied import AppliedEntry
 from jasperwalk.control.replica import ControlReplica
+from jasperwalk.control.state.outcomes import Outcome
 from jasperwalk.membership.platform import MachineState, PlatformMachine
 from jasperwalk.messages.proxy_protocol import HEADER_PREFIX
 from jasperwalk.routing.connection_ids import ConnectionIdCodec
@@ -53,7 +54,7 @@
         """Operators by name, with the control host on whose side of a split each sits."""
         self._flow_numbers = itertools.count(1)
         self._replica_ids = itertools.count(layout.replica_count + 1)
-        self._committed: dict[int, AppliedEntry] = {}
+        self._committed: dict[int, AppliedEntry[Outcome]] = {}
         self._leaders: dict[int, str] = {}
         self.programs = {
             host: BackendProgram(host) for service in layout.services for host in service.hosts()
@@ -278,7 +279,7 @@
         if self._leaders.setdefault(term, identity) != identity:
             self.violated(f"two-leaders: term {term}")
 
-    def applied(self, name: str, entry: AppliedEntry) -> None:
+    def applied(self, name: str, entry: AppliedEntry[Outcome]) -> None:
         """State machine safety: no two replicas apply different entries at an index."""
         if self._committed.setdefault(entry.index, entry) != entry:
             self.violated(f"entries-differ: index {entry.index} at {name}")
--- a/tests/control/test_openapi.py
+++ b/tests/control/test_openapi.py
@@ -12,7 +12,8 @@
 from jasperwalk.control.proposal_errors import ProposalError
 from jasperwalk.control.state.outcome_base import BaseOutcome
 from jasperwalk.errors import JasperwalkError
-from jasperwalk.observability import HealthReport, MetricsRegistry
+from jasperwalk.observability.admin import HealthReport
+from jasperwalk.observability.metrics import MetricsRegistry
 
 INTERNAL_KINDS = {
     # Successes, and refusals of what only control itself proposes.
--- a/tests/observability/test_admin.py
+++ b/tests/observability/test_admin.py
@@ -4,7 +4,8 @@
 import pytest
 
 from jasperwalk.addresses import Endpoint
-from jasperwalk.observability import AdminServer, HealthFact, HealthReport, MetricsRegistry
+from jasperwalk.observability.admin import AdminServer, HealthFact, HealthReport
+from jasperwalk.observability.metrics import MetricsRegistry
 
 ANY_PORT = Endpoint("127.0.0.1", 0)
 
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from jasperwalk.observability import configure_logging, get_logger
+from jasperwalk.observability.logs import configure_logging, get_logger
 
 
 @pytest.fixture
