--- /dev/null
+++ b/tests/agent/datagrams/test_flow_agent.py
@@ -0,0 +1,233 @@
+import pytest
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.agent.datagrams.flow_agent import FlowAgent
+from jasperwalk.agent.datagrams.host import HostAnnouncement, HostState
+from jasperwalk.fleet.messages import HostPhase
+from jasperwalk.flows.frames import (
+    FrameKind,
+    RefusalReason,
+    decode_reply,
+    encode_request,
+    service_tag,
+)
+from tests.flows.support import (
+    CALLER,
+    ENDING,
+    OPENING,
+    RESET,
+    RETURNED,
+    PlainCodec,
+    SilentLog,
+    from_caller,
+    from_host,
+    key_of,
+)
+
+BALANCER = ("10.0.0.1", 7601)
+OTHER_BALANCER = ("10.0.0.2", 7601)
+LIFETIME = 60.0
+
+
+class Bench:
+    """An agent, its host's state, and what left it."""
+
+    def __init__(self, phase=HostPhase.READY, started_at=0.0):
+        self.host_packets, self.replies, self.caller_packets = [], [], []
+        self.host = HostState()
+        self.agent = FlowAgent(
+            codec=PlainCodec(),
+            service="web",
+            host=self.host,
+            to_host=self.host_packets.append,
+            to_balancer=lambda data, to: self.replies.append((decode_reply(data, 12), to)),
+            to_caller=lambda data, to: self.caller_packets.append((data, to)),
+            log=SilentLog(),
+            started_at=started_at,
+            flow_lifetime_seconds=LIFETIME,
+        )
+        if phase is not HostPhase.UNKNOWN:
+            self.say(phase, 1)
+
+    def say(self, phase, number):
+        self.host.announce(HostAnnouncement("h1", phase, 2, 0.0, number), 0.0)
+
+    def frame(self, kind, body, now=1.0, service="web", sender=BALANCER):
+        self.agent.receive_frame(encode_request(kind, 0, service_tag(service), body), sender, now)
+
+    def open(self, now=1.0, caller=CALLER, service="web"):
+        self.frame(FrameKind.OPEN, from_caller(OPENING, caller=caller), now, service)
+        return self.replies[-1][0]
+
+    def find(self, now=1.0, service="web"):
+        self.frame(FrameKind.FIND, key_of(), now, service)
+        return self.replies[-1][0].kind
+
+
+def test_a_new_flow_goes_to_the_host_and_is_confirmed():
+    bench = Bench()
+    assert bench.open().kind is FrameKind.ACCEPTED
+    assert bench.host_packets == [from_caller(OPENING)]
+    assert bench.find() is FrameKind.HELD
+
+
+def test_a_copy_of_the_opening_packet_is_accepted_again_but_counts_once():
+    bench = Bench()
+    bench.open()
+    assert bench.open(1.2).kind is FrameKind.ACCEPTED
+    assert len(bench.host_packets) == 2
+    assert bench.agent.counters.flows_accepted == 1
+    assert bench.agent.meter.busy == 1
+
+
+@pytest.mark.parametrize(
+    ("phase", "service", "reason"),
+    [
+        (HostPhase.UNKNOWN, "web", RefusalReason.NOT_READY),
+        (HostPhase.DRAINING, "web", RefusalReason.DRAINING),
+        (HostPhase.READY, "export", RefusalReason.OTHER_SERVICE),
+    ],
+)
+def test_a_new_flow_that_is_not_for_this_host_is_refused(phase, service, reason):
+    bench = Bench(phase)
+    reply = bench.open(service=service)
+    assert (reply.kind, reply.flags) == (FrameKind.REFUSED, reason)
+    assert bench.host_packets == []
+
+
+def test_a_draining_host_gets_no_copy_of_an_opening_packet_either():
+    bench = Bench()
+    bench.open()
+    bench.say(HostPhase.DRAINING, 2)
+    assert bench.open(1.2).kind is FrameKind.REFUSED
+    assert len(bench.host_packets) == 1
+
+
+def test_a_full_host_refuses_at_once_and_takes_flows_again():
+    bench = Bench()
+    callers = [Endpoint("100.64.0.9", port) for port in range(1, 9)]
+    for caller in callers:
+        assert bench.open(caller=caller).kind is FrameKind.ACCEPTED
+    assert bench.open().flags == RefusalReason.FULL
+    bench.agent.receive_host_packet(from_host(ENDING, b"answer", caller=callers[0]), 1.1)
+    assert bench.open().kind is FrameKind.ACCEPTED
+
+
+def test_packets_of_a_held_flow_pass_both_ways_unchanged():
+    bench = Bench()
+    bench.open()
+    bench.frame(FrameKind.CARRY, from_caller(0, b"request"))
+    bench.agent.receive_host_packet(from_host(0, b"answer"), 1.1)
+    assert bench.host_packets[-1] == from_caller(0, b"request")
+    assert bench.caller_packets == [(from_host(0, b"answer"), (CALLER.host, CALLER.port))]
+
+
+def test_the_load_counts_requests_under_way():
+    bench = Bench()
+    bench.open()
+    assert bench.agent.meter.busy == 1
+    bench.agent.receive_host_packet(from_host(0, b"answer"), 1.1)
+    assert bench.agent.meter.busy == 0
+    bench.frame(FrameKind.CARRY, from_caller(0, b"next request"), 1.2)
+    assert bench.agent.meter.busy == 1
+    bench.frame(FrameKind.CARRY, from_caller(RESET), 1.3)
+    assert bench.agent.meter.busy == 0
+
+
+def test_an_opening_packet_that_the_host_hands_back_is_a_refusal():
+    bench = Bench()
+    bench.open()
+    bench.agent.receive_host_packet(from_caller(OPENING | RETURNED), 1.1)
+    reply, to = bench.replies[-1]
+    assert (reply.kind, reply.flags, to) == (
+        FrameKind.REFUSED,
+        RefusalReason.RETURNED,
+        BALANCER,
+    )
+    assert bench.agent.meter.busy == 0
+
+
+def test_a_packet_that_the_host_hands_back_returns_as_the_caller_wrote_it():
+    bench = Bench()
+    bench.frame(FrameKind.CARRY, from_caller(0, b"data"))
+    bench.agent.receive_host_packet(from_caller(RETURNED, b"data"), 1.1)
+    reply, _ = bench.replies[-1]
+    assert (reply.kind, reply.packet) == (FrameKind.RETURNED, from_caller(0, b"data"))
+
+
+def test_an_agent_that_restarted_lets_the_host_tell():
+    bench = Bench()
+    assert bench.find() is FrameKind.UNSURE
+    bench.frame(FrameKind.CARRY, from_caller(0, b"data"))
+    assert bench.host_packets == [from_caller(0, b"data")]
+    assert bench.find() is FrameKind.UNSURE
+    bench.agent.receive_host_packet(from_host(0, b"answer"), 1.1)
+    assert bench.replies[-1][0].kind is FrameKind.HELD
+    assert bench.find() is FrameKind.HELD
+
+
+def test_an_agent_older_than_any_flow_knows_what_is_not_held():
+    bench = Bench()
+    late = LIFETIME + 1.0
+    assert bench.find(late) is FrameKind.NOT_HELD
+    bench.frame(FrameKind.CARRY, from_caller(0, b"data"), late)
+    assert bench.replies[-1][0].kind is FrameKind.RETURNED
+    assert bench.host_packets == []
+
+
+def test_a_packet_for_another_service_never_reaches_the_host():
+    bench = Bench()
+    bench.frame(FrameKind.CARRY, from_caller(0, b"data"), service="export")
+    assert bench.host_packets == []
+    assert bench.replies[-1][0].kind is FrameKind.RETURNED
+    assert bench.find(service="export") is FrameKind.NOT_HELD
+
+
+def test_the_answer_goes_to_the_balancer_that_sent_last():
+    bench = Bench()
+    bench.open()
+    bench.frame(FrameKind.CARRY, from_caller(0, b"data"), sender=OTHER_BALANCER)
+    bench.agent.receive_host_packet(from_caller(RETURNED, b"data"), 1.1)
+    assert bench.replies[-1][1] == OTHER_BALANCER
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\x01",
+        encode_request(FrameKind.OPEN, 0, 1, b""),
+        encode_request(FrameKind.CARRY, 0, 1, from_caller(0, b"data")[:-1]),
+        encode_request(FrameKind.FIND, 0, 1, b"short"),
+        encode_request(FrameKind.HELD, 0, 1, from_caller()),
+        b"\xff" * 50,
+    ],
+    ids=["empty", "one byte", "no packet", "cut", "short key", "agent's kind", "noise"],
+)
+def test_malformed_frames_are_counted_and_go_nowhere(data):
+    bench = Bench()
+    bench.agent.receive_frame(data, BALANCER, 1.0)
+    assert bench.agent.counters.frames_malformed == 1
+    assert bench.host_packets == bench.replies == []
+
+
+def test_malformed_packets_of_the_host_are_counted():
+    bench = Bench()
+    bench.agent.receive_host_packet(b"noise", 1.0)
+    assert bench.agent.counters.host_packets_malformed == 1
+    assert bench.caller_packets == []
+
+
+def test_ended_flows_are_forgotten_after_a_while_and_open_ones_are_kept():
+    bench = Bench()
+    bench.open()
+    bench.open(caller=Endpoint("100.64.0.8", 1))
+    bench.agent.receive_host_packet(from_host(ENDING, b"answer"), 1.1)
+    bench.frame(FrameKind.CARRY, from_caller(ENDING), 1.2)
+    bench.agent.sweep(2.0)
+    assert len(bench.agent) == 2
+    bench.agent.sweep(20.0)
+    assert len(bench.agent) == 1
+    assert bench.agent.meter.busy == 0
+    bench.agent.sweep(1.0 + LIFETIME + 11.0)
+    assert len(bench.agent) == 0
--- /dev/null
+++ b/tests/balancer/datagrams/test_flow_balancer.py
@@ -0,0 +1,209 @@
+import pytest
+
+from jasperwalk.balancer.datagrams.flow_balancer import MAXIMUM_TRIES, OPEN_TIMEOUT_SECONDS
+from jasperwalk.fleet.messages import HostPhase
+from jasperwalk.flows.frames import FrameKind, RefusalReason
+from tests.balancer.datagrams.support import Bench, address_of, record
+from tests.flows.support import CALLER, OPENING, RESET, PlainCodec, from_caller, key_of
+
+SYN = from_caller(OPENING)
+DATA = from_caller(0, b"data")
+RESET_TO_CALLER = (PlainCodec().reset_for(SYN), (CALLER.host, CALLER.port))
+
+
+def opened(bench, now=1.0):
+    """Open a flow and return its agent's number."""
+    bench.core.receive(SYN, now)
+    ((kind, number, body),) = bench.take_sent()
+    assert (kind, body) == (FrameKind.OPEN, SYN)
+    bench.answer(number, FrameKind.ACCEPTED, now)
+    return number
+
+
+def test_a_flow_stays_with_the_agent_that_accepted_it():
+    bench = Bench(record(1), record(2))
+    number = opened(bench)
+    bench.core.receive(DATA, 1.1)
+    assert bench.take_sent() == [(FrameKind.CARRY, number, DATA)]
+
+
+def test_a_copy_of_the_opening_packet_goes_to_the_same_agent():
+    bench = Bench(record(1), record(2), record(3))
+    bench.core.receive(SYN, 1.0)
+    ((_, number, _),) = bench.take_sent()
+    bench.core.receive(SYN, 1.05)
+    assert bench.take_sent() == [(FrameKind.OPEN, number, SYN)]
+
+
+def test_a_refused_flow_goes_to_another_agent():
+    bench = Bench(record(1), record(2))
+    bench.core.receive(SYN, 1.0)
+    ((_, first, _),) = bench.take_sent()
+    bench.refuse(first, 1.01)
+    ((kind, second, body),) = bench.take_sent()
+    assert (kind, body) == (FrameKind.OPEN, SYN)
+    assert second != first
+
+
+def test_a_flow_that_no_agent_takes_is_reset_at_once():
+    bench = Bench(record(1), record(2))
+    bench.core.receive(SYN, 1.0)
+    for _ in range(2):
+        ((_, number, _),) = bench.take_sent()
+        bench.refuse(number, 1.01)
+    assert bench.resets == [RESET_TO_CALLER]
+    assert not bench.core.has_pending()
+
+
+def test_no_more_agents_are_tried_than_the_limit():
+    bench = Bench(*(record(number) for number in range(1, 10)))
+    bench.core.receive(SYN, 1.0)
+    for _ in range(MAXIMUM_TRIES):
+        ((_, number, _),) = bench.take_sent()
+        bench.refuse(number, 1.01)
+    assert bench.take_sent() == []
+    assert bench.resets == [RESET_TO_CALLER]
+
+
+def test_a_silent_agent_is_passed_over_and_avoided():
+    bench = Bench(record(1), record(2))
+    bench.core.receive(SYN, 1.0)
+    ((_, silent, _),) = bench.take_sent()
+    bench.core.tick(1.0 + OPEN_TIMEOUT_SECONDS / 2)
+    assert bench.take_sent() == []
+    bench.core.tick(1.0 + OPEN_TIMEOUT_SECONDS)
+    ((_, other, _),) = bench.take_sent()
+    assert other != silent
+    bench.answer(other, FrameKind.ACCEPTED, 1.2, load=3.0)
+    caller = CALLER.__class__("100.64.0.9", 1)
+    bench.core.receive(from_caller(OPENING, caller=caller), 1.3)
+    assert bench.take_sent()[0][1] == other
+
+
+@pytest.mark.parametrize(
+    "records",
+    [
+        [],
+        [record(1, HostPhase.DRAINING)],
+        [record(1, HostPhase.UNKNOWN)],
+        [record(1, HostPhase.GONE)],
+        [record(1, service="export")],
+    ],
+    ids=["no agent", "draining", "unknown", "gone", "another service"],
+)
+def test_a_flow_without_a_host_is_reset_at_once(records):
+    bench = Bench(*records)
+    bench.core.receive(SYN, 1.0)
+    assert bench.resets == [RESET_TO_CALLER]
+    assert bench.sent == []
+
+
+def test_a_flow_without_a_route_is_reset():
+    bench = Bench(record(1))
+    bench.route(2)
+    bench.core.receive(SYN, 1.0)
+    bench.core.receive(DATA, 1.0)
+    assert len(bench.resets) == 2
+
+
+def test_a_balancer_without_routes_says_nothing():
+    bench = Bench(record(1), version=0)
+    bench.core.receive(SYN, 1.0)
+    bench.core.receive(DATA, 1.0)
+    assert bench.resets == bench.sent == []
+    assert bench.core.counters.not_ready_drops == 2
+
+
+def test_a_reset_is_never_answered_by_a_reset():
+    bench = Bench(record(1))
+    bench.route(2)
+    bench.core.receive(from_caller(RESET), 1.0)
+    assert bench.resets == []
+
+
+def test_the_second_service_of_a_route_takes_what_the_first_cannot():
+    bench = Bench(record(2, service="export"), services=("web", "export"))
+    bench.core.receive(SYN, 1.0)
+    assert bench.take_sent() == [(FrameKind.OPEN, 2, SYN)]
+
+
+def test_an_open_flow_outlives_a_change_of_its_route():
+    bench = Bench(record(1), record(2, service="export"))
+    number = opened(bench)
+    bench.route(2, "export")
+    bench.core.receive(DATA, 1.2)
+    assert bench.take_sent() == [(FrameKind.CARRY, number, DATA)]
+
+
+def test_an_open_flow_outlives_its_agents_absence_from_the_directory():
+    bench = Bench(record(1))
+    number = opened(bench)
+    bench.learn(removed=[address_of(number)], now=1.1)
+    bench.core.receive(DATA, 1.2)
+    assert bench.take_sent() == [(FrameKind.CARRY, number, DATA)]
+
+
+def test_a_packet_that_comes_back_is_brought_to_the_holder():
+    bench = Bench(record(1), record(2))
+    number = opened(bench)
+    other = 3 - number
+    bench.answer(number, FrameKind.RETURNED, 1.2, packet=DATA)
+    assert {sent[0] for sent in bench.take_sent()} == {FrameKind.FIND}
+    bench.answer(other, FrameKind.HELD, 1.21)
+    assert bench.take_sent() == [(FrameKind.CARRY, other, DATA)]
+    assert bench.resets == []
+
+
+def test_a_late_acceptance_of_an_agent_that_was_passed_over_changes_nothing():
+    bench = Bench(record(1), record(2))
+    bench.core.receive(SYN, 1.0)
+    ((_, silent, _),) = bench.take_sent()
+    bench.core.tick(1.0 + OPEN_TIMEOUT_SECONDS)
+    ((_, other, _),) = bench.take_sent()
+    bench.answer(silent, FrameKind.ACCEPTED, 1.2)
+    bench.answer(other, FrameKind.ACCEPTED, 1.2)
+    bench.core.receive(DATA, 1.3)
+    assert bench.take_sent() == [(FrameKind.CARRY, other, DATA)]
+
+
+@pytest.mark.parametrize("packet", [b"", b"x", DATA[:-1], DATA + b"x"])
+def test_malformed_packets_are_counted_and_go_nowhere(packet):
+    bench = Bench(record(1))
+    bench.core.receive(packet, 1.0)
+    assert bench.core.counters.packets_malformed == 1
+    assert bench.sent == bench.resets == []
+
+
+def test_malformed_and_strange_replies_change_nothing():
+    bench = Bench(record(1))
+    bench.core.receive_reply(b"noise", ("10.0.0.1", 7602), 1.0)
+    assert bench.core.counters.replies_malformed == 1
+    bench.answer(9, FrameKind.ACCEPTED, 1.0)
+    bench.answer(1, FrameKind.ACCEPTED, 1.0, key=key_of(CALLER.__class__("1.2.3.4", 5)))
+    assert len(bench.core) == 0
+
+
+def test_flows_without_packets_are_forgotten_in_the_end():
+    bench = Bench(record(1))
+    opened(bench)
+    bench.core.sweep(30.0)
+    assert len(bench.core) == 1
+    bench.core.sweep(100.0)
+    assert len(bench.core) == 0
+
+
+def test_every_decision_is_noted_with_its_flow():
+    bench = Bench(record(1))
+    opened(bench)
+    bench.core.receive(from_caller(OPENING, caller=CALLER.__class__("100.64.0.9", 1)), 1.0)
+    bench.refuse(1, 1.1, RefusalReason.DRAINING)
+    assert bench.log.names() == ["flow-opened"]
+    bench.answer(
+        1,
+        FrameKind.REFUSED,
+        1.1,
+        flags=RefusalReason.DRAINING,
+        key=key_of(CALLER.__class__("100.64.0.9", 1)),
+    )
+    assert bench.log.names() == ["flow-opened", "flow-refused", "flow-reset"]
+    assert all("flow" in fields for _, fields in bench.log.events)
--- /dev/null
+++ b/tests/balancer/datagrams/test_search.py
@@ -0,0 +1,152 @@
+import pytest
+
+from jasperwalk.balancer.datagrams.search import (
+    ANSWER_SECONDS,
+    MAXIMUM_HELD_PACKETS,
+    PROBE_SECONDS,
+    ROUND_PAUSE_SECONDS,
+)
+from jasperwalk.fleet.messages import HostPhase
+from jasperwalk.flows.frames import FrameKind
+from tests.balancer.datagrams.support import Bench, address_of, record
+from tests.flows.support import from_caller, key_of
+
+DATA = from_caller(0, b"data")
+MORE = from_caller(0, b"more")
+
+
+def searching(*records, **options):
+    """Return a balancer that has just got a packet of a flow that it does not know."""
+    bench = Bench(*records, **options)
+    bench.core.receive(DATA, 1.0)
+    return bench
+
+
+def asked(bench):
+    sent = bench.take_sent()
+    assert all((kind, body) == (FrameKind.FIND, key_of()) for kind, _, body in sent)
+    return {number for _, number, _ in sent}
+
+
+def test_the_agents_are_asked_and_no_host_sees_the_packet_meanwhile():
+    bench = searching(record(1), record(2), record(3))
+    assert asked(bench) == {1, 2, 3}
+    bench.core.receive(MORE, 1.001)
+    assert bench.take_sent() == []
+
+
+def test_the_holder_gets_the_packets_in_their_order_and_all_later_ones():
+    bench = searching(record(1), record(2))
+    asked(bench)
+    bench.core.receive(MORE, 1.001)
+    bench.answer(2, FrameKind.HELD, 1.002)
+    assert bench.take_sent() == [(FrameKind.CARRY, 2, DATA), (FrameKind.CARRY, 2, MORE)]
+    bench.core.receive(MORE, 1.1)
+    assert bench.take_sent() == [(FrameKind.CARRY, 2, MORE)]
+
+
+def test_draining_and_unlisted_agents_are_asked_too():
+    bench = Bench(record(1), record(2, HostPhase.DRAINING), record(3))
+    bench.learn(removed=[address_of(3)], now=0.5)
+    bench.core.receive(DATA, 1.0)
+    assert asked(bench) == {1, 2, 3}
+
+
+def test_a_service_that_the_route_named_before_is_asked_too():
+    bench = Bench(record(1), record(2, service="export"))
+    bench.route(2, "export")
+    bench.core.receive(DATA, 1.0)
+    assert asked(bench) == {1, 2}
+
+
+def deny(bench, numbers, now):
+    for number in numbers:
+        bench.answer(number, FrameKind.NOT_HELD, now)
+
+
+def test_a_flow_is_reset_only_after_every_agent_denied_it_twice():
+    bench = searching(record(1), record(2))
+    deny(bench, asked(bench), 1.01)
+    assert bench.resets == []
+    bench.core.tick(1.01 + ROUND_PAUSE_SECONDS)
+    deny(bench, asked(bench), 1.3)
+    assert len(bench.resets) == 1
+
+
+def test_the_second_round_asks_every_service():
+    bench = searching(record(1), record(2, service="export"))
+    deny(bench, asked(bench), 1.01)
+    bench.core.tick(1.01 + ROUND_PAUSE_SECONDS)
+    assert asked(bench) == {1, 2}
+
+
+def test_an_agent_that_does_not_answer_keeps_the_flow_from_being_reset():
+    bench = searching(record(1), record(2))
+    asked(bench)
+    deny(bench, [1], 1.01)
+    bench.core.tick(1.0 + ANSWER_SECONDS)
+    bench.core.tick(1.1 + ANSWER_SECONDS + ROUND_PAUSE_SECONDS)
+    assert asked(bench) == {1, 2}
+    deny(bench, [1], 1.4)
+    bench.core.tick(2.0)
+    assert bench.resets == []
+    assert not bench.core.has_pending()
+    assert "flow-not-found" in bench.log.names()
+
+
+def test_agents_that_cannot_know_are_shown_one_packet_one_after_the_other():
+    bench = searching(record(1), record(2), record(3))
+    asked(bench)
+    bench.answer(1, FrameKind.UNSURE, 1.01)
+    bench.answer(2, FrameKind.NOT_HELD, 1.01)
+    bench.answer(3, FrameKind.UNSURE, 1.01)
+    ((kind, first, body),) = bench.take_sent()
+    assert (kind, body) == (FrameKind.CARRY, DATA)
+    bench.answer(first, FrameKind.RETURNED, 1.02, packet=DATA)
+    ((_, second, _),) = bench.take_sent()
+    assert {first, second} == {1, 3}
+    bench.answer(second, FrameKind.HELD, 1.03)
+    assert bench.take_sent() == [(FrameKind.CARRY, second, DATA)]
+
+
+def test_no_host_is_shown_a_packet_while_an_agent_may_still_say_that_it_holds_the_flow():
+    bench = searching(record(1), record(2))
+    asked(bench)
+    bench.answer(1, FrameKind.UNSURE, 1.01)
+    assert bench.take_sent() == []
+    bench.answer(2, FrameKind.HELD, 1.02)
+    assert bench.take_sent() == [(FrameKind.CARRY, 2, DATA)]
+
+
+def test_a_host_that_keeps_a_shown_packet_without_a_word_is_passed_over():
+    bench = searching(record(1), record(2))
+    asked(bench)
+    bench.answer(1, FrameKind.UNSURE, 1.01)
+    bench.answer(2, FrameKind.UNSURE, 1.01)
+    ((_, first, _),) = bench.take_sent()
+    bench.core.tick(1.02 + PROBE_SECONDS)
+    ((_, second, _),) = bench.take_sent()
+    assert first != second
+    bench.core.tick(1.5)
+    bench.core.tick(2.0)
+    bench.core.tick(2.5)
+    bench.core.tick(3.0)
+    assert bench.resets == []
+
+
+def test_held_packets_are_bounded():
+    bench = searching(record(1))
+    asked(bench)
+    for _ in range(100):
+        bench.core.receive(MORE, 1.01)
+    bench.answer(1, FrameKind.HELD, 1.02)
+    assert len(bench.take_sent()) == MAXIMUM_HELD_PACKETS
+
+
+@pytest.mark.parametrize("count", [0, 1])
+def test_a_search_that_finds_nobody_ends(count):
+    bench = searching(*(record(number) for number in range(1, count + 1)))
+    for step in range(1, 200):
+        bench.core.tick(1.0 + step * 0.02)
+    assert not bench.core.has_pending()
+    assert bench.resets == []
--- /dev/null
+++ b/tests/balancer/datagrams/test_targets.py
@@ -0,0 +1,97 @@
+import random
+from collections import Counter
+
+from jasperwalk.balancer.datagrams.targets import UNLISTED_USABLE_SECONDS, TargetPool
+from jasperwalk.fleet.messages import FleetUpdate, HostPhase
+from tests.balancer.datagrams.support import SEED, address_of, record
+
+
+def pool(*records, now=0.0):
+    made = TargetPool("a", random.Random(SEED))
+    made.update(FleetUpdate(True, list(records), []), now)
+    return made
+
+
+def load(made, number, value, now=0.0):
+    endpoint = address_of(number)
+    made.at((endpoint.host, endpoint.port)).note_load(value, now)
+
+
+def chosen(made, now=1.0, excluded=()):
+    target = made.choose("web", excluded, now)
+    return None if target is None else target.record.name
+
+
+def test_the_least_loaded_agent_is_chosen_by_its_capacity():
+    made = pool(record(1, capacity=2), record(2, capacity=8))
+    load(made, 1, 1.0)
+    load(made, 2, 2.0)
+    assert chosen(made) == "agent-2"
+
+
+def test_what_was_sent_since_the_last_answer_counts():
+    made = pool(record(1), record(2), record(3))
+    drawn = Counter()
+    for _ in range(30):
+        target = made.choose("web", (), 1.0)
+        target.sent_since += 1
+        drawn[target.record.name] += 1
+    assert set(drawn.values()) == {10}
+
+
+def test_an_agent_of_the_own_zone_is_preferred_among_equals():
+    made = pool(record(1, zone="b"), record(2, zone="a"), record(3, zone="b"))
+    assert {chosen(made) for _ in range(20)} == {"agent-2"}
+
+
+def test_a_busy_agent_of_the_own_zone_is_passed_over():
+    made = pool(record(1, zone="b"), record(2, zone="a"))
+    load(made, 2, 3.0)
+    assert chosen(made) == "agent-1"
+
+
+def test_an_unlisted_agent_is_usable_for_a_while():
+    made = pool(record(1))
+    made.update(FleetUpdate(False, [], [address_of(1)]), 1.0)
+    assert chosen(made, 1.0 + UNLISTED_USABLE_SECONDS / 2) == "agent-1"
+    assert chosen(made, 1.0 + UNLISTED_USABLE_SECONDS) is None
+
+
+def test_a_home_that_knows_few_agents_yet_takes_none_away_at_once():
+    made = pool(record(1), record(2))
+    made.update(FleetUpdate(True, [record(2)], []), 1.0)
+    assert {chosen(made, 2.0, ()) for _ in range(20)} == {"agent-1", "agent-2"}
+
+
+def test_a_restarted_agent_keeps_its_flows_target():
+    made = pool(record(1))
+    before = made.choose("web", (), 1.0)
+    made.update(FleetUpdate(False, [record(1, incarnation=2)], []), 1.0)
+    assert made.choose("web", (), 1.0) is before
+    assert not before.departed
+
+
+def test_an_address_that_another_service_took_is_another_target():
+    made = pool(record(1))
+    before = made.choose("web", (), 1.0)
+    made.update(FleetUpdate(False, [record(1, service="export", incarnation=2)], []), 1.0)
+    assert before.departed
+    assert made.choose("web", (), 1.0) is None
+    assert made.choose("export", (), 1.0) is not None
+
+
+def test_a_host_that_is_gone_ends_its_target():
+    made = pool(record(1))
+    before = made.choose("web", (), 1.0)
+    made.update(FleetUpdate(False, [record(1, HostPhase.GONE)], []), 1.0)
+    assert before.departed
+    assert made.all_targets() == []
+
+
+def test_agents_that_left_are_forgotten_after_the_longest_flow():
+    made = pool(record(1))
+    made.update(FleetUpdate(False, [], [address_of(1)]), 1.0)
+    made.forget_old(50.0, 60.0)
+    assert len(made) == 1
+    made.forget_old(62.0, 60.0)
+    assert len(made) == 0
--- /dev/null
+++ b/tests/flows/test_frames.py
@@ -0,0 +1,55 @@
+import pytest
+
+from jasperwalk.errors import MalformedMessage
+from jasperwalk.flows.frames import (
+    AgentReply,
+    FrameKind,
+    RefusalReason,
+    decode_reply,
+    encode_reply,
+    service_tag,
+)
+from tests.flows.support import key_of
+
+
+def reply(**changes):
+    fields = {
+        "kind": FrameKind.REFUSED,
+        "flags": RefusalReason.FULL,
+        "tag": service_tag("web"),
+        "load": 3.5,
+        "capacity": 4,
+        "flow_key": key_of(),
+        "packet": b"",
+    }
+    return AgentReply(**{**fields, **changes})
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        reply(),
+        reply(kind=FrameKind.RETURNED, packet=b"packet"),
+        reply(kind=FrameKind.HELD, flags=0, load=0.0),
+    ],
+)
+def test_a_reply_comes_back_as_sent(sent):
+    assert decode_reply(encode_reply(sent), 12) == sent
+
+
+def test_a_load_over_the_field_is_cut_to_its_highest():
+    assert decode_reply(encode_reply(reply(load=1e9)), 12).load == pytest.approx(655.35)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"", b"\x0b", encode_reply(reply())[:-1], b"\x01" + encode_reply(reply())[1:], b"\xff" * 40],
+    ids=["empty", "short", "cut", "request's kind", "unknown kind"],
+)
+def test_a_malformed_reply_is_a_typed_failure(data):
+    with pytest.raises(MalformedMessage):
+        decode_reply(data, 12)
+
+
+def test_services_have_different_tags():
+    assert service_tag("web") != service_tag("export")
