--- /dev/null
+++ b/src/jasperwalk/agent/datagrams/admission_queue.py
@@ -0,0 +1,111 @@
+"""New flows that wait at the agent because the host is busy, and how many may.
+
+A caller whose flow is refused everywhere tries again at once and has soon used up its tries;
+after an outage all callers do so together. So a flow that every agent has refused may wait at
+the least busy one, in a queue whose length follows the rate at which the host has been ending
+requests.
+
+The newest flow is admitted first. While more comes than the host can do, first come first
+served would make every caller wait about as long as the oldest one and none be in time; newest
+first serves those that come now in time, and what the host can do beyond them goes to the
+ones before. A full queue lets its oldest flow go, whose caller has waited longest and is told
+at once to try again.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from dataclasses import dataclass
+
+LONGEST_WAIT_SECONDS = 0.9
+"""A caller waits 1.4 s for an answer to its opening packet; its flow is answered before."""
+PLANNED_WAIT_SECONDS = 0.6
+"""The queue takes what the host is expected to get to in this time."""
+RATE_SECONDS = 1.0
+"""Time constant of the rate at which requests end."""
+LEAST_RATE_PER_SLOT = 12.0
+"""Requests a second and slot assumed while nothing has been measured."""
+
+
+class CompletionRate:
+    """Moving average of ended requests a second."""
+
+    __slots__ = ("_rate", "_updated_at")
+
+    def __init__(self, now: float) -> None:
+        self._rate = 0.0
+        self._updated_at = now
+
+    def note(self, now: float) -> None:
+        """Count one ended request."""
+        self._decay(now)
+        self._rate += 1.0 / RATE_SECONDS
+
+    def per_second(self, now: float) -> float:
+        """Return the rate."""
+        self._decay(now)
+        return self._rate
+
+    def _decay(self, now: float) -> None:
+        elapsed = max(0.0, now - self._updated_at)
+        self._updated_at = now
+        self._rate *= math.exp(-elapsed / RATE_SECONDS)
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingFlow:
+    """An opening packet and when it came, seconds."""
+
+    packet: bytes
+    arrived_at: float
+
+
+class AdmissionQueue:
+    """Newest first; bounded by the host's pace."""
+
+    def __init__(self, now: float) -> None:
+        self.completions = CompletionRate(now)
+        self._waiting: OrderedDict[bytes, WaitingFlow] = OrderedDict()
+
+    def __len__(self) -> int:
+        """Return how many flows wait."""
+        return len(self._waiting)
+
+    def __contains__(self, key: bytes) -> bool:
+        """Tell whether a flow waits."""
+        return key in self._waiting
+
+    def has_room(self, capacity: int, now: float) -> bool:
+        """Tell whether one more flow would be reached in time."""
+        rate = max(self.completions.per_second(now), LEAST_RATE_PER_SLOT * capacity)
+        return len(self._waiting) < rate * PLANNED_WAIT_SECONDS
+
+    def add(self, key: bytes, packet: bytes, now: float) -> None:
+        """Let a flow wait; a copy of its packet changes nothing."""
+        self._waiting.setdefault(key, WaitingFlow(packet, now))
+
+    def pop_newest(self) -> tuple[bytes, WaitingFlow]:
+        """Take the flow that came last."""
+        return self._waiting.popitem(last=True)
+
+    def pop_oldest(self) -> tuple[bytes, WaitingFlow]:
+        """Take the flow that has waited longest."""
+        return self._waiting.popitem(last=False)
+
+    def take_expired(self, now: float) -> list[tuple[bytes, WaitingFlow]]:
+        """Take the flows that have waited too long."""
+        expired = []
+        while self._waiting:
+            key, flow = next(iter(self._waiting.items()))
+            if now - flow.arrived_at <= LONGEST_WAIT_SECONDS:
+                break
+            expired.append((key, flow))
+            del self._waiting[key]
+        return expired
+
+    def take_all(self) -> list[tuple[bytes, WaitingFlow]]:
+        """Take every flow, because the host takes none any more."""
+        waiting = list(self._waiting.items())
+        self._waiting.clear()
+        return waiting
--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -11,11 +11,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from jasperwalk.agent.datagrams.admission_queue import AdmissionQueue, WaitingFlow
 from jasperwalk.agent.datagrams.host import HostState
 from jasperwalk.agent.datagrams.load import LoadMeter
 from jasperwalk.fleet.messages import HostPhase
 from jasperwalk.flows.codec import PacketCodec, SocketAddress
 from jasperwalk.flows.frames import (
+    FLAG_WAIT,
     REQUEST_HEAD,
     AgentReply,
     FrameKind,
@@ -25,13 +27,16 @@
 )
 from jasperwalk.observability.decisions import DecisionLog
 
-FULL_FACTOR = 4
-"""Requests under way, as a multiple of the host's capacity, at which new flows are refused."""
+FULL_FACTOR = 2
+"""Requests under way, as a multiple of the host's capacity, at which new flows are refused:
+every slot has its next request at hand then, and further ones wait better elsewhere."""
 ENDED_LINGER_SECONDS = 6.0
 """A flow that ended is kept this long: its last packets may be sent again."""
 STUCK_REQUEST_SECONDS = 8.0
 """A request without a packet for this long no longer counts as under way."""
 LIFETIME_SLACK_SECONDS = 10.0
+NO_BALANCER: SocketAddress = ("0.0.0.0", 0)
+"""Stands for the balancer of a flow that waited, until its next packet names one."""
 
 
 @dataclass(slots=True, eq=False)
@@ -61,6 +66,8 @@
     host_packets_malformed: int = 0
     flows_accepted: int = 0
     flows_refused: int = 0
+    flows_waited: int = 0
+    flows_waited_in_vain: int = 0
     packets_returned: int = 0
     other_service_drops: int = 0
 
@@ -85,6 +92,7 @@
         """Prepare what every frame needs."""
         self._tag = service_tag(self.service)
         self.meter = LoadMeter(self.started_at)
+        self.queue = AdmissionQueue(self.started_at)
 
     def __len__(self) -> int:
         """Return the number of flows in the table."""
@@ -97,7 +105,7 @@
         if len(data) < REQUEST_HEAD.size:
             self.counters.frames_malformed += 1
             return
-        kind, _flags, tag = REQUEST_HEAD.unpack_from(data)
+        kind, flags, tag = REQUEST_HEAD.unpack_from(data)
         body = data[REQUEST_HEAD.size :]
         if kind == FrameKind.FIND:
             self._find(body, tag, sender, now)
@@ -106,7 +114,7 @@
         elif kind == FrameKind.CARRY:
             self._carry(body, tag, sender, now)
         elif kind == FrameKind.OPEN:
-            self._open(body, tag, sender, now)
+            self._open(body, bool(flags & FLAG_WAIT), tag, sender, now)
         else:
             self.counters.frames_malformed += 1
 
@@ -161,13 +169,18 @@
             flow.busy = busy
             self.meter.change(1 if busy else -1, now)
 
-    def _open(self, packet: bytes, tag: int, sender: SocketAddress, now: float) -> None:
+    def _open(
+        self, packet: bytes, may_wait: bool, tag: int, sender: SocketAddress, now: float
+    ) -> None:
         key = self.codec.flow_key(packet)
         reason = self._refusal(tag)
         flow = self._flows.get(key)
         is_copy = flow is not None and not flow.has_ended()
         if reason is RefusalReason.FULL and is_copy:
             reason = None
+        if reason is RefusalReason.FULL and self._lets_wait(key, packet, may_wait, now):
+            self._reply(FrameKind.ACCEPTED, 0, key, sender, now)
+            return
         if reason is not None:
             self.counters.flows_refused += 1
             self._reply(FrameKind.REFUSED, reason, key, sender, now)
@@ -177,6 +190,42 @@
         self._reply(FrameKind.ACCEPTED, 0, key, sender, now)
         self.to_host(packet)
 
+    def _lets_wait(self, key: bytes, packet: bytes, may_wait: bool, now: float) -> bool:
+        """Put a flow that found no free host into the queue; a full one lets its oldest go."""
+        if key in self.queue:
+            return True
+        if not may_wait:
+            return False
+        if self.queue and not self.queue.has_room(self.host.capacity, now):
+            self._refuse_waiting([self.queue.pop_oldest()], now)
+        self.counters.flows_waited += 1
+        self.queue.add(key, packet, now)
+        return True
+
+    def admit_waiting(self, now: float) -> None:
+        """Admit waiting flows while the host has room; refuse those that waited too long."""
+        if not self.queue:
+            return
+        if self.host.phase is not HostPhase.READY:
+            self._refuse_waiting(self.queue.take_all(), now)
+        while self.queue and self._refusal(self._tag) is None:
+            key, waiting = self.queue.pop_newest()
+            self._admit(key, NO_BALANCER, now, now - waiting.arrived_at)
+            self.to_host(waiting.packet)
+        self._refuse_waiting(self.queue.take_expired(now), now)
+
+    def _refuse_waiting(self, refused: list[tuple[bytes, WaitingFlow]], now: float) -> None:
+        for key, waiting in refused:
+            self.counters.flows_waited_in_vain += 1
+            self.log.note(
+                "flow-waited-in-vain",
+                flow=self.codec.describe(key),
+                waited_ms=round(1000 * (now - waiting.arrived_at)),
+                busy=self.meter.busy,
+                phase=self.host.phase.value,
+            )
+            self.to_caller(self.codec.reset_for(waiting.packet), self.codec.caller_of(key))
+
     def _refusal(self, tag: int) -> RefusalReason | None:
         """Return why a new flow is refused now, None where it is taken."""
         if tag != self._tag:
@@ -189,7 +238,9 @@
             return RefusalReason.FULL
         return None
 
-    def _admit(self, key: bytes, sender: SocketAddress, now: float) -> None:
+    def _admit(
+        self, key: bytes, sender: SocketAddress, now: float, waited_seconds: float = 0.0
+    ) -> None:
         old = self._flows.get(key)
         if old is not None:
             self._set_busy(old, False, now)
@@ -203,6 +254,7 @@
             flow=self.codec.describe(key),
             busy=self.meter.busy,
             capacity=self.host.capacity,
+            waited_ms=round(1000 * waited_seconds),
             host=self.host.host_id,
             host_call=self.host.call_number,
             host_heard_ms=round(1000 * (now - self.host.heard_at)),
@@ -221,7 +273,7 @@
             kind=kind,
             flags=flags,
             tag=self._tag,
-            load=self.meter.load(now),
+            load=self.meter.load(now) + len(self.queue),
             capacity=self.host.capacity,
             flow_key=key,
             packet=packet,
@@ -244,6 +296,7 @@
             self._note_host_packet(key, flow, packet, now)
         self.counters.packets_out += 1
         self.to_caller(packet, self.codec.caller_of(key))
+        self.admit_waiting(now)
 
     def _note_host_packet(self, key: bytes, flow: HeldFlow, packet: bytes, now: float) -> None:
         flow.seen_at = now
@@ -251,6 +304,8 @@
             flow.confirmed = True
             self._reply(FrameKind.HELD, 0, key, flow.balancer, now)
         if self.codec.payload_bytes(packet):
+            if flow.busy:
+                self.queue.completions.note(now)
             self._set_busy(flow, False, now)
         if self.codec.is_ending(packet) or self.codec.is_reset(packet):
             flow.host_ended = True
@@ -274,7 +329,9 @@
             held_ms=round(1000 * (now - flow.opened_at)),
             host=self.host.host_id,
         )
-        if is_opening:
+        if flow.balancer == NO_BALANCER:
+            self.to_caller(self.codec.reset_for(packet), self.codec.caller_of(key))
+        elif is_opening:
             self._reply(FrameKind.REFUSED, RefusalReason.RETURNED, key, flow.balancer, now)
         else:
             self._reply(FrameKind.RETURNED, 0, key, flow.balancer, now, packet)
@@ -283,6 +340,7 @@
 
     def sweep(self, now: float) -> None:
         """Forget flows that ended or cannot be alive any longer; call every second."""
+        self.admit_waiting(now)
         longest = self.flow_lifetime_seconds + LIFETIME_SLACK_SECONDS
         for key, flow in list(self._flows.items()):
             idle = now - flow.seen_at
--- a/src/jasperwalk/agent/datagrams/process.py
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -22,6 +22,8 @@
 from jasperwalk.transport.http_server import HttpHandler, HttpServer
 
 SWEEP_SECONDS = 1.0
+QUEUE_SECONDS = 0.1
+"""Pace of looking at waiting flows while no packet of the host gives the occasion."""
 FAREWELL_SECONDS = 0.05
 """Time for the last announcement to leave before the process ends."""
 INCARNATION_BITS = 62
@@ -168,9 +170,14 @@
         self._host_packets.send(packet, (caller[0], self._callers_port))
 
     async def _sweep(self) -> None:
+        swept_at = time.monotonic()
         while True:
-            await asyncio.sleep(SWEEP_SECONDS)
-            self.core.sweep(time.monotonic())
+            await asyncio.sleep(QUEUE_SECONDS if self.core.queue else SWEEP_SECONDS)
+            now = time.monotonic()
+            self.core.admit_waiting(now)
+            if now - swept_at >= SWEEP_SECONDS:
+                swept_at = now
+                self.core.sweep(now)
 
     def _linked(self, _linked: bool) -> None:
         """Do nothing: the answers to the host hold without the link."""
--- a/src/jasperwalk/balancer/datagrams/flow_balancer.py
+++ b/src/jasperwalk/balancer/datagrams/flow_balancer.py
@@ -39,6 +39,8 @@
     started_at: float
     deadline: float
     tried: list[Target]
+    waits: bool = False
+    """True once every agent that was tried refused, and one was asked to let the flow wait."""
 
 
 @dataclass(slots=True, eq=False)
@@ -152,6 +154,11 @@
 
     def _try_next(self, key: bytes, opening: Opening, now: float) -> None:
         target = self._next_target(opening, now)
+        head = b"" if target is None else target.open_head
+        if target is None and not opening.waits and opening.tried:
+            opening.waits = True
+            target = self._least_busy(opening, now)
+            head = b"" if target is None else target.wait_head
         if target is None:
             self._flows.pop(key, None)
             self._openings.pop(key, None)
@@ -164,10 +171,18 @@
         flow = Flow(target, now, opening)
         self._flows[key] = flow
         self._openings[key] = flow
-        self.send(target.open_head + opening.packet, target.address)
+        self.send(head + opening.packet, target.address)
+
+    def _least_busy(self, opening: Opening, now: float) -> Target | None:
+        """Return the agent where a flow that none takes at once will be reached first."""
+        for service in dict.fromkeys([opening.service, *opening.route.route.services()]):
+            target = self.pool.choose(service, (), now)
+            if target is not None:
+                return target
+        return None
 
     def _next_target(self, opening: Opening, now: float) -> Target | None:
-        if len(opening.tried) >= MAXIMUM_TRIES:
+        if opening.waits or len(opening.tried) >= MAXIMUM_TRIES:
             return None
         target = self.pool.choose(opening.service, opening.tried, now)
         if target is not None:
--- a/src/jasperwalk/balancer/datagrams/targets.py
+++ b/src/jasperwalk/balancer/datagrams/targets.py
@@ -16,7 +16,7 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.fleet.messages import FleetUpdate, HostPhase, NodeRecord
 from jasperwalk.flows.codec import SocketAddress
-from jasperwalk.flows.frames import FLAG_SEARCH, FrameKind, encode_request, service_tag
+from jasperwalk.flows.frames import FLAG_SEARCH, FLAG_WAIT, FrameKind, encode_request, service_tag
 
 UNLISTED_USABLE_SECONDS = 8.0
 """How long an agent that left the directory may still be chosen for new flows."""
@@ -41,6 +41,7 @@
     carry_head: bytes
     search_head: bytes
     open_head: bytes
+    wait_head: bytes
     find_head: bytes
     load: float = 0.0
     load_at: float = float("-inf")
@@ -81,6 +82,7 @@
         carry_head=encode_request(FrameKind.CARRY, 0, tag, b""),
         search_head=encode_request(FrameKind.CARRY, FLAG_SEARCH, tag, b""),
         open_head=encode_request(FrameKind.OPEN, 0, tag, b""),
+        wait_head=encode_request(FrameKind.OPEN, FLAG_WAIT, tag, b""),
         find_head=encode_request(FrameKind.FIND, 0, tag, b""),
         slow_until=now + record.slow_start_seconds,
     )
--- a/src/jasperwalk/consensus/config.py
+++ b/src/jasperwalk/consensus/config.py
@@ -28,6 +28,10 @@
     heartbeat_interval_seconds: float = 0.1
     election_timeout_seconds: float = 1.0
     """A replica waits between one and two election timeouts before it campaigns."""
+    first_election_seconds: float | None = None
+    """Longest wait of a process that has just started and heard no leader; None means the
+    ordinary wait. Pre-votes keep it from disturbing a leader that the others hear, so this
+    may be short: after a loss of power nobody leads."""
     founding_interval_seconds: float = 0.2
     max_batch_entries: int = 256
     max_batch_bytes: int = 256 * KIBIBYTE
--- a/src/jasperwalk/consensus/state.py
+++ b/src/jasperwalk/consensus/state.py
@@ -52,8 +52,13 @@
         self.delivered_index = self.commit_index
         self.outbox: list[Outgoing] = []
         self.stall_grace = StallGrace(config.heartbeat_interval_seconds)
-        self.election_deadline = math.inf
-        self.reset_election_timer(now)
+        self.election_deadline = self._first_election_deadline(now)
+
+    def _first_election_deadline(self, now: float) -> float:
+        longest = self.config.first_election_seconds
+        if longest is None:
+            return now + self.config.election_timeout_seconds * (1.0 + self.random.random())
+        return now + longest * (0.5 + 0.5 * self.random.random())
 
     def _load_members(self) -> MembershipHistory:
         founding = self.hard_state.founding
--- a/src/jasperwalk/control/fleet/home_links.py
+++ b/src/jasperwalk/control/fleet/home_links.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 import structlog
@@ -81,6 +81,7 @@
         self._view = view
         self._tell_replicas = tell_replicas
         self._links: set[NodeLink] = set()
+        self._told_current = False
 
     async def serve(self, connection: FramedConnection) -> None:
         """Serve one node's link until it ends or is silent for too long."""
@@ -136,6 +137,15 @@
             self._tell_replicas(news)
         self.publish_fleet()
 
+    def publish_status(self) -> None:
+        """Tell every node at once when this home has become current, or no longer is."""
+        view = self._view()
+        if view.current == self._told_current:
+            return
+        self._told_current = view.current
+        status = HomeStatus(view.current, view.routes.version, view.replicas)
+        self._to_links(list(self._links), lambda link: link.send(status))
+
     def publish_fleet(self) -> None:
         """Send the linked balancers what changed in the directory."""
         changes = self._directory.take_changes()
@@ -148,11 +158,18 @@
         self._to_balancers(lambda link: link.send_routes(routes))
 
     def _to_balancers(self, send: Callable[[NodeLink], None]) -> None:
-        for link in list(self._links):
-            if link.record is None or link.record.role is not NodeRole.BALANCER:
-                continue
+        balancers = [
+            link
+            for link in self._links
+            if link.record is not None and link.record.role is NodeRole.BALANCER
+        ]
+        self._to_links(balancers, send)
+
+    def _to_links(self, links: Iterable[NodeLink], send: Callable[[NodeLink], None]) -> None:
+        for link in links:
             try:
                 send(link)
             except JasperwalkError as error:
-                logger.warning("node-link-stuck", node=link.record.name, kind=error.kind)
+                name = "" if link.record is None else link.record.name
+                logger.warning("node-link-stuck", node=name, kind=error.kind)
                 link.connection.abort()
--- a/src/jasperwalk/control/fleet/joining.py
+++ b/src/jasperwalk/control/fleet/joining.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Sequence
 
 from jasperwalk.addresses import Endpoint
-from jasperwalk.control.fleet.messages import JOIN_DECODER, JoinReply, JoinRequest
+from jasperwalk.control.fleet.messages import JOIN_DECODER, JoinReply, JoinRequest, JoinStatus
 from jasperwalk.errors import JasperwalkError, MalformedMessage
 from jasperwalk.messages import codec
 from jasperwalk.transport.client import connect
@@ -18,13 +18,25 @@
 async def ask_to_join(
     request: JoinRequest, name: str, cluster_id: str, addresses: Sequence[Endpoint]
 ) -> JoinReply | None:
-    """Ask the replicas one after the other, and the leader they name; None without an answer."""
-    for address in addresses:
+    """Ask the replicas one after the other, and the leader that one names.
+
+    A replica that knows no leader (it may be as new as this one) settles nothing. Returns the
+    leader's answer, or None where no leader was found.
+    """
+    asked: set[Endpoint] = set()
+    waiting = list(addresses)
+    while waiting:
+        address = waiting.pop(0)
+        if address in asked:
+            continue
+        asked.add(address)
         reply = await _ask(request, name, cluster_id, address)
-        if reply is not None and reply.leader is not None and reply.leader != address:
-            reply = await _ask(request, name, cluster_id, reply.leader) or reply
-        if reply is not None:
+        if reply is None:
+            continue
+        if reply.status is not JoinStatus.NOT_LEADER:
             return reply
+        if reply.leader is not None:
+            waiting.insert(0, reply.leader)
     return None
 
 
--- a/src/jasperwalk/control/fleet/process.py
+++ b/src/jasperwalk/control/fleet/process.py
@@ -74,17 +74,23 @@
             founding=self._settings.founding,
         )
         lives = asyncio.create_task(self._live())
+        try:
+            await self._until_stopped(stop, lives)
+        finally:
+            lives.cancel()
+            await asyncio.gather(lives, return_exceptions=True)
+            await self._http.close()
+            await self._server.close()
+        logger.info("control-stopped")
+
+    async def _until_stopped(self, stop: asyncio.Event, lives: asyncio.Task[None]) -> None:
         stopped = asyncio.create_task(stop.wait())
         await asyncio.wait((lives, stopped), return_when=asyncio.FIRST_COMPLETED)
+        stopped.cancel()
         if lives.done():
             lives.result()
         if self._replica is not None:
             await self._hand_over(self._replica)
-        lives.cancel()
-        await asyncio.gather(lives, return_exceptions=True)
-        await self._http.close()
-        await self._server.close()
-        logger.info("control-stopped")
 
     async def _hand_over(self, replica: FleetReplica) -> None:
         try:
@@ -139,6 +145,7 @@
     def _publish(self) -> None:
         self._homes.publish_fleet()
         self._homes.publish_routes()
+        self._homes.publish_status()
 
     def _home_view(self) -> HomeView:
         replica = self._replica
--- a/src/jasperwalk/control/fleet/replica.py
+++ b/src/jasperwalk/control/fleet/replica.py
@@ -44,11 +44,14 @@
 )
 HEARTBEAT_SECONDS = 0.12
 ELECTION_TIMEOUT_SECONDS = 0.7
+FIRST_ELECTION_SECONDS = 0.4
 BEAT_SECONDS = 0.25
 """Pace of the replicas' signs of life to each other."""
 CURRENT_SECONDS = 1.0
 """Age of the leader's sign of life, and of its quorum contact, up to which a replica counts
 as holding the newest configuration."""
+WATCH_SECONDS = 0.05
+"""Pace of looking whether leadership or being current has changed."""
 JOIN_INTERVAL_SECONDS = 0.5
 AUTOPILOT_SECONDS = 0.1
 
@@ -97,6 +100,7 @@
         self._leader_sign = LeaderSign()
         self._on_change = on_change
         self._leading = False
+        self._current = False
         self.applier = VersionedApplier(on_change)
         self.network = PeerNetwork(
             name,
@@ -117,6 +121,7 @@
             initial_members=members,
             heartbeat_interval_seconds=HEARTBEAT_SECONDS,
             election_timeout_seconds=ELECTION_TIMEOUT_SECONDS,
+            first_election_seconds=FIRST_ELECTION_SECONDS,
         )
         return RaftRunnerConfig(
             cluster_id=CLUSTER_ID,
@@ -133,7 +138,7 @@
 
     async def run(self) -> None:
         """Serve until cancelled; raises `StorageError` or `ReplicaRemoved`."""
-        jobs = (self.runner.run(), self._beat(), self._join(), self._pilot())
+        jobs = (self.runner.run(), self._beat(), self._watch(), self._join(), self._pilot())
         tasks = [asyncio.create_task(job) for job in jobs]
         try:
             await asyncio.gather(*tasks)
@@ -192,24 +197,43 @@
 
     async def _beat(self) -> None:
         while True:
-            beat = ReplicaBeat(
-                life=self._life,
-                leading=self.runner.is_settled,
-                version=self.applier.state.held.version,
-                sequence=self._directory.sequence,
-            )
-            for replica_id in self.network.connected_ids():
-                self.network.send(replica_id, beat)
+            self._send_beat()
             self._directory.expire(time.monotonic())
             self._on_change()
-            self._log_leadership()
             await asyncio.sleep(BEAT_SECONDS)
 
-    def _log_leadership(self) -> None:
-        if self.runner.is_leader != self._leading:
-            self._leading = self.runner.is_leader
-            event = "leadership-won" if self._leading else "leadership-lost"
-            logger.info(event, replica_id=self.replica_id, term=self.runner.term)
+    def _send_beat(self) -> None:
+        beat = ReplicaBeat(
+            life=self._life,
+            leading=self.runner.is_settled,
+            version=self.applier.state.held.version,
+            sequence=self._directory.sequence,
+        )
+        for replica_id in self.network.connected_ids():
+            self.network.send(replica_id, beat)
+
+    async def _watch(self) -> None:
+        """Tell the others at once of a change that nodes may be waiting for."""
+        while True:
+            await asyncio.sleep(WATCH_SECONDS)
+            if self.runner.is_settled != self._leading:
+                self._leading = self.runner.is_settled
+                event = "leadership-won" if self._leading else "leadership-lost"
+                logger.info(event, replica_id=self.replica_id, term=self.runner.term)
+                self._send_beat()
+            if self.is_current() != self._current:
+                self._current = not self._current
+                logger.info("replica-current", current=self._current, **self._position())
+                self._on_change()
+
+    def _position(self) -> dict[str, int | float]:
+        """Return what being current rests on, for the log."""
+        return {
+            "version": self.applier.state.held.version,
+            "term": self.runner.term,
+            "commit_index": self.runner.commit_index,
+            "quorum_age_ms": min(int(1000 * min(self.runner.quorum_age(), 60.0)), 60_000),
+        }
 
     # Membership
 
--- a/src/jasperwalk/flows/frames.py
+++ b/src/jasperwalk/flows/frames.py
@@ -57,6 +57,9 @@
 FLAG_SEARCH = 1
 """On `CARRY`: the balancer does not know the holder; hand the packet back rather than guess."""
 
+FLAG_WAIT = 2
+"""On `OPEN`: every agent has refused; let the flow wait if the host will get to it in time."""
+
 LOAD_UNIT = 0.01
 """Requests under way that one unit of the load field stands for."""
 HIGHEST_LOAD = 0xFFFF
--- /dev/null
+++ b/tests/consensus/test_first_election.py
@@ -0,0 +1,34 @@
+from random import Random
+
+import pytest
+
+from jasperwalk.consensus.config import RaftConfig
+from jasperwalk.consensus.core import RaftNode
+from jasperwalk.consensus.durable import DurableState, HardState
+from jasperwalk.consensus.entries import Member, Membership
+
+MEMBERS = Membership(members=[Member(each, f"disk-{each}", True) for each in (1, 2, 3)])
+
+
+def started(first_election_seconds, seed):
+    config = RaftConfig((), 0.1, 1.0, first_election_seconds=first_election_seconds)
+    hard_state = HardState(term=3, voted_for=None, founding=MEMBERS)
+    durable = DurableState(1, "disk-1", hard_state=hard_state)
+    return RaftNode(config, durable, Random(seed), 10.0)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_process_that_just_started_campaigns_soon(seed):
+    assert 10.2 <= started(0.4, seed).next_deadline() <= 10.4
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_without_the_setting_the_ordinary_wait_holds(seed):
+    assert 11.0 <= started(None, seed).next_deadline() <= 12.0
+
+
+def test_the_early_campaign_changes_no_term_before_a_quorum_agrees():
+    node = started(0.4, 1)
+    node.tick(10.5)
+    assert node.term == 3
+    assert all(sent.message.pre_vote for sent in node.ready().messages)
--- /dev/null
+++ b/tests/control/fleet/support.py
@@ -0,0 +1,148 @@
+"""Control replicas of the datagram plane in one event loop, on loopback addresses."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.control.fleet.configurations import ConfigurationService
+from jasperwalk.control.fleet.process import FleetControl
+from jasperwalk.control.fleet.settings import FleetControlSettings
+from jasperwalk.control.fleet.versioned_state import PutConfiguration
+from jasperwalk.flows.routes import FlowRoute, RouteBackend
+from jasperwalk.transport.http_server import HttpResponse
+
+PATIENCE_SECONDS = 30.0
+"""Bound of every wait; nothing is asserted about how long things take."""
+
+
+def free_port(hosts):
+    """Return a port that is free on every one of these loopback addresses."""
+    while True:
+        with contextlib.ExitStack() as stack:
+            port = 0
+            try:
+                for host in hosts:
+                    probe = stack.enter_context(socket.socket())
+                    probe.bind((host, port))
+                    port = probe.getsockname()[1]
+            except OSError:
+                continue
+            return port
+
+
+async def until(condition):
+    """Wait until the condition holds."""
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def configuration(version, service="web", text=b"text"):
+    route = FlowRoute("r", Endpoint("198.18.0.1", 443), [RouteBackend(service, 1.0)])
+    return PutConfiguration(version, text, [route])
+
+
+class Replica:
+    """One control process in the loop; it can be stopped, lose its disk, start again."""
+
+    def __init__(self, cluster, host, folder):
+        self.cluster = cluster
+        self.host = host
+        self.folder = folder
+        self.service: ConfigurationService | None = None
+        self.process: FleetControl | None = None
+        self._task: asyncio.Task | None = None
+
+    def settings(self, founding):
+        return FleetControlSettings(
+            name=self.host,
+            zone="a",
+            data_folder=str(self.folder),
+            operators_listen=f"{self.host}:{self.cluster.operators_port}",
+            replica_listen=f"{self.host}:{self.cluster.replica_port}",
+            seeds=[f"{host}:{self.cluster.operators_port}" for host in self.cluster.seeds],
+            founding=founding,
+        )
+
+    def _interface(self, service, _port):
+        self.service = service
+
+        async def handle(_request):
+            return HttpResponse(404)
+
+        return handle
+
+    def start(self, founding=False):
+        self.stop_event = asyncio.Event()
+        self.process = FleetControl(self.settings(founding), self._interface)
+        self._task = asyncio.create_task(self.process.run(self.stop_event))
+
+    async def kill(self):
+        """End without a goodbye."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        self.process = None
+
+    async def stop(self):
+        self.stop_event.set()
+        await self._task
+        self.process = None
+
+    @property
+    def life(self):
+        return None if self.process is None else self.process._replica
+
+    @property
+    def leads(self):
+        return self.life is not None and self.life.runner.is_settled
+
+    @property
+    def version(self):
+        return 0 if self.life is None else self.life.applier.state.held.version
+
+    @property
+    def voters(self):
+        return [] if self.life is None else self.life.runner.membership.voter_ids()
+
+
+class Cluster:
+    """Replicas at 127.0.0.1 and on, of which the first three are the seeds."""
+
+    def __init__(self, tmp_path, size):
+        hosts = [f"127.0.0.{number}" for number in range(1, size + 1)]
+        self.seeds = hosts[:3]
+        self.replica_port = free_port(hosts)
+        self.operators_port = free_port(hosts)
+        self.replicas = [Replica(self, host, tmp_path / host) for host in hosts]
+
+    async def __aenter__(self):
+        for replica in self.replicas:
+            replica.start(founding=True)
+        await until(lambda: self.leader and len(self.leader.voters) == len(self.replicas))
+        return self
+
+    async def __aexit__(self, *_failure):
+        for replica in self.replicas:
+            if replica.process is not None:
+                await replica.kill()
+
+    @property
+    def leader(self):
+        return next((replica for replica in self.replicas if replica.leads), None)
+
+    async def put(self, command):
+        """Send a configuration to the leader until it is acknowledged."""
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            while True:
+                leader = self.leader
+                if leader is not None:
+                    result = await leader.service.put(command)
+                    if result.kind == "acknowledged":
+                        return result
+                await asyncio.sleep(0.05)
+
+    async def all_hold(self, version):
+        await until(lambda: all(each.version == version for each in self.replicas if each.process))
