--- a/src/jasperwalk/control/fleet/replica.py
+++ b/src/jasperwalk/control/fleet/replica.py
@@ -52,6 +52,7 @@
 as holding the newest configuration."""
 WATCH_SECONDS = 0.05
 """Pace of looking whether leadership or being current has changed."""
+FIRST_JOIN_SECONDS = 0.1
 JOIN_INTERVAL_SECONDS = 0.5
 AUTOPILOT_SECONDS = 0.1
 
@@ -244,8 +245,10 @@
 
     async def _join(self) -> None:
         """Ask to be taken in while this replica has no vote; learn of a removal."""
+        pause_seconds = FIRST_JOIN_SECONDS
         while True:
-            await asyncio.sleep(JOIN_INTERVAL_SECONDS)
+            await asyncio.sleep(pause_seconds)
+            pause_seconds = JOIN_INTERVAL_SECONDS
             lonely = self.runner.quorum_age() > CURRENT_SECONDS
             if self._identity.founders and not lonely:
                 continue
--- a/src/jasperwalk/fleet/home_link.py
+++ b/src/jasperwalk/fleet/home_link.py
@@ -34,7 +34,7 @@
 PING_SECONDS = 0.4
 SILENCE_SECONDS = 1.2
 """A home answers every ping; without any message for this long it is given up."""
-NOT_CURRENT_SECONDS = 1.0
+NOT_CURRENT_SECONDS = 0.5
 """How long a home may be not current before another one is tried."""
 
 logger = structlog.get_logger(__name__)
