--- /dev/null
+++ b/tests/fleet/test_home_link.py
@@ -0,0 +1,214 @@
+"""A node's link over real sockets: it finds a home, announces, and changes homes."""
+
+import asyncio
+import random
+import socket
+
+import pytest
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.control.fleet.directory import NodeDirectory
+from jasperwalk.control.fleet.home_links import HomeLinks, HomeView
+from jasperwalk.fleet.home_link import HomeLink
+from jasperwalk.fleet.messages import (
+    CLUSTER_ID,
+    FleetUpdate,
+    HomeStatus,
+    HostPhase,
+    NodeRecord,
+    NodeRole,
+    RoutesUpdate,
+)
+from jasperwalk.flows.routes import FlowRoute, RouteBackend, RouteSet
+from jasperwalk.transport.framed import ConnectionKind, make_hello
+from jasperwalk.transport.server import FramedServer
+
+PATIENCE_SECONDS = 30.0
+
+
+async def until(condition):
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def route(port, service="web"):
+    return FlowRoute(f"r{port}", Endpoint("198.18.0.1", port), [RouteBackend(service, 1.0)])
+
+
+class Home:
+    """The home's side, without a log."""
+
+    def __init__(self):
+        self.current = True
+        self.routes = RouteSet(1, [route(1), route(2)])
+        self.directory = NodeDirectory(1)
+        self.told = []
+        self.links = HomeLinks(self.directory, self._view, self.told.append)
+        hello = make_hello(ConnectionKind.PEER, "home", CLUSTER_ID)
+        self.server = FramedServer(
+            Endpoint("127.0.0.1", 0), hello, {ConnectionKind.SUBSCRIBER: self.links.serve}
+        )
+
+    def _view(self):
+        return HomeView(self.current, self.routes, [self.server.endpoint])
+
+
+class Node:
+    """The node's side, and what it was told."""
+
+    def __init__(self, *seeds, role=NodeRole.BALANCER, number=1):
+        self.messages, self.linked = [], []
+        endpoint = Endpoint("10.0.0.1", number)
+        self.record = NodeRecord(f"node-{number}", number, role, "a", endpoint, "web")
+        self.link = HomeLink(
+            lambda: self.record,
+            lambda: seeds,
+            self.messages.append,
+            self.linked.append,
+            random.Random(1),
+        )
+
+    def of(self, kind):
+        return [message for message in self.messages if isinstance(message, kind)]
+
+
+@pytest.fixture
+def play():
+    """Run a scenario with homes and nodes that are closed afterwards."""
+
+    def run(scenario, homes=1):
+        async def main():
+            made = [Home() for _ in range(homes)]
+            for home in made:
+                await home.server.start()
+            tasks = []
+
+            def start(node):
+                tasks.append(asyncio.create_task(node.link.run()))
+                return node
+
+            try:
+                await scenario(made, start)
+            finally:
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
+                for home in made:
+                    await home.server.close()
+
+        asyncio.run(main())
+
+    return run
+
+
+def test_a_balancer_gets_agents_routes_and_then_only_changes(play):
+    async def scenario(homes, start):
+        (home,) = homes
+        node = start(Node(home.server.endpoint))
+        await until(lambda: node.of(RoutesUpdate) and node.of(FleetUpdate))
+        assert node.of(FleetUpdate)[0].whole
+        assert len(node.of(RoutesUpdate)[0].changed) == 2
+        home.routes = RouteSet(4, [route(1), route(2, "export")])
+        home.links.publish_routes()
+        await until(lambda: len(node.of(RoutesUpdate)) == 2)
+        assert node.of(RoutesUpdate)[1] == RoutesUpdate(1, 4, [route(2, "export")], [])
+        home.routes = RouteSet(5, [route(1)])
+        home.links.publish_routes()
+        await until(lambda: len(node.of(RoutesUpdate)) == 3)
+        assert node.of(RoutesUpdate)[2] == RoutesUpdate(4, 5, [], [route(2).listener])
+
+    play(scenario)
+
+
+def test_a_balancer_learns_of_agents_that_come_change_and_go(play):
+    async def scenario(homes, start):
+        (home,) = homes
+        balancer = start(Node(home.server.endpoint))
+        await until(lambda: balancer.of(FleetUpdate))
+        agent = start(Node(home.server.endpoint, role=NodeRole.AGENT, number=2))
+        await until(lambda: len(balancer.of(FleetUpdate)) == 2)
+        agent.record = NodeRecord(
+            "node-2", 2, NodeRole.AGENT, "a", agent.record.endpoint, "web", HostPhase.DRAINING
+        )
+        agent.link.announce()
+        await until(lambda: len(balancer.of(FleetUpdate)) == 3)
+        assert balancer.of(FleetUpdate)[2].records[0].phase is HostPhase.DRAINING
+        agent.link._connection.abort()
+        await until(lambda: any(update.removed for update in balancer.of(FleetUpdate)))
+
+    play(scenario)
+
+
+def test_an_agent_gets_neither_routes_nor_agents(play):
+    async def scenario(homes, start):
+        (home,) = homes
+        agent = start(Node(home.server.endpoint, role=NodeRole.AGENT))
+        await until(lambda: agent.of(HomeStatus))
+        assert agent.of(RoutesUpdate) == agent.of(FleetUpdate) == []
+
+    play(scenario)
+
+
+def test_a_node_passes_over_a_dead_seed(play):
+    async def scenario(homes, start):
+        with socket.socket() as closed:
+            closed.bind(("127.0.0.1", 0))
+            dead = Endpoint(*closed.getsockname())
+        node = start(Node(dead, homes[0].server.endpoint))
+        await until(lambda: node.of(HomeStatus))
+
+    play(scenario)
+
+
+def test_a_node_leaves_a_home_that_is_not_current(play):
+    async def scenario(homes, start):
+        first, second = homes
+        node = start(Node(first.server.endpoint, second.server.endpoint))
+        await until(lambda: node.of(HomeStatus))
+        left, taken = (first, second) if node.link.home == first.server.endpoint else homes[::-1]
+        left.current = False
+        left.links.publish_status()
+        await until(lambda: node.link.home == taken.server.endpoint)
+
+    play(scenario, homes=2)
+
+
+def test_every_node_is_told_at_once_that_its_home_became_current(play):
+    async def scenario(homes, start):
+        (home,) = homes
+        home.current = False
+        node = start(Node(home.server.endpoint))
+        await until(lambda: node.of(HomeStatus))
+        home.current = True
+        home.links.publish_status()
+        await until(lambda: node.of(HomeStatus)[-1].current)
+
+    play(scenario)
+
+
+def test_a_link_that_breaks_comes_back_with_everything(play):
+    async def scenario(homes, start):
+        (home,) = homes
+        node = start(Node(home.server.endpoint))
+        await until(lambda: node.of(RoutesUpdate))
+        node.link._connection.abort()
+        await until(lambda: len(node.of(RoutesUpdate)) == 2)
+        assert node.of(RoutesUpdate)[1].from_version == 0
+        assert node.linked[:3] == [True, False, True]
+
+    play(scenario)
+
+
+def test_noise_ends_only_its_own_link(play):
+    async def scenario(homes, start):
+        (home,) = homes
+        node = start(Node(home.server.endpoint))
+        await until(lambda: node.of(HomeStatus))
+        noisy = start(Node(home.server.endpoint, number=9))
+        await until(lambda: noisy.of(HomeStatus))
+        noisy.link._connection.write(b"noise")
+        await until(lambda: False in noisy.linked)
+        assert False not in node.linked
+
+    play(scenario)
--- /dev/null
+++ b/tests/platform_adapter/conftest.py
@@ -0,0 +1,8 @@
+"""Makes the modules of `platform/` importable as they are in its processes."""
+
+import sys
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parents[2] / "platform"
+if str(FOLDER) not in sys.path:
+    sys.path.append(str(FOLDER))
--- /dev/null
+++ b/tests/platform_adapter/test_configuration_document.py
@@ -0,0 +1,93 @@
+import copy
+import json
+
+import pytest
+from configuration_document import InvalidDocument, parse_configuration
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.flows.routes import FlowRoute, RouteBackend
+
+DOCUMENT = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "198.18.0.1",
+            "pathPrefix": "/8080/",
+            "routeType": "unsafe",
+            "timeoutMs": 1500,
+            "service": "web",
+        },
+        {
+            "name": "r2",
+            "host": "198.18.0.1",
+            "pathPrefix": "/8443/",
+            "routeType": "safe",
+            "timeoutMs": 1200,
+            "backends": [{"service": "web", "weight": 90}, {"service": "export", "weight": 10}],
+        },
+    ],
+    "services": [{"name": "web"}, {"name": "export"}],
+    "limits": {"idleTimeoutMs": 15000},
+}
+
+
+def changed(change):
+    document = copy.deepcopy(DOCUMENT)
+    change(document)
+    return json.dumps(document).encode()
+
+
+def test_a_valid_configuration():
+    body = json.dumps(DOCUMENT).encode()
+    command = parse_configuration(body)
+    assert (command.version, command.source) == (7, body)
+    assert command.routes == [
+        FlowRoute("r1", Endpoint("198.18.0.1", 8080), [RouteBackend("web", 1.0)]),
+        FlowRoute(
+            "r2",
+            Endpoint("198.18.0.1", 8443),
+            [RouteBackend("web", 90.0), RouteBackend("export", 10.0)],
+        ),
+    ]
+
+
+def test_a_part_with_no_weight_beside_one_with_is_valid():
+    body = changed(lambda each: each["routes"][1]["backends"][0].update(weight=0))
+    assert parse_configuration(body).routes[1].backends[0].weight == 0.0
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"[]",
+        b"null",
+        json.dumps(DOCUMENT).encode()[:-20],
+        b"[" * 100_000,
+        changed(lambda each: each.pop("version")),
+        changed(lambda each: each.update(version="7")),
+        changed(lambda each: each.update(version=True)),
+        changed(lambda each: each.update(version=0)),
+        changed(lambda each: each.pop("routes")),
+        changed(lambda each: each.pop("services")),
+        changed(lambda each: each.update(services=[])),
+        changed(lambda each: each["routes"][0].update(service="unknown")),
+        changed(lambda each: each["routes"][0].pop("service")),
+        changed(lambda each: each["routes"][0].update(timeoutMs=0)),
+        changed(lambda each: each["routes"][0].pop("timeoutMs")),
+        changed(lambda each: each["routes"][0].update(timeoutMs="1500")),
+        changed(lambda each: each["routes"][0].update(pathPrefix="/8443/")),
+        changed(lambda each: each["routes"][0].update(pathPrefix="/any/")),
+        changed(lambda each: each["routes"][0].update(host="example")),
+        changed(lambda each: each["routes"][0].pop("name")),
+        changed(lambda each: each["routes"][1]["backends"][0].pop("weight")),
+        changed(lambda each: each["routes"][1]["backends"][0].update(weight=-1)),
+        changed(lambda each: each["routes"][1].update(backends=[])),
+        changed(lambda each: each["routes"][1]["backends"][1].update(service="unknown")),
+        changed(lambda each: each["routes"].append("text")),
+    ],
+)
+def test_an_invalid_configuration_is_refused_whole(body):
+    with pytest.raises(InvalidDocument):
+        parse_configuration(body)
--- /dev/null
+++ b/tests/platform_adapter/test_http_calls.py
@@ -0,0 +1,134 @@
+import asyncio
+import json
+
+import pytest
+from node_calls import host_calls, readiness
+from operator_calls import operator_calls
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.control.fleet.configurations import Acknowledged, AskLeader, Unavailable
+from jasperwalk.control.fleet.versioned_state import HeldConfiguration
+from jasperwalk.fleet.messages import HostPhase
+from jasperwalk.transport.http_server import HttpRequest
+
+HEARTBEAT = {
+    "service": "web",
+    "address": "10.0.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "capacity": 3,
+    "state": "ready",
+    "coldLeftMs": 1500,
+    "callSeq": 4,
+}
+VALID = json.dumps({"version": 1, "routes": [], "services": []}).encode()
+
+
+def ask(handler, method, path, body=b""):
+    return asyncio.run(handler(HttpRequest(method, path, body)))
+
+
+class Desk:
+    def __init__(self):
+        self.heard = []
+
+    def announce(self, news):
+        self.heard.append(news)
+        return True
+
+    def leave(self, host_id):
+        self.heard.append(host_id)
+        return True
+
+
+@pytest.mark.parametrize(("ready", "status"), [(True, 200), (False, 503)])
+def test_readiness(ready, status):
+    handler = readiness(lambda: ready)
+    assert ask(handler, "GET", "/readiness").status == status
+    assert ask(handler, "GET", "/other").status == 404
+
+
+def test_a_heartbeat():
+    desk = Desk()
+    response = ask(host_calls(desk), "PUT", "/instances/i-1", json.dumps(HEARTBEAT).encode())
+    (news,) = desk.heard
+    assert response.status == 200
+    assert (news.host_id, news.phase, news.capacity) == ("i-1", HostPhase.READY, 3)
+    assert (news.slow_start_seconds, news.call_number) == (1.5, 4)
+
+
+def test_a_draining_heartbeat_and_a_goodbye():
+    desk = Desk()
+    handler = host_calls(desk)
+    draining = json.dumps({**HEARTBEAT, "state": "draining"}).encode()
+    assert ask(handler, "PUT", "/instances/i-1", draining).status == 200
+    assert ask(handler, "DELETE", "/instances/i-1").status == 200
+    assert (desk.heard[0].phase, desk.heard[1]) == (HostPhase.DRAINING, "i-1")
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "status"),
+    [
+        ("PUT", "/instances/i-1", b"", 400),
+        ("PUT", "/instances/i-1", b"[]", 400),
+        ("PUT", "/instances/i-1", b"{}", 400),
+        ("PUT", "/instances/i-1", json.dumps({**HEARTBEAT, "state": "odd"}).encode(), 400),
+        ("PUT", "/instances/i-1", json.dumps({**HEARTBEAT, "capacity": "x"}).encode(), 400),
+        ("PUT", "/instances/i-1", json.dumps({**HEARTBEAT, "callSeq": None}).encode(), 400),
+        ("PUT", "/instances/i-1", b"[" * 100_000, 400),
+        ("PUT", "/instances/", json.dumps(HEARTBEAT).encode(), 404),
+        ("PUT", "/elsewhere", b"", 404),
+        ("POST", "/instances/i-1", b"", 405),
+    ],
+)
+def test_a_bad_call_of_a_host_changes_nothing(method, path, body, status):
+    desk = Desk()
+    assert ask(host_calls(desk), method, path, body).status == status
+    assert desk.heard == []
+
+
+class Service:
+    def __init__(self, result):
+        self.result = result
+        self.taken = []
+
+    async def put(self, command):
+        self.taken.append(command)
+        return self.result
+
+    def read(self):
+        return self.result
+
+
+def test_an_acknowledged_configuration():
+    service = Service(Acknowledged(1, 1))
+    assert ask(operator_calls(service, 8166), "PUT", "/config", VALID).status == 200
+    assert service.taken[0].source == VALID
+
+
+def test_an_invalid_configuration_goes_no_further():
+    service = Service(Acknowledged(1, 1))
+    assert ask(operator_calls(service, 8166), "PUT", "/config", b"{}").status == 400
+    assert service.taken == []
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT"])
+def test_a_replica_that_does_not_lead_sends_the_operator_to_the_leader(method):
+    handler = operator_calls(Service(AskLeader(Endpoint("10.0.0.4", 7600))), 8166)
+    response = ask(handler, method, "/config", VALID)
+    assert response.status == 307
+    assert response.headers["Location"] == "http://10.0.0.4:8166/config"
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT"])
+def test_a_replica_that_is_not_sure_says_when_to_come_back(method):
+    response = ask(
+        operator_calls(Service(Unavailable("no quorum")), 8166), method, "/config", VALID
+    )
+    assert response.status == 503
+    assert response.headers["Retry-After"] == "1"
+
+
+def test_a_read_returns_what_the_operator_sent():
+    service = Service(HeldConfiguration(1, VALID, []))
+    assert ask(operator_calls(service, 8166), "GET", "/config").body == VALID
