--- a/scripts/platform_days.py
+++ b/scripts/platform_days.py
@@ -25,6 +25,8 @@
 WORK_FOLDER = ROOT / "target" / "platform-days"
 DAY_LINE = re.compile(r"^\S+ +\S+ +(?P<score>-?[\d.]+) +(?P<worth>-?[\d.]+) +(?P<served>[\d.]+)")
 BROKEN = re.compile(r"BROKEN: (?P<rules>.*)$")
+NOT_OPEN = "is not open"
+"""What the bench says of a kind of trouble that a site does not know."""
 LONGEST_RUN_SECONDS = 550
 SEED = 20261202
 
@@ -86,6 +88,8 @@
 def read_sheet(site: str, scenario: str, sheet: str) -> PlayedDay:
     """Read worth, share served and broken rules from what the bench printed."""
     worth, served, broken = "-", "-", "no sheet"
+    if NOT_OPEN in sheet:
+        return PlayedDay(site, scenario, "-", "not open on this site", "")
     for line in sheet.splitlines():
         match = DAY_LINE.match(line)
         if match and line.startswith(scenario[:10]):
--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -26,6 +26,7 @@
     service_tag,
 )
 from jasperwalk.observability.decisions import DecisionLog
+from jasperwalk.observability.latency import LatencyCounts
 
 FULL_FACTOR = 2
 """Requests under way, as a multiple of the host's capacity, at which new flows are refused:
@@ -47,6 +48,8 @@
     opened_at: float
     seen_at: float
     busy: bool = False
+    asked_at: float = 0.0
+    """When the caller last sent data."""
     confirmed: bool = True
     caller_ended: bool = False
     host_ended: bool = False
@@ -86,6 +89,10 @@
     started_at: float
     flow_lifetime_seconds: float
     counters: AgentCounters = field(default_factory=AgentCounters)
+    host_latency: LatencyCounts = field(default_factory=LatencyCounts)
+    """From a request's last packet to the first packet of its answer."""
+    wait_latency: LatencyCounts = field(default_factory=LatencyCounts)
+    """How long flows waited for room."""
     _flows: dict[bytes, HeldFlow] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -157,6 +164,7 @@
 
     def _note_caller_packet(self, flow: HeldFlow, packet: bytes, now: float) -> None:
         if self.codec.payload_bytes(packet):
+            flow.asked_at = now
             self._set_busy(flow, True, now)
         if self.codec.is_ending(packet) or self.codec.is_reset(packet):
             flow.caller_ended = True
@@ -210,6 +218,7 @@
             self._refuse_waiting(self.queue.take_all(), now)
         while self.queue and self._refusal(self._tag) is None:
             key, waiting = self.queue.pop_newest()
+            self.wait_latency.observe(now - waiting.arrived_at)
             self._admit(key, NO_BALANCER, now, now - waiting.arrived_at)
             self.to_host(waiting.packet)
         self._refuse_waiting(self.queue.take_expired(now), now)
@@ -306,6 +315,7 @@
         if self.codec.payload_bytes(packet):
             if flow.busy:
                 self.queue.completions.note(now)
+                self.host_latency.observe(now - flow.asked_at)
             self._set_busy(flow, False, now)
         if self.codec.is_ending(packet) or self.codec.is_reset(packet):
             flow.host_ended = True
--- a/src/jasperwalk/agent/datagrams/process.py
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -13,6 +13,7 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.agent.datagrams.flow_agent import FlowAgent
 from jasperwalk.agent.datagrams.host import HostAnnouncement, HostState
+from jasperwalk.fleet.figures import ProcessFigures, metrics_server
 from jasperwalk.fleet.home_link import HomeLink
 from jasperwalk.fleet.messages import HomeMessage, HostPhase, NodeRecord, NodeRole
 from jasperwalk.fleet.settings import AgentNodeSettings
@@ -89,6 +90,7 @@
         self._frames = DatagramSocket(frames, self._frame)
         host_packets = Endpoint.parse(settings.host_packets_listen)
         self._host_packets = DatagramSocket(host_packets, self._host_packet)
+        decisions = DecisionLog(time.monotonic)
         self.core = FlowAgent(
             codec=codec,
             service=settings.service,
@@ -96,7 +98,7 @@
             to_host=self._send_to_host,
             to_balancer=self._frames.send,
             to_caller=self._send_to_caller,
-            log=DecisionLog(time.monotonic),
+            log=decisions,
             started_at=time.monotonic(),
             flow_lifetime_seconds=settings.flow_lifetime_ms / 1000,
         )
@@ -111,6 +113,23 @@
             Endpoint.parse(settings.readiness_listen), readiness_interface(lambda: not self._gone)
         )
 
+        figures = ProcessFigures(
+            process="agent",
+            counters=lambda: vars(self.core.counters),
+            gauges={
+                "flows": lambda: len(self.core),
+                "requests_under_way": lambda: self.core.meter.busy,
+                "flows_waiting": lambda: len(self.core.queue),
+                "host_ready": lambda: self.host.phase is HostPhase.READY,
+                "log_lines_dropped": lambda: decisions.dropped,
+            },
+            latencies={
+                "host": self.core.host_latency,
+                "flow_wait": self.core.wait_latency,
+            },
+        )
+        self._metrics = metrics_server(settings.metrics_listen, settings.metrics_path, figures)
+
     def _record(self) -> NodeRecord:
         now = time.monotonic()
         return NodeRecord(
@@ -129,6 +148,8 @@
         """Serve until `stop` is set."""
         await self._host_calls.start()
         await self._readiness.start()
+        if self._metrics is not None:
+            await self._metrics.start()
         self._frames.start()
         self._host_packets.start()
         logger.info(
@@ -147,6 +168,8 @@
         self._host_packets.close()
         await self._host_calls.close()
         await self._readiness.close()
+        if self._metrics is not None:
+            await self._metrics.close()
         logger.info("agent-stopped", **vars(self.core.counters))
 
     async def _say_goodbye(self) -> None:
--- a/src/jasperwalk/balancer/datagrams/flow_balancer.py
+++ b/src/jasperwalk/balancer/datagrams/flow_balancer.py
@@ -17,6 +17,7 @@
 from jasperwalk.flows.frames import AgentReply, FrameKind, RefusalReason, decode_reply
 from jasperwalk.flows.routes import RouteEntry, RouteTable
 from jasperwalk.observability.decisions import DecisionLog
+from jasperwalk.observability.latency import LatencyCounts
 
 OPEN_TIMEOUT_SECONDS = 0.1
 """An agent answers a new flow within a few milliseconds; after this the next one is tried."""
@@ -80,6 +81,8 @@
     reset: DatagramSender
     log: DecisionLog
     counters: FlowCounters = field(default_factory=FlowCounters)
+    open_latency: LatencyCounts = field(default_factory=LatencyCounts)
+    search_latency: LatencyCounts = field(default_factory=LatencyCounts)
     _flows: dict[bytes, Flow] = field(default_factory=dict)
     _openings: dict[bytes, Flow] = field(default_factory=dict)
     _searches: dict[bytes, Search] = field(default_factory=dict)
@@ -197,6 +200,7 @@
         flow.opening = None
         del self._openings[key]
         self.counters.flows_opened += 1
+        self.open_latency.observe(now - opening.started_at)
         self.log.note(
             "flow-opened",
             flow=self.codec.describe(key),
@@ -264,6 +268,7 @@
         target = search.holder
         assert target is not None
         self.counters.searches_found += 1
+        self.search_latency.observe(now - search.started_at)
         self._flows[search.key] = Flow(target, now)
         self.log.note(
             "flow-found",
--- a/src/jasperwalk/balancer/datagrams/process.py
+++ b/src/jasperwalk/balancer/datagrams/process.py
@@ -13,6 +13,7 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.balancer.datagrams.flow_balancer import FlowBalancer
 from jasperwalk.balancer.datagrams.targets import TargetPool
+from jasperwalk.fleet.figures import ProcessFigures, metrics_server
 from jasperwalk.fleet.home_link import HomeLink
 from jasperwalk.fleet.messages import (
     FleetUpdate,
@@ -67,13 +68,14 @@
         self._callers = DatagramSocket(Endpoint.parse(settings.callers_listen), self._packet)
         self._frames = DatagramSocket(Endpoint.parse(settings.frames_listen), self._frame)
         self._callers_port = Endpoint.parse(settings.callers_listen).port
+        decisions = DecisionLog(time.monotonic)
         self.core = FlowBalancer(
             codec=codec,
             routes=self.routes,
             pool=self.pool,
             send=self._frames.send,
             reset=self._send_to_caller,
-            log=DecisionLog(time.monotonic),
+            log=decisions,
         )
         self._ticking = False
         self._link = HomeLink(
@@ -81,6 +83,22 @@
         )
         self._http = HttpServer(Endpoint.parse(settings.readiness_listen), interface(self.is_ready))
 
+        figures = ProcessFigures(
+            process="balancer",
+            counters=lambda: vars(self.core.counters),
+            gauges={
+                "flows": lambda: len(self.core),
+                "agents": lambda: len(self.pool),
+                "routes_version": lambda: self.routes.version,
+                "log_lines_dropped": lambda: decisions.dropped,
+            },
+            latencies={
+                "flow_open": self.core.open_latency,
+                "flow_search": self.core.search_latency,
+            },
+        )
+        self._metrics = metrics_server(settings.metrics_listen, settings.metrics_path, figures)
+
     def _record(self) -> NodeRecord:
         return NodeRecord(
             name=self._settings.name,
@@ -101,6 +119,8 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop` is set, then until the fabric sends no more."""
         await self._http.start()
+        if self._metrics is not None:
+            await self._metrics.start()
         self._callers.start()
         self._frames.start()
         logger.info("balancer-started", incarnation=self._incarnation, zone=self._settings.zone)
@@ -115,6 +135,8 @@
         self._callers.close()
         self._frames.close()
         await self._http.close()
+        if self._metrics is not None:
+            await self._metrics.close()
         logger.info("balancer-stopped", **vars(self.core.counters))
 
     # Datagrams
--- a/src/jasperwalk/control/fleet/configurations.py
+++ b/src/jasperwalk/control/fleet/configurations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import ClassVar
@@ -18,6 +19,7 @@
     encode_command,
 )
 from jasperwalk.control.proposal_errors import ProposalError
+from jasperwalk.observability.latency import LatencyCounts
 
 COMMIT_TIMEOUT_SECONDS = 0.85
 """Operators move on to another replica after a second of silence."""
@@ -57,15 +59,28 @@
 ReadResult = HeldConfiguration | AskLeader | Unavailable
 
 
+@dataclass
+class ConfigurationCounters:
+    """Operators' changes on this replica since it started, by outcome."""
+
+    puts_acknowledged: int = 0
+    puts_referred: int = 0
+    puts_unavailable: int = 0
+
+
 class ConfigurationService:
     """Takes and returns configurations; `replica` gives the replica's current life."""
 
     def __init__(self, replica: Callable[[], FleetReplica | None]) -> None:
         self._replica = replica
+        self.counters = ConfigurationCounters()
+        self.put_latency = LatencyCounts()
 
     async def put(self, command: PutConfiguration) -> PutResult:
         """Commit a valid configuration; `Acknowledged` only once a quorum has it on disk."""
+        started_at = time.monotonic()
         result = await self._put(command)
+        self._count(result, time.monotonic() - started_at)
         logger.info(
             "configuration-put",
             version=command.version,
@@ -75,6 +90,15 @@
         )
         return result
 
+    def _count(self, result: PutResult, seconds: float) -> None:
+        if isinstance(result, Acknowledged):
+            self.counters.puts_acknowledged += 1
+            self.put_latency.observe(seconds)
+        elif isinstance(result, AskLeader):
+            self.counters.puts_referred += 1
+        else:
+            self.counters.puts_unavailable += 1
+
     async def _put(self, command: PutConfiguration) -> PutResult:
         replica = self._replica()
         if replica is None:
--- a/src/jasperwalk/control/fleet/process.py
+++ b/src/jasperwalk/control/fleet/process.py
@@ -22,6 +22,7 @@
 from jasperwalk.control.fleet.replica import FleetReplica, ReplicaRemoved
 from jasperwalk.control.fleet.settings import FleetControlSettings
 from jasperwalk.errors import JasperwalkError
+from jasperwalk.fleet.figures import ProcessFigures, metrics_server
 from jasperwalk.fleet.messages import CLUSTER_ID
 from jasperwalk.flows.routes import RouteSet
 from jasperwalk.transport.framed import ConnectionKind, FramedConnection, make_hello
@@ -54,6 +55,20 @@
         operators = settings.operators_endpoint()
         service = ConfigurationService(lambda: self._replica)
         self._http = HttpServer(operators, interface(service, operators.port))
+        figures = ProcessFigures(
+            process="control",
+            counters=lambda: vars(service.counters),
+            gauges={
+                "configuration_version": lambda: self._home_view().routes.version,
+                "leader": lambda: self._replica is not None and self._replica.runner.is_leader,
+                "current": lambda: self._home_view().current,
+                "voters": self._voter_count,
+                "agents_known": lambda: self.directory.counts()["agent"],
+                "balancers_known": lambda: self.directory.counts()["balancer"],
+            },
+            latencies={"configuration_put": service.put_latency},
+        )
+        self._metrics = metrics_server(settings.metrics_listen, settings.metrics_path, figures)
         hello = make_hello(ConnectionKind.PEER, settings.name, CLUSTER_ID)
         handlers = {
             ConnectionKind.PEER: self._serve_peer,
@@ -66,6 +81,8 @@
         """Serve until `stop` is set."""
         await self._server.start()
         await self._http.start()
+        if self._metrics is not None:
+            await self._metrics.start()
         logger.info(
             "control-started",
             address=str(self._address),
@@ -80,6 +97,8 @@
             lives.cancel()
             await asyncio.gather(lives, return_exceptions=True)
             await self._http.close()
+            if self._metrics is not None:
+                await self._metrics.close()
             await self._server.close()
         logger.info("control-stopped")
 
@@ -155,6 +174,10 @@
         routes = replica.applier.state.route_set()
         return HomeView(replica.is_current(), routes, replicas)
 
+    def _voter_count(self) -> float:
+        replica = self._replica
+        return 0 if replica is None else len(replica.runner.membership.voter_ids())
+
     def _tell_replicas(self, news: HomedNodes) -> None:
         if self._replica is not None:
             self._replica.tell_replicas(news)
--- a/src/jasperwalk/control/fleet/settings.py
+++ b/src/jasperwalk/control/fleet/settings.py
@@ -21,8 +21,8 @@
     replica_listen: str
     seeds: list[str] = []
     founding: bool = False
-    founding_seeds: list[str] = []
     metrics_listen: str = ""
+    metrics_path: str = "/metrics"
     log_level: str = "info"
 
     def operators_endpoint(self) -> Endpoint:
--- a/src/jasperwalk/fleet/settings.py
+++ b/src/jasperwalk/fleet/settings.py
@@ -45,6 +45,7 @@
     flow_lifetime_ms: int = 60_000
     stop_grace_ms: int = 6_000
     metrics_listen: str = ""
+    metrics_path: str = "/metrics"
     log_level: str = "info"
 
     def replicas(self) -> list[Endpoint]:
@@ -74,6 +75,7 @@
     flow_lifetime_ms: int = 60_000
     stop_grace_ms: int = 6_000
     metrics_listen: str = ""
+    metrics_path: str = "/metrics"
     log_level: str = "info"
 
     def replicas(self) -> list[Endpoint]:
