Flows are opened at few candidates of their key, so that lost ones are found on thin links

Now a new flow goes to the least busy of 8 candidates by rendezvous hash, a search asks 12, and questions to everyone have a budget. An agent knows all flows once it has watched for the longest rest of a flow, or when its host began while it watched; flows of a replaced host are let go. Ruled out: asking with the packet itself (65 x 1,200 bytes); remembering holders at other balancers (a datagram for every flow, and nothing after a loss of power).

--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -36,6 +36,8 @@
 STUCK_REQUEST_SECONDS = 8.0
 """A request without a packet for this long no longer counts as under way."""
 LIFETIME_SLACK_SECONDS = 10.0
+IDLE_SLACK = 2.0
+"""Seconds added to the longest rest of a flow: packets under way, clocks of both sides."""
 NO_BALANCER: SocketAddress = ("0.0.0.0", 0)
 """Stands for the balancer of a flow that waited, until its next packet names one."""
 
@@ -93,7 +95,10 @@
     """From a request's last packet to the first packet of its answer."""
     wait_latency: LatencyCounts = field(default_factory=LatencyCounts)
     """How long flows waited for room."""
+    flow_idle_seconds: float = float("inf")
+    """Longest rest of a flow that is kept, as the newest configuration known has it."""
     _flows: dict[bytes, HeldFlow] = field(default_factory=dict)
+    _host_started_here: bool = False
 
     def __post_init__(self) -> None:
         """Prepare what every frame needs."""
@@ -140,8 +145,24 @@
         self._reply(kind, 0, key, sender, now)
 
     def _knows_all_flows(self, now: float) -> bool:
-        """Tell whether no flow can be older than this process."""
-        return now - self.started_at > self.flow_lifetime_seconds
+        """Tell whether every open flow must have passed here since this process began.
+
+        A flow that has rested for longer than the configuration allows may be forgotten.
+        """
+        if self._host_started_here:
+            return True
+        known_for = now - self.started_at
+        return known_for > min(self.flow_lifetime_seconds, self.flow_idle_seconds + IDLE_SLACK)
+
+    def host_changed(self, now: float) -> None:
+        """Forget the flows of a host that another one has replaced beside this agent.
+
+        The new host began while this process watched: it knows all of that host's flows.
+        """
+        self._host_started_here = True
+        for flow in self._flows.values():
+            self._set_busy(flow, False, now)
+        self._flows.clear()
 
     def _carry(self, packet: bytes, tag: int, sender: SocketAddress, now: float) -> None:
         key = self.codec.flow_key(packet)
--- a/src/jasperwalk/agent/datagrams/process.py
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import secrets
 import time
@@ -15,7 +16,7 @@
 from jasperwalk.agent.datagrams.host import HostAnnouncement, HostState
 from jasperwalk.fleet.figures import ProcessFigures, metrics_server
 from jasperwalk.fleet.home_link import HomeLink
-from jasperwalk.fleet.messages import HomeMessage, HostPhase, NodeRecord, NodeRole
+from jasperwalk.fleet.messages import HomeMessage, HomeStatus, HostPhase, NodeRecord, NodeRole
 from jasperwalk.fleet.settings import AgentNodeSettings
 from jasperwalk.flows.codec import PacketCodec, SocketAddress
 from jasperwalk.flows.sockets import DatagramSocket
@@ -35,14 +36,20 @@
 class HostDesk:
     """Takes the announcements of the host beside the agent; answers hold at once."""
 
-    def __init__(self, host: HostState, on_change: Callable[[], None]) -> None:
+    def __init__(
+        self, host: HostState, on_change: Callable[[], None], on_new_host: Callable[[], None]
+    ) -> None:
+        """`on_new_host` is called when another host has taken the place of a known one."""
         self._host = host
         self._on_change = on_change
+        self._on_new_host = on_new_host
 
     def announce(self, news: HostAnnouncement) -> bool:
         """Take an announcement; return False for one that was overtaken."""
         before = (self._host.host_id, self._host.phase)
         taken = self._host.announce(news, time.monotonic())
+        if before[0] not in ("", self._host.host_id):
+            self._on_new_host()
         if before != (self._host.host_id, self._host.phase):
             self._log("host-announced", news.call_number)
             self._on_change()
@@ -105,7 +112,7 @@
         self._link = HomeLink(
             self._record, lambda: reload().replicas(), self._news, self._linked, self._random
         )
-        desk = HostDesk(self.host, self._link.announce)
+        desk = HostDesk(self.host, self._link.announce, self._host_changed)
         self._host_calls = HttpServer(
             Endpoint.parse(settings.host_calls_listen), host_interface(desk)
         )
@@ -180,6 +187,9 @@
         self._link.announce()
         await asyncio.sleep(FAREWELL_SECONDS)
 
+    def _host_changed(self) -> None:
+        self.core.host_changed(time.monotonic())
+
     def _frame(self, data: bytes, sender: SocketAddress) -> None:
         self.core.receive_frame(data, sender, time.monotonic())
 
@@ -205,5 +215,10 @@
     def _linked(self, _linked: bool) -> None:
         """Do nothing: the answers to the host hold without the link."""
 
-    def _news(self, _message: HomeMessage) -> None:
-        """Ignore the home's news: the link itself keeps the replicas' addresses."""
+    def _news(self, message: HomeMessage) -> None:
+        """Learn how long a flow may rest; the longest time heard of counts."""
+        if isinstance(message, HomeStatus) and message.flow_idle_ms:
+            idle_seconds = message.flow_idle_ms / 1000
+            known = self.core.flow_idle_seconds
+            is_longer = math.isinf(known) or idle_seconds > known
+            self.core.flow_idle_seconds = idle_seconds if is_longer else known
--- a/src/jasperwalk/balancer/datagrams/flow_balancer.py
+++ b/src/jasperwalk/balancer/datagrams/flow_balancer.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from jasperwalk.balancer.datagrams.search import Search, SearchVerdict
+from jasperwalk.balancer.datagrams.search import QuestionBudget, Search, SearchVerdict
 from jasperwalk.balancer.datagrams.targets import SUSPECT_SECONDS, Target, TargetPool
 from jasperwalk.errors import MalformedMessage
 from jasperwalk.flows.codec import PacketCodec, SocketAddress
@@ -83,6 +83,7 @@
     counters: FlowCounters = field(default_factory=FlowCounters)
     open_latency: LatencyCounts = field(default_factory=LatencyCounts)
     search_latency: LatencyCounts = field(default_factory=LatencyCounts)
+    _questions: QuestionBudget = field(default_factory=QuestionBudget)
     _flows: dict[bytes, Flow] = field(default_factory=dict)
     _openings: dict[bytes, Flow] = field(default_factory=dict)
     _searches: dict[bytes, Search] = field(default_factory=dict)
@@ -156,11 +157,11 @@
         self._try_next(key, opening, now)
 
     def _try_next(self, key: bytes, opening: Opening, now: float) -> None:
-        target = self._next_target(opening, now)
+        target = self._next_target(key, opening, now)
         head = b"" if target is None else target.open_head
         if target is None and not opening.waits and opening.tried:
             opening.waits = True
-            target = self._least_busy(opening, now)
+            target = self._least_busy(key, opening, now)
             head = b"" if target is None else target.wait_head
         if target is None:
             self._flows.pop(key, None)
@@ -176,22 +177,22 @@
         self._openings[key] = flow
         self.send(head + opening.packet, target.address)
 
-    def _least_busy(self, opening: Opening, now: float) -> Target | None:
+    def _least_busy(self, key: bytes, opening: Opening, now: float) -> Target | None:
         """Return the agent where a flow that none takes at once will be reached first."""
         for service in dict.fromkeys([opening.service, *opening.route.route.services()]):
-            target = self.pool.choose(service, (), now)
+            target = self.pool.choose(service, key, (), now)
             if target is not None:
                 return target
         return None
 
-    def _next_target(self, opening: Opening, now: float) -> Target | None:
+    def _next_target(self, key: bytes, opening: Opening, now: float) -> Target | None:
         if opening.waits or len(opening.tried) >= MAXIMUM_TRIES:
             return None
-        target = self.pool.choose(opening.service, opening.tried, now)
+        target = self.pool.choose(opening.service, key, opening.tried, now)
         if target is not None:
             return target
         for service in opening.route.route.services():
-            target = self.pool.choose(service, opening.tried, now)
+            target = self.pool.choose(service, key, opening.tried, now)
             if target is not None:
                 return target
         return None
@@ -245,7 +246,7 @@
 
     def _advance(self, search: Search, now: float) -> None:
         """Send what the search wants sent, and end it once it has a verdict."""
-        for target, datagram in search.advance(self.pool, now):
+        for target, datagram in search.advance(self.pool, self._questions, now):
             self.send(datagram, target.address)
         if search.verdict is SearchVerdict.OPEN:
             return
--- a/src/jasperwalk/balancer/datagrams/search.py
+++ b/src/jasperwalk/balancer/datagrams/search.py
@@ -1,10 +1,13 @@
 """Finding the agent that holds a flow, without sending its packets to several hosts.
 
-The agents of the route's services are asked by name of the flow; the packets wait here. An
-agent that started later than its host cannot know: only if none of the others holds the flow
-is one packet shown to such hosts, one after the other, which hand it back if it is not
-theirs. The second round asks every agent, because a route may have named other services when
-the flow was opened. Only when every agent has denied the flow twice is it held nowhere.
+A flow is opened at one of a few candidates that follow from its key, so these are asked for
+it first; its packets wait here. An agent that started later than its host cannot know: only
+if none of the others holds the flow is one packet shown to such hosts, one after the other,
+which hand it back if it is not theirs. The second round asks every agent, because a route may
+have named other services when the flow was opened, or many agents may have come since. Only
+when every agent has denied the flow is it held nowhere.
+
+Questions to every agent are many, and a balancer's link may be thin: they have a budget.
 """
 
 from __future__ import annotations
@@ -23,6 +26,8 @@
 LONGEST_SECONDS = 1.0
 MAXIMUM_HELD_PACKETS = 16
 ROUNDS = 2
+QUESTIONS_PER_SECOND = 600.0
+QUESTIONS_AT_ONCE = 1200.0
 
 Datagram = tuple[Target, bytes]
 
@@ -38,6 +43,25 @@
     """Some agents did not answer; the caller's next packet begins a new search."""
 
 
+class QuestionBudget:
+    """A token bucket of questions beyond the candidates."""
+
+    def __init__(self) -> None:
+        self._tokens = QUESTIONS_AT_ONCE
+        self._filled_at: float | None = None
+
+    def take(self, count: int, now: float) -> bool:
+        """Take tokens for `count` questions, or tell that they are not there."""
+        elapsed = 0.0 if self._filled_at is None else max(0.0, now - self._filled_at)
+        self._filled_at = now
+        filled = self._tokens + elapsed * QUESTIONS_PER_SECOND
+        self._tokens = min(QUESTIONS_AT_ONCE, filled)
+        if self._tokens < count:
+            return False
+        self._tokens -= count
+        return True
+
+
 class Search:
     """One flow's search; sans-IO: `advance` returns what is to be sent."""
 
@@ -55,6 +79,8 @@
         self._returned: set[Target] = set()
         self._probing: Target | None = None
         self._pausing = False
+        self._candidates: set[Target] = set()
+        self._asked_all = False
 
     def hold(self, packet: bytes) -> None:
         """Keep another packet of the flow."""
@@ -78,22 +104,32 @@
         """Return the names of the agents that did not answer."""
         return [target.record.name for target, kind in self.asked.items() if kind is None]
 
-    def advance(self, pool: TargetPool, now: float) -> list[Datagram]:
+    def advance(self, pool: TargetPool, budget: QuestionBudget, now: float) -> list[Datagram]:
         """Go on as far as answers and time allow."""
         if self.verdict is not SearchVerdict.OPEN:
             return []
         if self.rounds == 0:
-            return self._begin_round(pool.of_services(self._services), now)
+            return self._ask_candidates(pool, now)
         if self._pausing:
-            if now < self.deadline:
-                return []
-            self._pausing = False
-            return self._begin_round(pool.all_targets(), now)
+            return self._ask_all(pool, budget, now) if now >= self.deadline else []
         waits = self._probing is not None or self.unanswered()
         if waits and now < self.deadline:
             return []
         return self._probe_next(now) or self._end_round(now)
 
+    def _ask_candidates(self, pool: TargetPool, now: float) -> list[Datagram]:
+        candidates = pool.candidates(self._services, self.key)
+        self._candidates = set(candidates)
+        return self._begin_round(candidates, now)
+
+    def _ask_all(self, pool: TargetPool, budget: QuestionBudget, now: float) -> list[Datagram]:
+        """Begin the second round: everyone, as far as the budget allows."""
+        self._pausing = False
+        others = [each for each in pool.all_targets() if each not in self._candidates]
+        candidates = [each for each in self._candidates if not each.departed]
+        self._asked_all = budget.take(len(others), now)
+        return self._begin_round([*candidates, *others] if self._asked_all else candidates, now)
+
     def _begin_round(self, targets: list[Target], now: float) -> list[Datagram]:
         self.rounds += 1
         self.deadline = now + ANSWER_SECONDS
@@ -101,9 +137,10 @@
         return [(target, target.find_head + self.key) for target in targets]
 
     def _probe_next(self, now: float) -> list[Datagram]:
-        """Show the first packet to the next host whose agent does not know."""
+        """Show the first packet to the next candidate whose agent does not know."""
         for target, kind in self.asked.items():
-            if kind is FrameKind.UNSURE and target not in self._probed and not target.departed:
+            may_hold = kind is FrameKind.UNSURE and target in self._candidates
+            if may_hold and target not in self._probed and not target.departed:
                 self._probed.add(target)
                 self._probing = target
                 self.deadline = now + PROBE_SECONDS
@@ -112,15 +149,21 @@
 
     def _end_round(self, now: float) -> list[Datagram]:
         self._probing = None
-        denied = all(self._has_denied(target, kind) for target, kind in self.asked.items())
         if self.rounds < ROUNDS:
             self._pausing = True
             self.deadline = now + ROUND_PAUSE_SECONDS
-        elif denied and self.asked:
-            self.verdict = SearchVerdict.NOWHERE
-        else:
-            self.verdict = SearchVerdict.UNKNOWN
+            return []
+        denied = all(self._has_denied(target, kind) for target, kind in self.asked.items())
+        is_nowhere = denied and self._asked_all and bool(self.asked)
+        self.verdict = SearchVerdict.NOWHERE if is_nowhere else SearchVerdict.UNKNOWN
         return []
 
     def _has_denied(self, target: Target, kind: FrameKind | None) -> bool:
+        """Tell whether an agent's answer rules it out.
+
+        An agent that does not know counts as denying where the flow's key does not lead to it:
+        a flow would have been opened there only if several agents had come since.
+        """
+        if kind is FrameKind.UNSURE and target not in self._candidates:
+            return True
         return kind is FrameKind.NOT_HELD or target in self._returned or target.departed
--- a/src/jasperwalk/balancer/datagrams/targets.py
+++ b/src/jasperwalk/balancer/datagrams/targets.py
@@ -12,12 +12,21 @@
 import random
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
+from heapq import nlargest
+
+from xxhash import xxh3_64_intdigest
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.fleet.messages import FleetUpdate, HostPhase, NodeRecord
 from jasperwalk.flows.codec import SocketAddress
 from jasperwalk.flows.frames import FLAG_SEARCH, FLAG_WAIT, FrameKind, encode_request, service_tag
 
+CANDIDATES = 8
+"""A new flow goes to one of this many agents of its service, by rendezvous hash of its key:
+enough for the least busy of them to be nearly the least busy of all, and few enough to ask."""
+SEARCHED_CANDIDATES = 12
+"""Agents of a service that may hold a flow by its key: the candidates when it was opened, and
+room for agents that came since."""
 UNLISTED_USABLE_SECONDS = 8.0
 """How long an agent that left the directory may still be chosen for new flows."""
 SUSPECT_SECONDS = 1.0
@@ -43,6 +52,7 @@
     open_head: bytes
     wait_head: bytes
     find_head: bytes
+    hash_seed: int
     load: float = 0.0
     load_at: float = float("-inf")
     sent_since: int = 0
@@ -84,6 +94,7 @@
         open_head=encode_request(FrameKind.OPEN, 0, tag, b""),
         wait_head=encode_request(FrameKind.OPEN, FLAG_WAIT, tag, b""),
         find_head=encode_request(FrameKind.FIND, 0, tag, b""),
+        hash_seed=xxh3_64_intdigest(record.endpoint.pack()),
         slow_until=now + record.slow_start_seconds,
     )
 
@@ -147,17 +158,13 @@
         """Return the target that sends from this address."""
         return self._by_address.get(address)
 
-    def choose(self, service: str, excluded: Collection[Target], now: float) -> Target | None:
-        """Return the least loaded usable agent of a service, None where there is none."""
-        best: Target | None = None
-        best_cost = 0.0
-        for target in self._by_service.get(service, ()):
-            if target in excluded or not target.is_usable(now):
-                continue
-            cost = self._cost(target, now)
-            if best is None or cost < best_cost:
-                best, best_cost = target, cost
-        return best
+    def choose(
+        self, service: str, key: bytes, excluded: Collection[Target], now: float
+    ) -> Target | None:
+        """Return the least loaded usable candidate for a flow key, None where there is none."""
+        usable = [each for each in self._by_service.get(service, ()) if each.is_usable(now)]
+        candidates = [each for each in _ranked(usable, key, CANDIDATES) if each not in excluded]
+        return min(candidates, key=lambda target: self._cost(target, now), default=None)
 
     def _cost(self, target: Target, now: float) -> float:
         cost = target.relative_load(now) + self.source.random() * JITTER
@@ -167,14 +174,13 @@
             cost += 1000.0
         return cost
 
-    def of_services(self, services: Collection[str]) -> list[Target]:
-        """Return every agent of these services that may hold flows, leaving ones too."""
-        return [
-            target
-            for service in services
-            for target in self._by_service.get(service, ())
-            if not target.departed
-        ]
+    def candidates(self, services: Collection[str], key: bytes) -> list[Target]:
+        """Return the agents of these services that may hold a flow, leaving ones too."""
+        found: list[Target] = []
+        for service in services:
+            alive = [each for each in self._by_service.get(service, ()) if not each.departed]
+            found += _ranked(alive, key, SEARCHED_CANDIDATES)
+        return found
 
     def all_targets(self) -> list[Target]:
         """Return every agent that may hold flows."""
@@ -183,3 +189,10 @@
     def __len__(self) -> int:
         """Return how many agents are known."""
         return len(self._targets)
+
+
+def _ranked(targets: list[Target], key: bytes, count: int) -> list[Target]:
+    """Return the `count` targets with the best scores for a flow key."""
+    if len(targets) <= count:
+        return targets
+    return nlargest(count, targets, key=lambda each: xxh3_64_intdigest(key, each.hash_seed))
--- a/src/jasperwalk/control/fleet/home_links.py
+++ b/src/jasperwalk/control/fleet/home_links.py
@@ -41,6 +41,11 @@
     current: bool
     routes: RouteSet
     replicas: list[Endpoint]
+    flow_idle_ms: int = 0
+
+    def status(self) -> HomeStatus:
+        """Return what nodes are told regularly."""
+        return HomeStatus(self.current, self.routes.version, self.replicas, self.flow_idle_ms)
 
 
 @dataclass(eq=False)
@@ -107,7 +112,7 @@
         view = self._view()
         if isinstance(message, Announce):
             self._announced(link, message.record)
-        link.send(HomeStatus(view.current, view.routes.version, view.replicas))
+        link.send(view.status())
 
     def _announced(self, link: NodeLink, record: NodeRecord) -> None:
         is_new = link.record is None
@@ -143,7 +148,7 @@
         if view.current == self._told_current:
             return
         self._told_current = view.current
-        status = HomeStatus(view.current, view.routes.version, view.replicas)
+        status = view.status()
         self._to_links(list(self._links), lambda link: link.send(status))
 
     def publish_fleet(self) -> None:
--- a/src/jasperwalk/control/fleet/process.py
+++ b/src/jasperwalk/control/fleet/process.py
@@ -171,8 +171,9 @@
         if replica is None:
             return HomeView(current=False, routes=RouteSet(0, []), replicas=[])
         replicas: list[Endpoint] = list(replica.runner.endpoints().values())
-        routes = replica.applier.state.route_set()
-        return HomeView(replica.is_current(), routes, replicas)
+        state = replica.applier.state
+        idle_ms = state.held.flow_idle_ms
+        return HomeView(replica.is_current(), state.route_set(), replicas, idle_ms)
 
     def _voter_count(self) -> float:
         replica = self._replica
--- a/src/jasperwalk/control/fleet/versioned_state.py
+++ b/src/jasperwalk/control/fleet/versioned_state.py
@@ -23,6 +23,7 @@
     version: int
     source: bytes
     routes: list[FlowRoute]
+    flow_idle_ms: int = 0
 
 
 class HeldConfiguration(msgspec.Struct, frozen=True, array_like=True, tag=402):
@@ -32,6 +33,8 @@
     version: int
     source: bytes
     routes: list[FlowRoute]
+    flow_idle_ms: int = 0
+    """Longest rest of a flow that is kept, milliseconds; 0 where the operator names none."""
 
 
 class PutOutcome(msgspec.Struct, frozen=True, array_like=True, tag=403):
@@ -75,7 +78,9 @@
             return None
         changed = command.version > self.held.version
         if changed:
-            self.held = HeldConfiguration(command.version, command.source, command.routes)
+            self.held = HeldConfiguration(
+                command.version, command.source, command.routes, command.flow_idle_ms
+            )
         return PutOutcome(command.version, self.held.version, changed)
 
 
--- a/src/jasperwalk/fleet/messages.py
+++ b/src/jasperwalk/fleet/messages.py
@@ -64,11 +64,15 @@
 
 
 class HomeStatus(msgspec.Struct, frozen=True, array_like=True, tag=303):
-    """The home's answer. `current` tells that it holds the newest configuration for sure."""
+    """The home's answer. `current` tells that it holds the newest configuration for sure.
+
+    `flow_idle_ms` is the longest rest of a flow by that configuration, 0 where none is known.
+    """
 
     current: bool
     version: int
     replicas: list[Endpoint]
+    flow_idle_ms: int = 0
 
 
 class FleetUpdate(msgspec.Struct, frozen=True, array_like=True, tag=304):
--- a/tests/agent/datagrams/test_flow_agent.py
+++ b/tests/agent/datagrams/test_flow_agent.py
@@ -2,7 +2,7 @@
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.agent.datagrams.admission_queue import LONGEST_WAIT_SECONDS
-from jasperwalk.agent.datagrams.flow_agent import FlowAgent
+from jasperwalk.agent.datagrams.flow_agent import IDLE_SLACK, FlowAgent
 from jasperwalk.agent.datagrams.host import HostAnnouncement, HostState
 from jasperwalk.fleet.messages import HostPhase
 from jasperwalk.flows.frames import (
@@ -317,3 +317,22 @@
     assert bench.agent.meter.busy == 0
     bench.agent.sweep(1.0 + LIFETIME + 11.0)
     assert len(bench.agent) == 0
+
+
+def test_an_agent_that_watched_for_the_longest_rest_of_a_flow_knows_them_all():
+    bench = Bench()
+    bench.agent.flow_idle_seconds = 15.0
+    assert bench.find(16.0) is FrameKind.UNSURE
+    assert bench.find(15.0 + IDLE_SLACK + 0.1) is FrameKind.NOT_HELD
+
+
+def test_flows_of_a_host_that_another_one_replaced_are_not_held():
+    bench = Bench()
+    bench.open()
+    bench.host.announce(HostAnnouncement("h2", HostPhase.READY, 2, 0.0, 1), 2.0)
+    bench.agent.host_changed(2.0)
+    assert bench.find(2.1) is FrameKind.NOT_HELD
+    assert bench.agent.meter.busy == 0
+    bench.frame(FrameKind.CARRY, from_caller(0, b"data"), 2.2)
+    assert bench.replies[-1][0].kind is FrameKind.RETURNED
+    assert bench.open(2.3).kind is FrameKind.ACCEPTED
--- a/tests/balancer/datagrams/test_search.py
+++ b/tests/balancer/datagrams/test_search.py
@@ -4,12 +4,14 @@
     ANSWER_SECONDS,
     MAXIMUM_HELD_PACKETS,
     PROBE_SECONDS,
+    QUESTIONS_AT_ONCE,
     ROUND_PAUSE_SECONDS,
 )
+from jasperwalk.balancer.datagrams.targets import SEARCHED_CANDIDATES
 from jasperwalk.fleet.messages import HostPhase
 from jasperwalk.flows.frames import FrameKind
 from tests.balancer.datagrams.support import Bench, address_of, record
-from tests.flows.support import from_caller, key_of
+from tests.flows.support import CALLER, from_caller, key_of
 
 DATA = from_caller(0, b"data")
 MORE = from_caller(0, b"more")
@@ -150,3 +152,55 @@
         bench.core.tick(1.0 + step * 0.02)
     assert not bench.core.has_pending()
     assert bench.resets == []
+
+
+def many(count=60):
+    return [record(number) for number in range(1, count + 1)]
+
+
+def test_only_candidates_are_asked_first_and_everyone_in_the_second_round():
+    bench = searching(*many())
+    first = asked(bench)
+    assert len(first) == SEARCHED_CANDIDATES
+    deny(bench, first, 1.01)
+    bench.core.tick(1.01 + ROUND_PAUSE_SECONDS)
+    assert asked(bench) == set(range(1, 61))
+
+
+def test_a_flow_held_beyond_the_candidates_is_found_in_the_second_round():
+    bench = searching(*many())
+    first = asked(bench)
+    deny(bench, first, 1.01)
+    bench.core.tick(1.01 + ROUND_PAUSE_SECONDS)
+    holder = min(asked(bench) - first)
+    bench.answer(holder, FrameKind.HELD, 1.3)
+    assert bench.take_sent() == [(FrameKind.CARRY, holder, DATA)]
+
+
+def test_no_host_beyond_the_candidates_is_shown_a_packet():
+    bench = searching(*many())
+    first = asked(bench)
+    deny(bench, first, 1.01)
+    bench.core.tick(1.01 + ROUND_PAUSE_SECONDS)
+    for number in asked(bench):
+        kind = FrameKind.NOT_HELD if number in first else FrameKind.UNSURE
+        bench.answer(number, kind, 1.3)
+    assert bench.take_sent() == []
+    assert len(bench.resets) == 1
+
+
+def test_questions_to_everyone_are_bounded_and_no_flow_is_reset_without_them():
+    bench = Bench(*many())
+    questions = 0
+    for port in range(1, 200):
+        caller = CALLER.__class__("100.64.1.1", port)
+        bench.core.receive(from_caller(0, b"data", caller=caller), 1.0)
+        for _, number, _ in bench.take_sent():
+            bench.answer(number, FrameKind.NOT_HELD, 1.0, key=key_of(caller))
+    bench.core.tick(1.0 + ROUND_PAUSE_SECONDS)
+    for kind, number, key in bench.take_sent():
+        assert kind is FrameKind.FIND
+        questions += 1
+        bench.answer(number, FrameKind.NOT_HELD, 1.3, key=key)
+    assert questions <= 199 * SEARCHED_CANDIDATES + QUESTIONS_AT_ONCE
+    assert 0 < len(bench.resets) < 199
--- a/tests/balancer/datagrams/test_targets.py
+++ b/tests/balancer/datagrams/test_targets.py
@@ -1,10 +1,17 @@
 import random
 from collections import Counter
 
-from jasperwalk.balancer.datagrams.targets import UNLISTED_USABLE_SECONDS, TargetPool
+from jasperwalk.balancer.datagrams.targets import (
+    CANDIDATES,
+    SEARCHED_CANDIDATES,
+    UNLISTED_USABLE_SECONDS,
+    TargetPool,
+)
 from jasperwalk.fleet.messages import FleetUpdate, HostPhase
 from tests.balancer.datagrams.support import SEED, address_of, record
 
+KEY = b"flow key"
+
 
 def pool(*records, now=0.0):
     made = TargetPool("a", random.Random(SEED))
@@ -18,7 +25,7 @@
 
 
 def chosen(made, now=1.0, excluded=()):
-    target = made.choose("web", excluded, now)
+    target = made.choose("web", KEY, excluded, now)
     return None if target is None else target.record.name
 
 
@@ -33,7 +40,7 @@
     made = pool(record(1), record(2), record(3))
     drawn = Counter()
     for _ in range(30):
-        target = made.choose("web", (), 1.0)
+        target = made.choose("web", KEY, (), 1.0)
         target.sent_since += 1
         drawn[target.record.name] += 1
     assert set(drawn.values()) == {10}
@@ -65,24 +72,24 @@
 
 def test_a_restarted_agent_keeps_its_flows_target():
     made = pool(record(1))
-    before = made.choose("web", (), 1.0)
+    before = made.choose("web", KEY, (), 1.0)
     made.update(FleetUpdate(False, [record(1, incarnation=2)], []), 1.0)
-    assert made.choose("web", (), 1.0) is before
+    assert made.choose("web", KEY, (), 1.0) is before
     assert not before.departed
 
 
 def test_an_address_that_another_service_took_is_another_target():
     made = pool(record(1))
-    before = made.choose("web", (), 1.0)
+    before = made.choose("web", KEY, (), 1.0)
     made.update(FleetUpdate(False, [record(1, service="export", incarnation=2)], []), 1.0)
     assert before.departed
-    assert made.choose("web", (), 1.0) is None
-    assert made.choose("export", (), 1.0) is not None
+    assert made.choose("web", KEY, (), 1.0) is None
+    assert made.choose("export", KEY, (), 1.0) is not None
 
 
 def test_a_host_that_is_gone_ends_its_target():
     made = pool(record(1))
-    before = made.choose("web", (), 1.0)
+    before = made.choose("web", KEY, (), 1.0)
     made.update(FleetUpdate(False, [record(1, HostPhase.GONE)], []), 1.0)
     assert before.departed
     assert made.all_targets() == []
@@ -95,3 +102,35 @@
     assert len(made) == 1
     made.forget_old(62.0, 60.0)
     assert len(made) == 0
+
+
+def test_new_flows_go_to_few_candidates_that_follow_from_the_key():
+    records = [record(number) for number in range(1, 61)]
+    made, other = pool(*records), pool(*reversed(records))
+    for key in (b"one", b"two", b"three"):
+        drawn = set()
+        for _ in range(300):
+            target = made.choose("web", key, (), 1.0)
+            target.sent_since += 1
+            drawn.add(target.record.name)
+        assert len(drawn) == CANDIDATES
+        searched = {each.record.name for each in other.candidates(["web"], key)}
+        assert len(searched) == SEARCHED_CANDIDATES
+        assert drawn < searched
+
+
+def test_a_flows_agent_is_searched_after_a_few_agents_came_and_left():
+    made = pool(*(record(number) for number in range(1, 41)))
+    holder = made.choose("web", KEY, (), 1.0)
+    newcomers = [record(number) for number in range(41, 46)]
+    leaving = [record(number, HostPhase.DRAINING) for number in range(1, 6)]
+    made.update(FleetUpdate(False, [*newcomers, *leaving], []), 1.0)
+    assert holder in made.candidates(["web"], KEY)
+
+
+def test_candidates_differ_between_keys():
+    made = pool(*(record(number) for number in range(1, 61)))
+    first, second = (
+        {each.record.name for each in made.candidates(["web"], key)} for key in (b"a", b"b")
+    )
+    assert first != second
