New flows wait for a host that is expected in a moment, instead of being reset

Now such a flow waits up to 0.9 s for a host of an agent that started less than 2 s ago, or for the directory of a balancer that has just started.

--- a/src/jasperwalk/balancer/datagrams/flow_balancer.py
+++ b/src/jasperwalk/balancer/datagrams/flow_balancer.py
@@ -13,6 +13,7 @@
 from jasperwalk.balancer.datagrams.search import QuestionBudget, Search, SearchVerdict
 from jasperwalk.balancer.datagrams.targets import SUSPECT_SECONDS, Target, TargetPool
 from jasperwalk.errors import MalformedMessage
+from jasperwalk.fleet.messages import FleetUpdate
 from jasperwalk.flows.codec import PacketCodec, SocketAddress
 from jasperwalk.flows.frames import AgentReply, FrameKind, RefusalReason, decode_reply
 from jasperwalk.flows.routes import RouteEntry, RouteTable
@@ -26,6 +27,10 @@
 FLOW_LIFETIME_SECONDS = 70.0
 """A cached flow without a packet for this long is forgotten."""
 MAXIMUM_SEARCHES = 4096
+LONGEST_PARKING_SECONDS = 0.9
+"""A new flow without any ready host waits this long for one that is expected; its caller
+waits 1.4 s for an answer."""
+MAXIMUM_PARKED = 4096
 
 DatagramSender = Callable[[bytes, SocketAddress], None]
 
@@ -87,6 +92,8 @@
     _flows: dict[bytes, Flow] = field(default_factory=dict)
     _openings: dict[bytes, Flow] = field(default_factory=dict)
     _searches: dict[bytes, Search] = field(default_factory=dict)
+    _parked: dict[bytes, Opening] = field(default_factory=dict)
+    """New flows that wait for the first host of their services to be ready."""
 
     def __len__(self) -> int:
         """Return the number of cached flows."""
@@ -94,7 +101,7 @@
 
     def has_pending(self) -> bool:
         """Tell whether `tick` has anything to do."""
-        return bool(self._openings or self._searches)
+        return bool(self._openings or self._searches or self._parked)
 
     # Callers' packets
 
@@ -127,6 +134,8 @@
         route = self.routes.find(self.codec.listener_of(key))
         if route is None:
             self._reset(key, packet, "no-route")
+        elif key in self._parked:
+            return
         elif self.codec.is_opening(packet):
             self._open(key, packet, route, now)
         else:
@@ -166,6 +175,8 @@
         if target is None:
             self._flows.pop(key, None)
             self._openings.pop(key, None)
+            if not opening.tried and self._park(key, opening, now):
+                return
             self.counters.flows_not_opened += 1
             self._reset(key, opening.packet, f"no-host-after-{len(opening.tried)}-tries")
             return
@@ -177,6 +188,27 @@
         self._openings[key] = flow
         self.send(head + opening.packet, target.address)
 
+    def _park(self, key: bytes, opening: Opening, now: float) -> bool:
+        """Let a flow wait for the first ready host, if one is expected in a moment."""
+        is_late = now - opening.started_at >= LONGEST_PARKING_SECONDS
+        services = opening.route.route.services()
+        if is_late or len(self._parked) >= MAXIMUM_PARKED:
+            return False
+        if not self.pool.expects_hosts(services, now):
+            return False
+        self._parked[key] = opening
+        return True
+
+    def fleet_changed(self, update: FleetUpdate, now: float) -> None:
+        """Take the directory's news in, and try the flows that wait for a host."""
+        self.pool.update(update, now)
+        self._retry_parked(now)
+
+    def _retry_parked(self, now: float) -> None:
+        parked, self._parked = self._parked, {}
+        for key, opening in parked.items():
+            self._try_next(key, opening, now)
+
     def _least_busy(self, key: bytes, opening: Opening, now: float) -> Target | None:
         """Return the agent where a flow that none takes at once will be reached first."""
         for service in dict.fromkeys([opening.service, *opening.route.route.services()]):
@@ -339,6 +371,7 @@
                 flow.target.suspect_until = now + SUSPECT_SECONDS
                 self.counters.open_retries += 1
                 self._try_next(key, opening, now)
+        self._retry_parked(now)
         for search in list(self._searches.values()):
             if now >= search.deadline and search.key in self._searches:
                 self._advance(search, now)
--- a/src/jasperwalk/balancer/datagrams/process.py
+++ b/src/jasperwalk/balancer/datagrams/process.py
@@ -186,7 +186,7 @@
 
     def _fleet_changed(self, update: FleetUpdate) -> None:
         self._has_agents = True
-        self.pool.update(update, time.monotonic())
+        self.core.fleet_changed(update, time.monotonic())
         for record in update.records:
             logger.info(
                 "agent-changed",
--- a/src/jasperwalk/balancer/datagrams/targets.py
+++ b/src/jasperwalk/balancer/datagrams/targets.py
@@ -27,6 +27,8 @@
 SEARCHED_CANDIDATES = 12
 """Agents of a service that may hold a flow by its key: the candidates when it was opened, and
 room for agents that came since."""
+EXPECTED_SECONDS = 2.0
+"""A host is expected to speak to its agent within this time of the agent's start."""
 UNLISTED_USABLE_SECONDS = 8.0
 """How long an agent that left the directory may still be chosen for new flows."""
 SUSPECT_SECONDS = 1.0
@@ -58,6 +60,8 @@
     sent_since: int = 0
     suspect_until: float = float("-inf")
     slow_until: float = float("-inf")
+    started_at: float = float("-inf")
+    """When this balancer first heard of the agent's present process."""
     unlisted_since: float | None = None
     departed: bool = False
     """True once the agent said that its host is gone, or another process took its address."""
@@ -108,9 +112,12 @@
     _targets: dict[Endpoint, Target] = field(default_factory=dict)
     _by_service: dict[str, list[Target]] = field(default_factory=dict)
     _by_address: dict[SocketAddress, Target] = field(default_factory=dict)
+    _heard_first_at: float | None = None
 
     def update(self, update: FleetUpdate, now: float) -> None:
         """Take the directory's news in."""
+        if self._heard_first_at is None:
+            self._heard_first_at = now
         if update.whole:
             listed = {record.endpoint for record in update.records}
             self._unlist([each for each in self._targets if each not in listed], now)
@@ -132,6 +139,8 @@
             if held is not None:
                 held.departed = True
             held = self._targets[record.endpoint] = make_target(record, now)
+        if held.record.incarnation != record.incarnation or held.started_at == float("-inf"):
+            held.started_at = now
         # A restarted agent has the same host beside it: its flows go on.
         held.record = record
         held.unlisted_since = None
@@ -174,6 +183,22 @@
             cost += 1000.0
         return cost
 
+    def expects_hosts(self, services: Collection[str], now: float) -> bool:
+        """Tell whether hosts of these services may be ready in a moment.
+
+        After a start of the whole fleet agents are known before their hosts have spoken, and a
+        balancer that has just started does not know all agents yet.
+        """
+        if self._heard_first_at is None or now - self._heard_first_at < EXPECTED_SECONDS:
+            return True
+        return any(
+            target.record.phase is HostPhase.UNKNOWN
+            and target.unlisted_since is None
+            and now - target.started_at < EXPECTED_SECONDS
+            for service in services
+            for target in self._by_service.get(service, ())
+        )
+
     def candidates(self, services: Collection[str], key: bytes) -> list[Target]:
         """Return the agents of these services that may hold a flow, leaving ones too."""
         found: list[Target] = []
--- a/tests/balancer/datagrams/support.py
+++ b/tests/balancer/datagrams/support.py
@@ -58,7 +58,7 @@
         )
         if version:
             self.route(version, *services)
-        self.learn(*records, whole=True)
+        self.learn(*records, whole=True, now=-100.0)
 
     def route(self, version, *services):
         backends = [RouteBackend(service, 1.0) for service in services]
@@ -66,7 +66,7 @@
         self.routes.replace(RouteSet(version, routes))
 
     def learn(self, *records, whole=False, removed=(), now=0.0):
-        self.pool.update(FleetUpdate(whole, list(records), list(removed)), now)
+        self.core.fleet_changed(FleetUpdate(whole, list(records), list(removed)), now)
 
     def take_sent(self):
         """Return (kind, agent's number, body) of what was sent since the last call."""
--- a/tests/balancer/datagrams/test_flow_balancer.py
+++ b/tests/balancer/datagrams/test_flow_balancer.py
@@ -1,6 +1,10 @@
 import pytest
 
-from jasperwalk.balancer.datagrams.flow_balancer import MAXIMUM_TRIES, OPEN_TIMEOUT_SECONDS
+from jasperwalk.balancer.datagrams.flow_balancer import (
+    LONGEST_PARKING_SECONDS,
+    MAXIMUM_TRIES,
+    OPEN_TIMEOUT_SECONDS,
+)
 from jasperwalk.fleet.messages import HostPhase
 from jasperwalk.flows.frames import FrameKind, RefusalReason
 from tests.balancer.datagrams.support import Bench, address_of, record
@@ -231,3 +235,42 @@
         bench.answer(1, FrameKind.REFUSED, 1.1, flags=reason, key=key_of(other))
     assert bench.log.names() == ["flow-opened", "flow-refused", "flow-refused", "flow-reset"]
     assert all("flow" in fields for _, fields in bench.log.events)
+
+
+@pytest.mark.parametrize("known", [[], [record(1, HostPhase.UNKNOWN)]])
+def test_a_new_flow_waits_for_a_host_that_is_expected_in_a_moment(known):
+    bench = Bench(version=1)
+    bench.pool._heard_first_at = None
+    bench.learn(*known, now=0.9)
+    bench.core.receive(SYN, 1.0)
+    bench.core.receive(SYN, 1.2)
+    bench.core.tick(1.3)
+    assert bench.sent == bench.resets == []
+    bench.learn(record(1), now=1.4)
+    assert bench.take_sent() == [(FrameKind.OPEN, 1, SYN)]
+
+
+def test_a_new_flow_waits_while_an_agent_that_restarted_has_not_heard_its_host():
+    bench = Bench(record(1))
+    bench.learn(record(1, HostPhase.UNKNOWN, incarnation=2), now=0.9)
+    bench.core.receive(SYN, 1.0)
+    assert bench.resets == []
+    bench.learn(record(1, incarnation=2), now=1.2)
+    assert bench.take_sent() == [(FrameKind.OPEN, 1, SYN)]
+
+
+def test_a_flow_whose_host_does_not_appear_is_reset_before_its_caller_gives_up():
+    bench = Bench(record(1))
+    bench.learn(record(1, HostPhase.UNKNOWN, incarnation=2), now=0.9)
+    bench.core.receive(SYN, 1.0)
+    bench.core.tick(1.0 + LONGEST_PARKING_SECONDS - 0.01)
+    assert bench.resets == []
+    bench.core.tick(1.01 + LONGEST_PARKING_SECONDS)
+    assert bench.resets == [RESET_TO_CALLER]
+    assert not bench.core.has_pending()
+
+
+def test_an_agent_that_never_heard_of_a_host_lets_no_flow_wait():
+    bench = Bench(record(1, HostPhase.UNKNOWN))
+    bench.core.receive(SYN, 1.0)
+    assert bench.resets == [RESET_TO_CALLER]
