Lost agents keep no caller waiting; newcomers among the replicas ask again sooner

An agent that has had no control link for 2 s and answers no question counts as lost. Replicas with lost disks asked to join once before there was a leader and again 0.5 s later.

--- a/src/jasperwalk/balancer/datagrams/search.py
+++ b/src/jasperwalk/balancer/datagrams/search.py
@@ -26,6 +26,9 @@
 LONGEST_SECONDS = 1.0
 MAXIMUM_HELD_PACKETS = 16
 ROUNDS = 2
+LOST_AFTER_SECONDS = 2.0
+"""An agent without a control link for this long that does not answer either is lost, or cut off
+from everybody: its callers are told to come back rather than held to their deadlines."""
 QUESTIONS_PER_SECOND = 600.0
 QUESTIONS_AT_ONCE = 1200.0
 
@@ -153,12 +156,12 @@
             self._pausing = True
             self.deadline = now + ROUND_PAUSE_SECONDS
             return []
-        denied = all(self._has_denied(target, kind) for target, kind in self.asked.items())
+        denied = all(self._has_denied(target, kind, now) for target, kind in self.asked.items())
         is_nowhere = denied and self._asked_all and bool(self.asked)
         self.verdict = SearchVerdict.NOWHERE if is_nowhere else SearchVerdict.UNKNOWN
         return []
 
-    def _has_denied(self, target: Target, kind: FrameKind | None) -> bool:
+    def _has_denied(self, target: Target, kind: FrameKind | None, now: float) -> bool:
         """Tell whether an agent's answer rules it out.
 
         An agent that does not know counts as denying where the flow's key does not lead to it:
@@ -166,4 +169,6 @@
         """
         if kind is FrameKind.UNSURE and target not in self._candidates:
             return True
+        if kind is None and target.is_lost(now, LOST_AFTER_SECONDS):
+            return True
         return kind is FrameKind.NOT_HELD or target in self._returned or target.departed
--- a/src/jasperwalk/balancer/datagrams/targets.py
+++ b/src/jasperwalk/balancer/datagrams/targets.py
@@ -79,6 +79,10 @@
         load = (self.load + self.sent_since) / capacity
         return (load + 1.0 / capacity) * SLOW_START_FACTOR if now < self.slow_until else load
 
+    def is_lost(self, now: float, after_seconds: float) -> bool:
+        """Tell whether the directory has not listed the agent for this long."""
+        return self.unlisted_since is not None and now - self.unlisted_since >= after_seconds
+
     def is_usable(self, now: float) -> bool:
         """Tell whether new flows may be sent there."""
         if self.departed or self.record.phase is not HostPhase.READY:
--- a/src/jasperwalk/control/fleet/replica.py
+++ b/src/jasperwalk/control/fleet/replica.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import chain, repeat
 from random import Random
 
 import structlog
@@ -52,7 +53,8 @@
 as holding the newest configuration."""
 WATCH_SECONDS = 0.05
 """Pace of looking whether leadership or being current has changed."""
-FIRST_JOIN_SECONDS = 0.1
+JOIN_SECONDS = (0.1, 0.15, 0.15, 0.15, 0.3)
+"""Pauses before the first join requests: after a loss of power the leader is soon there."""
 JOIN_INTERVAL_SECONDS = 0.5
 AUTOPILOT_SECONDS = 0.1
 
@@ -245,10 +247,9 @@
 
     async def _join(self) -> None:
         """Ask to be taken in while this replica has no vote; learn of a removal."""
-        pause_seconds = FIRST_JOIN_SECONDS
-        while True:
+        pauses = chain(JOIN_SECONDS, repeat(JOIN_INTERVAL_SECONDS))
+        for pause_seconds in pauses:
             await asyncio.sleep(pause_seconds)
-            pause_seconds = JOIN_INTERVAL_SECONDS
             lonely = self.runner.quorum_age() > CURRENT_SECONDS
             if self._identity.founders and not lonely:
                 continue
--- a/tests/balancer/datagrams/test_search.py
+++ b/tests/balancer/datagrams/test_search.py
@@ -204,3 +204,26 @@
         bench.answer(number, FrameKind.NOT_HELD, 1.3, key=key)
     assert questions <= 199 * SEARCHED_CANDIDATES + QUESTIONS_AT_ONCE
     assert 0 < len(bench.resets) < 199
+
+
+def unanswered_twice(unlisted_at):
+    """Search while agent 2 is silent, and unlisted since a time."""
+    bench = Bench(record(1), record(2))
+    bench.learn(removed=[address_of(2)], now=unlisted_at)
+    bench.core.receive(DATA, 10.0)
+    asked(bench)
+    deny(bench, [1], 10.01)
+    bench.core.tick(10.1)
+    bench.core.tick(10.2 + ROUND_PAUSE_SECONDS)
+    asked(bench)
+    deny(bench, [1], 10.5)
+    bench.core.tick(11.0)
+    return bench
+
+
+def test_a_lost_agent_that_does_not_answer_keeps_no_caller_waiting():
+    assert len(unanswered_twice(5.0).resets) == 1
+
+
+def test_an_agent_that_only_just_lost_its_link_may_still_hold_the_flow():
+    assert unanswered_twice(9.5).resets == []
