--- a/src/jasperwalk/cli/main.py
+++ b/src/jasperwalk/cli/main.py
@@ -6,6 +6,7 @@
 
 from jasperwalk.cli.changes import change
 from jasperwalk.cli.daemons import agent, balancer, control
+from jasperwalk.cli.explain import explain
 from jasperwalk.cli.hosts import host
 from jasperwalk.cli.keys import keys
 from jasperwalk.cli.replicas import member
@@ -27,5 +28,17 @@
     """
 
 
-for command in (control, balancer, agent, template, tenant, change, host, member, keys, status):
+for command in (
+    control,
+    balancer,
+    agent,
+    template,
+    tenant,
+    change,
+    host,
+    member,
+    keys,
+    status,
+    explain,
+):
     main.add_command(command)
