--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -33,6 +33,11 @@
 every slot has its next request at hand then, and further ones wait better elsewhere."""
 ENDED_LINGER_SECONDS = 6.0
 """A flow that ended is kept this long: its last packets may be sent again."""
+ANSWER_EXPECTED_SECONDS = 0.5
+"""A caller that still waits follows its opening packet up within a round trip; after this an
+admitted flow without any further packet no longer counts as a request under way."""
+SILENT_HOST_SECONDS = 4.0
+"""A host that has not spoken this long after its agent's start is not there."""
 STUCK_REQUEST_SECONDS = 8.0
 """A request without a packet for this long no longer counts as under way."""
 LIFETIME_SLACK_SECONDS = 10.0
@@ -99,6 +104,8 @@
     """Longest rest of a flow that is kept, as the newest configuration known has it."""
     _flows: dict[bytes, HeldFlow] = field(default_factory=dict)
     _host_started_here: bool = False
+    _half_open: dict[bytes, HeldFlow] = field(default_factory=dict)
+    """Admitted flows whose callers have not followed up yet, the oldest first."""
 
     def __post_init__(self) -> None:
         """Prepare what every frame needs."""
@@ -152,6 +159,8 @@
         if self._host_started_here:
             return True
         known_for = now - self.started_at
+        if self.host.phase is HostPhase.UNKNOWN and known_for > SILENT_HOST_SECONDS:
+            return True
         return known_for > min(self.flow_lifetime_seconds, self.flow_idle_seconds + IDLE_SLACK)
 
     def host_changed(self, now: float) -> None:
@@ -163,6 +172,7 @@
         for flow in self._flows.values():
             self._set_busy(flow, False, now)
         self._flows.clear()
+        self._half_open.clear()
 
     def _carry(self, packet: bytes, tag: int, sender: SocketAddress, now: float) -> None:
         key = self.codec.flow_key(packet)
@@ -179,6 +189,7 @@
             flow = self._flows[key] = HeldFlow(sender, now, now, confirmed=False)
         flow.balancer = sender
         flow.seen_at = now
+        self._half_open.pop(key, None)
         self._note_caller_packet(flow, packet, now)
         self.counters.packets_in += 1
         self.to_host(packet)
@@ -193,6 +204,15 @@
             flow.host_ended = True
             self._set_busy(flow, False, now)
 
+    def _expire_half_open(self, now: float) -> None:
+        """Stop counting flows whose callers had given up before they were admitted."""
+        while self._half_open:
+            key, flow = next(iter(self._half_open.items()))
+            if now - flow.opened_at <= ANSWER_EXPECTED_SECONDS:
+                return
+            del self._half_open[key]
+            self._set_busy(flow, False, now)
+
     def _set_busy(self, flow: HeldFlow, busy: bool, now: float) -> None:
         if flow.busy != busy:
             flow.busy = busy
@@ -202,6 +222,7 @@
         self, packet: bytes, may_wait: bool, tag: int, sender: SocketAddress, now: float
     ) -> None:
         key = self.codec.flow_key(packet)
+        self._expire_half_open(now)
         reason = self._refusal(tag)
         flow = self._flows.get(key)
         is_copy = flow is not None and not flow.has_ended()
@@ -233,6 +254,7 @@
 
     def admit_waiting(self, now: float) -> None:
         """Admit waiting flows while the host has room; refuse those that waited too long."""
+        self._expire_half_open(now)
         if not self.queue:
             return
         if self.host.phase is not HostPhase.READY:
@@ -278,6 +300,8 @@
         self._flows[key] = flow
         # Its first request is on the way.
         self._set_busy(flow, True, now)
+        self._half_open.pop(key, None)
+        self._half_open[key] = flow
         self.counters.flows_accepted += 1
         self.log.note(
             "flow-admitted",
@@ -350,6 +374,7 @@
         flow = self._flows.pop(key, None)
         if flow is None:
             return
+        self._half_open.pop(key, None)
         self._set_busy(flow, False, now)
         self.counters.packets_returned += 1
         is_opening = self.codec.is_opening(packet)
--- a/tests/agent/datagrams/test_flow_agent.py
+++ b/tests/agent/datagrams/test_flow_agent.py
@@ -2,7 +2,12 @@
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.agent.datagrams.admission_queue import LONGEST_WAIT_SECONDS
-from jasperwalk.agent.datagrams.flow_agent import IDLE_SLACK, FlowAgent
+from jasperwalk.agent.datagrams.flow_agent import (
+    ANSWER_EXPECTED_SECONDS,
+    IDLE_SLACK,
+    SILENT_HOST_SECONDS,
+    FlowAgent,
+)
 from jasperwalk.agent.datagrams.host import HostAnnouncement, HostState
 from jasperwalk.fleet.messages import HostPhase
 from jasperwalk.flows.frames import (
@@ -70,6 +75,12 @@
         self.host_packets.clear()
         return callers
 
+    def follow_up(self, callers, now=1.0):
+        """Let callers send their requests."""
+        for caller in callers:
+            self.frame(FrameKind.CARRY, from_caller(0, b"request", caller=caller), now)
+        self.host_packets.clear()
+
     def wait(self, port, now=1.0):
         """Open a flow that may wait; return its caller."""
         caller = Endpoint("100.64.0.10", port)
@@ -171,7 +182,7 @@
 
 def test_a_flow_that_has_waited_too_long_is_reset():
     bench = Bench()
-    bench.fill()
+    bench.follow_up(bench.fill())
     bench.wait(1)
     bench.agent.admit_waiting(1.0 + LONGEST_WAIT_SECONDS)
     assert bench.caller_packets == []
@@ -336,3 +347,30 @@
     bench.frame(FrameKind.CARRY, from_caller(0, b"data"), 2.2)
     assert bench.replies[-1][0].kind is FrameKind.RETURNED
     assert bench.open(2.3).kind is FrameKind.ACCEPTED
+
+
+def test_a_flow_whose_caller_had_given_up_does_not_keep_a_place():
+    bench = Bench()
+    bench.fill()
+    assert bench.open(1.0 + ANSWER_EXPECTED_SECONDS).flags == RefusalReason.FULL
+    assert bench.open(1.01 + ANSWER_EXPECTED_SECONDS).kind is FrameKind.ACCEPTED
+
+
+def test_a_flow_whose_caller_followed_up_keeps_its_place():
+    bench = Bench()
+    bench.follow_up(bench.fill(), 1.1)
+    assert bench.open(3.0).flags == RefusalReason.FULL
+
+
+def test_waiting_flows_are_admitted_in_the_place_of_callers_that_gave_up():
+    bench = Bench()
+    bench.fill()
+    bench.wait(1)
+    bench.agent.admit_waiting(1.01 + ANSWER_EXPECTED_SECONDS)
+    assert len(bench.host_packets) == 1
+
+
+def test_an_agent_whose_host_never_spoke_holds_nothing():
+    bench = Bench(HostPhase.UNKNOWN)
+    assert bench.find(SILENT_HOST_SECONDS - 0.1) is FrameKind.UNSURE
+    assert bench.find(SILENT_HOST_SECONDS + 0.1) is FrameKind.NOT_HELD
