--- a/src/jasperwalk/cli/exit_codes.py
+++ b/src/jasperwalk/cli/exit_codes.py
@@ -1,4 +1,4 @@
-"""Exit codes of every command; docs/OPERATING.md explains what to do on each."""
+"""Exit codes of every command; docs/OPERATIONS.md explains what to do on each."""
 
 from __future__ import annotations
 
--- a/src/jasperwalk/cli/explain.py
+++ b/src/jasperwalk/cli/explain.py
@@ -15,6 +15,8 @@
 
 import click
 
+from jasperwalk.cli.operation import ExampleCommand
+
 FIELD = re.compile(r'(?P<key>[A-Za-z_]+)=(?P<value>"(?:[^"\\]|\\.)*"|\S*)')
 BELIEF_EVENTS = frozenset(
     {
@@ -98,18 +100,20 @@
                     yield line
 
 
-@click.command()
+@click.command(
+    cls=ExampleCommand,
+    examples=(
+        "jasperwalk explain '100.64.0.7:40001>198.18.0.1:443' balancer-1.log agent-2.log",
+        "jasperwalk explain '100.64.0.7:40001>198.18.0.1:443' --json *.log",
+    ),
+)
 @click.argument("flow")
 @click.argument(
     "logs", nargs=-1, required=True, type=click.Path(exists=True, dir_okay=False, path_type=Path)
 )
 @click.option("--json", "as_json", is_flag=True, help="Print the story as JSON.")
 def explain(flow: str, logs: tuple[Path, ...], as_json: bool) -> None:
-    r"""Tell the story of FLOW (CALLER:PORT>LISTENER:PORT) from the processes' LOGS.
-
-    \b
-    Example:
-      jasperwalk explain '100.64.0.7:40001>198.18.0.1:443' balancer-1.log agent-*.log
+    """Tell the story of FLOW (CALLER:PORT>LISTENER:PORT) from the processes' LOGS.
 
     Exit codes: 0 told; 1 no line names the flow.
     """
--- a/src/jasperwalk/settings/models.py
+++ b/src/jasperwalk/settings/models.py
@@ -1,4 +1,4 @@
-"""The settings of each daemon. A field's description is its entry in docs/OPERATING.md."""
+"""The settings of each daemon. A field's description is its entry in docs/OPERATIONS.md."""
 
 from __future__ import annotations
 
--- a/tests/frame/test_documentation.py
+++ b/tests/frame/test_documentation.py
@@ -14,7 +14,7 @@
 from jasperwalk.settings.models import TlsSettings
 
 DOCUMENTS = Path(__file__).parents[2] / "docs"
-OPERATING = (DOCUMENTS / "OPERATING.md").read_text(encoding="utf-8")
+OPERATING = (DOCUMENTS / "OPERATIONS.md").read_text(encoding="utf-8")
 INTERFACES = (DOCUMENTS / "INTERFACES.md").read_text(encoding="utf-8")
 
 FIELDS = sorted(
