Two faults found by a model of the fleet: flows that a new host took early, agents away while a balancer starts

The directory now tells agents that left without a goodbye for 5 s, as lost; a host change puts flows in doubt. Ruled out: faults of the model itself (late binding in its network, a window of 2 s that ended with the packet instead of beginning with it, an address re-used in the same instant).

--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -144,8 +144,8 @@
         flow = self._flows.get(key)
         if tag != self._tag or self.host.phase is HostPhase.GONE:
             kind = FrameKind.NOT_HELD
-        elif flow is not None and flow.confirmed:
-            kind = FrameKind.HELD
+        elif flow is not None:
+            kind = FrameKind.HELD if flow.confirmed else FrameKind.UNSURE
             flow.balancer = sender
         else:
             kind = FrameKind.NOT_HELD if self._knows_all_flows(now) else FrameKind.UNSURE
@@ -164,15 +164,16 @@
         return known_for > min(self.flow_lifetime_seconds, self.flow_idle_seconds + IDLE_SLACK)
 
     def host_changed(self, now: float) -> None:
-        """Forget the flows of a host that another one has replaced beside this agent.
+        """Doubt the flows in the table: another host has replaced the one beside this agent.
 
-        The new host began while this process watched: it knows all of that host's flows.
+        The new host may have taken flows before it spoke for the first time, so the table is
+        kept, and a packet will tell. Flows that are not in it cannot be at the new host: it
+        began while this process watched.
         """
         self._host_started_here = True
         for flow in self._flows.values():
             self._set_busy(flow, False, now)
-        self._flows.clear()
-        self._half_open.clear()
+            flow.confirmed = False
 
     def _carry(self, packet: bytes, tag: int, sender: SocketAddress, now: float) -> None:
         key = self.codec.flow_key(packet)
--- a/src/jasperwalk/balancer/datagrams/flow_balancer.py
+++ b/src/jasperwalk/balancer/datagrams/flow_balancer.py
@@ -27,6 +27,8 @@
 FLOW_LIFETIME_SECONDS = 70.0
 """A cached flow without a packet for this long is forgotten."""
 MAXIMUM_SEARCHES = 4096
+RETURNED_MEMORY_SECONDS = 5.0
+"""How long it is remembered which hosts do not hold a flow that was not found."""
 LONGEST_PARKING_SECONDS = 0.9
 """A new flow without any ready host waits this long for one that is expected; its caller
 waits 1.4 s for an answer."""
@@ -58,6 +60,14 @@
     opening: Opening | None = None
 
 
+@dataclass(slots=True)
+class ReturnedBy:
+    """Agents whose hosts handed back a packet of a flow that was not found, and when."""
+
+    targets: frozenset[Target]
+    noted_at: float
+
+
 @dataclass
 class FlowCounters:
     """What the balancer did since it started."""
@@ -92,6 +102,7 @@
     _flows: dict[bytes, Flow] = field(default_factory=dict)
     _openings: dict[bytes, Flow] = field(default_factory=dict)
     _searches: dict[bytes, Search] = field(default_factory=dict)
+    _returned_by: dict[bytes, ReturnedBy] = field(default_factory=dict)
     _parked: dict[bytes, Opening] = field(default_factory=dict)
     """New flows that wait for the first host of their services to be ready."""
 
@@ -271,7 +282,9 @@
 
     def _start_search(self, key: bytes, packet: bytes, route: RouteEntry, now: float) -> Search:
         self.counters.searches += 1
-        search = Search(key, packet, sorted(route.past_services), now)
+        known = self._returned_by.get(key)
+        returned = frozenset[Target]() if known is None else known.targets
+        search = Search(key, packet, sorted(route.past_services), now, returned)
         self._searches[key] = search
         self._advance(search, now)
         return search
@@ -288,6 +301,8 @@
         elif search.verdict is SearchVerdict.NOWHERE:
             self._reset(search.key, search.packets[-1], "held-nowhere")
         else:
+            if search.returned:
+                self._returned_by[search.key] = ReturnedBy(search.returned, now)
             self.counters.searches_given_up += 1
             self.log.note(
                 "flow-not-found",
@@ -382,4 +397,7 @@
         for key in [key for key, flow in self._flows.items() if flow.seen_at < oldest]:
             del self._flows[key]
             self._openings.pop(key, None)
+        for key, known in list(self._returned_by.items()):
+            if now - known.noted_at > RETURNED_MEMORY_SECONDS:
+                del self._returned_by[key]
         self.pool.forget_old(now, FLOW_LIFETIME_SECONDS)
--- a/src/jasperwalk/balancer/datagrams/search.py
+++ b/src/jasperwalk/balancer/datagrams/search.py
@@ -2,10 +2,11 @@
 
 A flow is opened at one of a few candidates that follow from its key, so these are asked for
 it first; its packets wait here. An agent that started later than its host cannot know: only
-if none of the others holds the flow is one packet shown to such hosts, one after the other,
-which hand it back if it is not theirs. The second round asks every agent, because a route may
-have named other services when the flow was opened, or many agents may have come since. Only
-when every agent has denied the flow is it held nowhere.
+if all candidates have answered and none holds the flow is one packet shown to such hosts, one
+after the other, which hand it back if it is not theirs; a host is shown a flow once. The
+second round asks every agent, because a route may have named other services when the flow was
+opened, or many agents may have come since. Only when every agent has denied the flow is it
+held nowhere.
 
 Questions to every agent are many, and a balancer's link may be thin: they have a budget.
 """
@@ -68,7 +69,15 @@
 class Search:
     """One flow's search; sans-IO: `advance` returns what is to be sent."""
 
-    def __init__(self, key: bytes, packet: bytes, services: list[str], now: float) -> None:
+    def __init__(
+        self,
+        key: bytes,
+        packet: bytes,
+        services: list[str],
+        now: float,
+        returned: frozenset[Target] = frozenset(),
+    ) -> None:
+        """Begin with one packet; `returned` are agents whose hosts handed one back before."""
         self.key = key
         self.packets = [packet]
         self.started_at = now
@@ -78,8 +87,8 @@
         self.holder: Target | None = None
         self.asked: dict[Target, FrameKind | None] = {}
         self._services = services
-        self._probed: set[Target] = set()
-        self._returned: set[Target] = set()
+        self._probed: set[Target] = set(returned)
+        self._returned: set[Target] = set(returned)
         self._probing: Target | None = None
         self._pausing = False
         self._candidates: set[Target] = set()
@@ -103,6 +112,11 @@
                 self._probing = None
         self.asked[target] = kind
 
+    @property
+    def returned(self) -> frozenset[Target]:
+        """The agents whose hosts handed a packet of this flow back."""
+        return frozenset(self._returned)
+
     def unanswered(self) -> list[str]:
         """Return the names of the agents that did not answer."""
         return [target.record.name for target, kind in self.asked.items() if kind is None]
@@ -140,7 +154,13 @@
         return [(target, target.find_head + self.key) for target in targets]
 
     def _probe_next(self, now: float) -> list[Datagram]:
-        """Show the first packet to the next candidate whose agent does not know."""
+        """Show the first packet to the next candidate whose agent does not know.
+
+        Not while a candidate's answer is missing: it may hold the flow, and the packets would
+        go to other hosts meanwhile.
+        """
+        if any(self._is_missing(target, kind, now) for target, kind in self.asked.items()):
+            return []
         for target, kind in self.asked.items():
             may_hold = kind is FrameKind.UNSURE and target in self._candidates
             if may_hold and target not in self._probed and not target.departed:
@@ -172,3 +192,9 @@
         if kind is None and target.is_lost(now, LOST_AFTER_SECONDS):
             return True
         return kind is FrameKind.NOT_HELD or target in self._returned or target.departed
+
+    def _is_missing(self, target: Target, kind: FrameKind | None, now: float) -> bool:
+        """Tell whether a candidate that may hold the flow has not answered."""
+        if kind is not None or target not in self._candidates or target in self._returned:
+            return False
+        return not target.departed and not target.is_lost(now, LOST_AFTER_SECONDS)
--- a/src/jasperwalk/balancer/datagrams/targets.py
+++ b/src/jasperwalk/balancer/datagrams/targets.py
@@ -125,9 +125,9 @@
         if update.whole:
             listed = {record.endpoint for record in update.records}
             self._unlist([each for each in self._targets if each not in listed], now)
-        self._unlist(update.removed, now)
         for record in update.records:
             self._take(record, now)
+        self._unlist(update.removed, now)
         self._index()
 
     def _unlist(self, endpoints: Iterable[Endpoint], now: float) -> None:
--- a/src/jasperwalk/control/fleet/directory.py
+++ b/src/jasperwalk/control/fleet/directory.py
@@ -12,15 +12,25 @@
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.control.fleet.messages import HomedNodes, ReplicaBeat
-from jasperwalk.fleet.messages import FleetUpdate, NodeRecord, NodeRole
+from jasperwalk.fleet.messages import FleetUpdate, HostPhase, NodeRecord, NodeRole
 
 CLAIM_LIFETIME_SECONDS = 6.0
 """A silent replica's claims are kept this long: its nodes find another home meanwhile."""
-
+LOST_MEMORY_SECONDS = 5.0
+"""An agent that left without a goodbye is still told to balancers that link up for this long: it
+may only be restarting, and its host holds flows meanwhile."""
 OWN_ID = 0
 """Key of this replica's own claims; a replica ID is never 0, and may change in a life."""
 
 
+@dataclass(frozen=True)
+class LostNode:
+    """A node that left without a goodbye, and when."""
+
+    record: NodeRecord
+    at: float
+
+
 @dataclass
 class HomeClaims:
     """What one replica says of the nodes linked to it."""
@@ -39,6 +49,7 @@
         self._claims: dict[int, HomeClaims] = {OWN_ID: HomeClaims(life, 0, 0.0)}
         self._merged: dict[Endpoint, NodeRecord] = {}
         self._changed: dict[Endpoint, None] = {}
+        self._lost: dict[Endpoint, LostNode] = {}
 
     @property
     def sequence(self) -> int:
@@ -53,14 +64,14 @@
         own.sequence += 1
         return HomedNodes(self._life, own.sequence, False, [record], [])
 
-    def unlink(self, record: NodeRecord) -> HomedNodes | None:
+    def unlink(self, record: NodeRecord, now: float) -> HomedNodes | None:
         """Note that a node's link ended; None if a newer process took its place."""
         own = self._claims[OWN_ID]
         held = own.records.get(record.endpoint)
         if held is None or held.incarnation != record.incarnation:
             return None
         del own.records[record.endpoint]
-        self._drop(record.endpoint, held)
+        self._drop(record.endpoint, held, now)
         own.sequence += 1
         return HomedNodes(self._life, own.sequence, False, [], [record.endpoint])
 
@@ -86,10 +97,10 @@
                 return True
         else:
             listed = {record.endpoint for record in news.records}
-            self._release(claims, [each for each in claims.records if each not in listed])
+            self._release(claims, [each for each in claims.records if each not in listed], now)
         claims.life = news.life
         claims.sequence = news.sequence
-        self._release(claims, news.removed)
+        self._release(claims, news.removed, now)
         for record in news.records:
             if claims.records.get(record.endpoint) != record:
                 claims.records[record.endpoint] = record
@@ -97,25 +108,29 @@
         return False
 
     def expire(self, now: float) -> None:
-        """Forget the claims of replicas that have been silent for too long."""
+        """Forget the claims of replicas that have been silent for too long, and lost nodes."""
+        for endpoint, lost in list(self._lost.items()):
+            if now - lost.at > LOST_MEMORY_SECONDS:
+                del self._lost[endpoint]
         for replica_id, claims in list(self._claims.items()):
             silent = now - claims.heard_at > CLAIM_LIFETIME_SECONDS
             if replica_id != OWN_ID and silent:
                 del self._claims[replica_id]
-                self._release(claims, list(claims.records))
+                self._release(claims, list(claims.records), now)
 
-    def _release(self, claims: HomeClaims, endpoints: Iterable[Endpoint]) -> None:
+    def _release(self, claims: HomeClaims, endpoints: Iterable[Endpoint], now: float) -> None:
         for endpoint in endpoints:
             record = claims.records.pop(endpoint, None)
             if record is not None:
-                self._drop(endpoint, record)
+                self._drop(endpoint, record, now)
 
     def _merge(self, record: NodeRecord) -> None:
+        self._lost.pop(record.endpoint, None)
         if self._merged.get(record.endpoint) != record:
             self._merged[record.endpoint] = record
             self._changed[record.endpoint] = None
 
-    def _drop(self, endpoint: Endpoint, record: NodeRecord) -> None:
+    def _drop(self, endpoint: Endpoint, record: NodeRecord, now: float) -> None:
         """Forget a claim; another home's claim of the same node takes its place."""
         held = self._merged.get(endpoint)
         if held is None or held.incarnation != record.incarnation:
@@ -127,11 +142,16 @@
                 return
         del self._merged[endpoint]
         self._changed[endpoint] = None
+        if held.phase is not HostPhase.GONE:
+            self._lost[endpoint] = LostNode(held, now)
 
     def agents(self) -> FleetUpdate:
-        """Return every agent, for a balancer that links up."""
-        records = [each for each in self._merged.values() if each.role is NodeRole.AGENT]
-        return FleetUpdate(whole=True, records=records, removed=[])
+        """Return every agent for a balancer that links up, those lost lately as removed."""
+        lost = [each.record for each in self._lost.values()]
+        known = [*lost, *self._merged.values()]
+        records = [each for each in known if each.role is NodeRole.AGENT]
+        removed = [each.endpoint for each in lost if each.role is NodeRole.AGENT]
+        return FleetUpdate(whole=True, records=records, removed=removed)
 
     def take_changes(self) -> FleetUpdate | None:
         """Return the agents that changed since the last call, None where there is nothing."""
--- a/src/jasperwalk/control/fleet/home_links.py
+++ b/src/jasperwalk/control/fleet/home_links.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -137,7 +138,7 @@
         if link.record is None:
             return
         logger.info("node-lost", node=link.record.name, reason=reason)
-        news = self._directory.unlink(link.record)
+        news = self._directory.unlink(link.record, time.monotonic())
         if news is not None:
             self._tell_replicas(news)
         self.publish_fleet()
--- a/src/jasperwalk/fleet/messages.py
+++ b/src/jasperwalk/fleet/messages.py
@@ -76,7 +76,10 @@
 
 
 class FleetUpdate(msgspec.Struct, frozen=True, array_like=True, tag=304):
-    """The home to a balancer: agents that changed or left; `whole` replaces all it knew."""
+    """The home to a balancer: agents that changed or left; `whole` replaces all it knew.
+
+    An agent in both lists left a moment ago without a goodbye: it may still hold flows.
+    """
 
     whole: bool
     records: list[NodeRecord]
--- a/tests/balancer/datagrams/test_search.py
+++ b/tests/balancer/datagrams/test_search.py
@@ -227,3 +227,31 @@
 
 def test_an_agent_that_only_just_lost_its_link_may_still_hold_the_flow():
     assert unanswered_twice(9.5).resets == []
+
+
+def test_no_host_is_shown_a_packet_while_a_candidates_answer_is_missing():
+    bench = searching(record(1), record(2), record(3))
+    asked(bench)
+    bench.answer(1, FrameKind.UNSURE, 1.01)
+    bench.answer(2, FrameKind.UNSURE, 1.01)
+    for step in range(1, 100):
+        bench.core.tick(1.0 + step * 0.02)
+    assert {kind for kind, _, _ in bench.take_sent()} == {FrameKind.FIND}
+
+
+def test_a_host_that_returned_a_packet_is_not_shown_the_next_one():
+    bench = searching(record(1), record(2))
+    asked(bench)
+    bench.answer(1, FrameKind.UNSURE, 1.01)
+    bench.answer(2, FrameKind.UNSURE, 1.01)
+    ((_, first, _),) = bench.take_sent()
+    bench.answer(first, FrameKind.RETURNED, 1.02, packet=DATA)
+    for step in range(1, 100):
+        bench.core.tick(1.02 + step * 0.02)
+    bench.take_sent()
+    assert not bench.core.has_pending()
+    bench.core.receive(MORE, 3.5)
+    for number in asked(bench):
+        bench.answer(number, FrameKind.UNSURE, 3.51)
+    ((_, shown, _),) = bench.take_sent()
+    assert shown != first
--- a/tests/balancer/datagrams/test_targets.py
+++ b/tests/balancer/datagrams/test_targets.py
@@ -134,3 +134,11 @@
         {each.record.name for each in made.candidates(["web"], key)} for key in (b"a", b"b")
     )
     assert first != second
+
+
+def test_an_agent_that_a_new_balancer_learns_as_lost_may_still_hold_flows():
+    made = pool()
+    made.update(FleetUpdate(True, [record(1), record(2)], [address_of(2)]), 1.0)
+    assert len(made.candidates(["web"], KEY)) == 2
+    assert made.at(("10.0.0.2", 7602)).unlisted_since == 1.0
+    assert made.at(("10.0.0.1", 7602)).unlisted_since is None
--- /dev/null
+++ b/tests/flows/fleet_model.py
@@ -0,0 +1,436 @@
+"""A model of a whole fleet on virtual time: fabric, balancers, agents, hosts, callers, faults.
+
+The product's own cores run in it, on a network that delays and loses datagrams. Everything is
+drawn from one seed; the same seed plays the same day. What callers and hosts see is checked
+while it runs: see `Violation`.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass, field
+from zlib import crc32
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.agent.datagrams.flow_agent import FlowAgent
+from jasperwalk.agent.datagrams.host import HostAnnouncement, HostState
+from jasperwalk.balancer.datagrams.flow_balancer import FlowBalancer
+from jasperwalk.balancer.datagrams.targets import TargetPool
+from jasperwalk.fleet.messages import FleetUpdate, HostPhase, NodeRecord, NodeRole
+from jasperwalk.flows.routes import FlowRoute, RouteBackend, RouteSet, RouteTable
+from tests.flows.support import (
+    LISTENER,
+    OPENING,
+    RESET,
+    RETURNED,
+    PlainCodec,
+    SilentLog,
+    from_caller,
+    from_host,
+)
+
+LIFETIME = 60.0
+IDLE = 8.0
+TICK = 0.02
+HEARTBEAT = 1.0
+SPRAY_SECONDS = 2.0
+SPRAY_PACKETS = 3
+CALM_SECONDS = 6.0
+"""After the last fault, before the end is judged."""
+OTHER_LISTENER = Endpoint("198.18.0.2", 443)
+SERVICES = {"web": LISTENER, "export": OTHER_LISTENER}
+
+
+@dataclass(frozen=True)
+class Violation:
+    """A broken promise: what, when, and to which flow."""
+
+    promise: str
+    at: float
+    detail: str
+
+
+class Host:
+    """Holds flows; hands back what it does not hold; forgets all when it crashes."""
+
+    def __init__(self, world, slot, service, number):
+        self.world, self.slot, self.service = world, slot, service
+        self.host_id = f"{slot}-{number}"
+        self.calls = 0
+        self.phase = HostPhase.READY
+        self.alive = True
+        self.half_open, self.flows = set(), set()
+
+    def receive(self, packet):
+        if not self.alive:
+            return
+        codec, world = self.world.codec, self.world
+        key = codec.flow_key(packet)
+        world.saw_packet(self, key, packet)
+        if codec.is_opening(packet):
+            self.half_open.add(key)
+            self._answer(key, b"hello " + self.host_id.encode())
+            return
+        if key in self.half_open and packet.endswith(b"@" + self.host_id.encode()):
+            self.half_open.discard(key)
+            self.flows.add(key)
+            world.opened(key, self)
+        if key not in self.flows:
+            returned = packet[:12] + bytes((packet[12] | RETURNED,)) + packet[13:]
+            world.later(0.0005, lambda: world.slots[self.slot].from_host(returned))
+            return
+        world.later(world.random.uniform(0.01, 0.1), lambda: self._reply(key))
+
+    def _reply(self, key):
+        if self.alive and key in self.flows:
+            self._answer(key, b"answer")
+
+    def _answer(self, key, data):
+        caller, listener = Endpoint.unpack(key[:6]), Endpoint.unpack(key[6:])
+        packet = from_host(0, data, caller=caller, listener=listener)
+        self.world.later(0.0005, lambda: self.world.slots[self.slot].from_host(packet))
+
+
+class Slot:
+    """A machine with a host and the agent beside it."""
+
+    def __init__(self, world, number, service):
+        self.world, self.number, self.service = world, number, service
+        self.address = Endpoint(f"10.0.1.{number}", 7602)
+        self.incarnation = 0
+        self.hosts = 0
+        self.host = None
+        self.acknowledged_drain_at = None
+        self.agent = None
+        self.new_host(service)
+        self.start_agent()
+        self.beat()
+
+    def new_host(self, service):
+        self.hosts += 1
+        self.service = service
+        self.host = Host(self.world, self.number, service, self.hosts)
+        self.acknowledged_drain_at = None
+
+    def start_agent(self):
+        self.incarnation += 1
+        self.state = HostState()
+        self.agent = FlowAgent(
+            codec=self.world.codec,
+            service=self.service,
+            host=self.state,
+            to_host=self.send_to_host,
+            to_balancer=lambda data, to: self.world.send_to_balancer(self, data, to),
+            to_caller=self.world.send_to_caller,
+            log=SilentLog(),
+            started_at=self.world.now,
+            flow_lifetime_seconds=LIFETIME,
+        )
+        self.agent.flow_idle_seconds = IDLE
+        self.world.tell(self)
+
+    def send_to_host(self, packet):
+        host = self.host
+        self.world.later(0.0005, lambda: host.receive(packet))
+
+    def beat(self):
+        """The host speaks to its agent, again and again."""
+        if self.agent is not None and self.host.alive:
+            self.speak()
+        self.world.later(HEARTBEAT * self.world.random.uniform(0.8, 1.2), self.beat)
+
+    def speak(self):
+        host = self.host
+        host.calls += 1
+        if self.agent is None:
+            return
+        before = self.state.host_id
+        news = HostAnnouncement(host.host_id, host.phase, 4, 0.0, host.calls)
+        self.state.announce(news, self.world.now)
+        if before not in ("", self.state.host_id):
+            self.agent.host_changed(self.world.now)
+        if host.phase is HostPhase.DRAINING and self.acknowledged_drain_at is None:
+            self.acknowledged_drain_at = self.world.now
+        self.world.tell(self)
+
+    def record(self):
+        return NodeRecord(
+            f"slot-{self.number}",
+            self.incarnation,
+            NodeRole.AGENT,
+            "a",
+            self.address,
+            self.service,
+            self.state.phase,
+            self.state.capacity,
+        )
+
+    def from_host(self, packet):
+        if self.agent is not None:
+            self.agent.receive_host_packet(packet, self.world.now)
+
+    def receive(self, data, sender):
+        if self.agent is not None:
+            self.agent.receive_frame(data, sender, self.world.now)
+
+
+class Balancer:
+    """One balancer process of the model."""
+
+    def __init__(self, world, number):
+        self.world, self.number = world, number
+        self.address = (f"10.0.0.{number}", 7601)
+        self.start()
+
+    def start(self):
+        world = self.world
+        self.routes = RouteTable()
+        self.core = FlowBalancer(
+            codec=world.codec,
+            routes=self.routes,
+            pool=TargetPool("a", random.Random(world.random.random())),
+            send=lambda data, to: world.send_to_slot(self, data, to),
+            reset=world.send_to_caller,
+            log=SilentLog(),
+        )
+        self.routes.replace(world.route_set())
+        records = [slot.record() for slot in world.slots.values()]
+        # The directory remembers for a while agents that left without a goodbye.
+        lost = [slot.address for slot in world.slots.values() if slot.agent is None]
+        self.core.fleet_changed(FleetUpdate(True, records, lost), world.now)
+
+
+@dataclass
+class Caller:
+    """A flow as its caller sees it; it sends from time to time until it is reset."""
+
+    world: object
+    endpoint: Endpoint
+    listener: Endpoint
+    greeting: bytes = b""
+    attempts: int = 0
+    ended: bool = False
+
+    def key(self):
+        return self.endpoint.pack() + self.listener.pack()
+
+    def open(self):
+        if self.greeting or self.ended or self.attempts >= SPRAY_PACKETS:
+            return
+        self.attempts += 1
+        self._send(OPENING, b"")
+        self.world.later(0.2 * self.attempts, self.open)
+
+    def receive(self, packet):
+        if packet[12] & RESET:
+            self.world.was_reset(self)
+            self.ended = True
+        elif packet.endswith(b"answer"):
+            return
+        elif not self.greeting:
+            self.greeting = packet.rpartition(b" ")[2]
+            self.speak()
+
+    def speak(self):
+        if self.ended:
+            return
+        for delay in (0.0, 0.2, 0.6):
+            self.world.later(delay, lambda: self._send(0, b"@" + self.greeting))
+        self.world.later(self.world.random.uniform(0.5, IDLE / 2), self.speak)
+
+    def _send(self, flags, data):
+        packet = from_caller(flags, data, caller=self.endpoint, listener=self.listener)
+        self.world.send_from_caller(packet)
+
+
+@dataclass
+class World:
+    """Everything of one played day."""
+
+    seed: int
+    slot_count: int = 6
+    balancer_count: int = 3
+    loss: float = 0.01
+    now: float = 0.0
+    violations: list[Violation] = field(default_factory=list)
+
+    def __post_init__(self):
+        self.random = random.Random(self.seed)
+        self.codec = PlainCodec()
+        self.queue, self.order = [], 0
+        self.version = 1
+        self.slots, self.balancers, self.callers = {}, [], {}
+        self.holders, self.seen = {}, {}
+        self.resets_of_open_flows = 0
+        for number in range(1, self.slot_count + 1):
+            service = "export" if number % 3 == 0 else "web"
+            self.slots[number] = Slot(self, number, service)
+        self.balancers = [Balancer(self, each) for each in range(1, self.balancer_count + 1)]
+        self.later(TICK, self._tick)
+
+    # Time and network
+
+    def later(self, delay, action):
+        self.order += 1
+        heapq.heappush(self.queue, (self.now + delay, self.order, action))
+
+    def run(self, until):
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, action = heapq.heappop(self.queue)
+            action()
+        self.now = until
+
+    def _tick(self):
+        for balancer in self.balancers:
+            balancer.core.tick(self.now)
+        for slot in self.slots.values():
+            if slot.agent is not None:
+                slot.agent.admit_waiting(self.now)
+        self.later(TICK, self._tick)
+
+    def _deliver(self, action):
+        if self.random.random() >= self.loss:
+            self.later(self.random.uniform(0.0003, 0.003), action)
+
+    def send_from_caller(self, packet):
+        # The fabric: any balancer, mostly the same one for a flow.
+        key = self.codec.flow_key(packet)
+        position = crc32(key) if self.random.random() > 0.05 else self.random.randrange(9)
+        balancer = self.balancers[position % len(self.balancers)]
+        self._deliver(lambda: balancer.core.receive(packet, self.now))
+
+    def send_to_slot(self, balancer, data, to):
+        slot = next(each for each in self.slots.values() if each.address.host == to[0])
+        self._deliver(lambda: slot.receive(data, balancer.address))
+
+    def send_to_balancer(self, slot, data, to):
+        sender = (slot.address.host, slot.address.port)
+        balancer = next((each for each in self.balancers if each.address == to), None)
+        if balancer is not None:
+            self._deliver(lambda: balancer.core.receive_reply(data, sender, self.now))
+
+    def send_to_caller(self, packet, to):
+        caller = self.callers.get(Endpoint(*to))
+        if caller is not None:
+            self.later(self.random.uniform(0.0003, 0.003), lambda: caller.receive(packet))
+
+    def tell(self, slot):
+        """Pass an agent's record on, after a delay that differs between balancers."""
+        record = slot.record()
+        for balancer in self.balancers:
+            delay = self.random.uniform(0.001, 0.05)
+            self.later(delay, lambda core=balancer.core: self._told(core, record))
+
+    def _told(self, core, record):
+        core.fleet_changed(FleetUpdate(False, [record], []), self.now)
+
+    def route_set(self):
+        routes = [
+            FlowRoute(service, listener, [RouteBackend(service, 1.0)])
+            for service, listener in SERVICES.items()
+        ]
+        return RouteSet(self.version, routes)
+
+    # What is checked
+
+    def violate(self, promise, detail):
+        self.violations.append(Violation(promise, round(self.now, 3), detail))
+
+    def saw_packet(self, host, key, packet):
+        listener = Endpoint.unpack(key[6:])
+        if SERVICES[host.service] != listener:
+            self.violate("a packet reaches only hosts of its service", host.host_id)
+        drained_at = self.slots[host.slot].acknowledged_drain_at
+        if self.codec.is_opening(packet) and drained_at is not None and self.now > drained_at + 0.1:
+            self.violate("a host that leaves gets no new flow", host.host_id)
+        self._watch_spray(host, key)
+
+    def _watch_spray(self, host, key):
+        holder = self.holders.get(key)
+        if holder is None or not holder.alive or key not in holder.flows:
+            return
+        packets = self.seen.setdefault(key, [])
+        packets.append((self.now, host is holder))
+        last_own = max(at for at, own in packets if own)
+        strays = [at for at, own in packets if not own and at > last_own]
+        lasts = len(strays) >= SPRAY_PACKETS and self.now - strays[0] >= SPRAY_SECONDS
+        if lasts:
+            self.violate("an open flow's packets reach its host", host.host_id)
+
+    def opened(self, key, host):
+        self.holders[key] = host
+        self.seen[key] = [(self.now, True)]
+
+    def was_reset(self, caller):
+        holder = self.holders.get(caller.key())
+        if holder is not None and holder.alive and caller.key() in holder.flows:
+            self.violate("an open flow is not reset", f"{holder.host_id} {caller.endpoint}")
+
+    def judge_end(self):
+        """Each open flow of a living host is known to be held, by whoever asks."""
+        for key, host in self.holders.items():
+            caller = self.callers[Endpoint.unpack(key[:6])]
+            if not host.alive or caller.ended or key not in host.flows:
+                continue
+            times = [at for at, own in self.seen.get(key, []) if own]
+            if not times or self.now - times[-1] > IDLE:
+                self.violate("an open flow is found again", host.host_id)
+
+
+FAULTS = ("balancer", "agent", "both", "crash", "drain", "balancers", "agents", "reuse")
+
+
+def inject(world, kind):
+    """Cause one fault."""
+    slot = world.random.choice(list(world.slots.values()))
+    if kind in ("balancer", "both"):
+        world.random.choice(world.balancers).start()
+    if kind == "balancers":
+        for balancer in world.balancers:
+            balancer.start()
+    if kind in ("agent", "both"):
+        restart_agent(world, slot)
+    if kind == "agents":
+        for each in world.slots.values():
+            restart_agent(world, each)
+    if kind == "crash":
+        slot.host.alive = False
+        slot.new_host(slot.service)
+    if kind == "drain":
+        slot.host.phase = HostPhase.DRAINING
+        slot.speak()
+        world.later(4.0, lambda: replace_host(world, slot, slot.service))
+    if kind == "reuse":
+        other = "web" if slot.service == "export" else "export"
+        replace_host(world, slot, other)
+
+
+def restart_agent(world, slot):
+    slot.agent = None
+    world.later(world.random.uniform(0.05, 0.4), slot.start_agent)
+
+
+def replace_host(world, slot, service):
+    """The machine goes, and its address comes back with another host."""
+    slot.host.alive = False
+    slot.agent = None
+    slot.new_host(service)
+    world.later(world.random.uniform(0.05, 0.4), slot.start_agent)
+
+
+def play(seed, seconds=16.0, **options):
+    """Play one day and return what was violated."""
+    world = World(seed, **options)
+    world.run(1.5)
+    for number in range(40):
+        listener = SERVICES["export" if number % 4 == 0 else "web"]
+        caller = Caller(world, Endpoint("100.64.0.1", 1000 + number), listener)
+        world.callers[caller.endpoint] = caller
+        world.later(world.random.uniform(0.0, seconds * 0.7), caller.open)
+    for _ in range(world.random.randint(2, 7)):
+        kind = world.random.choice(FAULTS)
+        world.later(world.random.uniform(1.0, seconds), lambda kind=kind: inject(world, kind))
+    world.run(1.5 + seconds + CALM_SECONDS + IDLE)
+    world.judge_end()
+    return world
--- /dev/null
+++ b/tests/flows/test_fleet_model.py
@@ -0,0 +1,90 @@
+"""Seeded days of a whole fleet of cores, and mutants that show that the checks can fail."""
+
+import os
+
+import pytest
+
+from jasperwalk.agent.datagrams import flow_agent
+from jasperwalk.agent.datagrams.host import HostState
+from jasperwalk.balancer.datagrams import search, targets
+from jasperwalk.fleet.messages import HostPhase
+from jasperwalk.flows.frames import FrameKind
+from tests.flows.fleet_model import play
+
+SEEDS = range(int(os.environ.get("JASPERWALK_MODEL_SEEDS", "60")))
+MUTANT_SEEDS = range(40)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_day_breaks_no_promise(seed):
+    world = play(seed)
+    assert world.violations == []
+    assert len(world.holders) > 20
+
+
+def test_the_same_seed_plays_the_same_day():
+    first, second = play(7), play(7)
+    assert first.order == second.order
+    assert first.seen == second.seen
+
+
+def broken_promises():
+    promises = set()
+    for seed in MUTANT_SEEDS:
+        promises.update(violation.promise for violation in play(seed).violations)
+    return promises
+
+
+def test_mutant_a_first_denial_resets(monkeypatch):
+    monkeypatch.setattr(search, "ROUNDS", 1)
+    monkeypatch.setattr(search.Search, "_has_denied", lambda *_: True)
+    monkeypatch.setattr(search.Search, "_probe_next", lambda *_: [])
+    original = search.Search.__init__
+
+    def asks_all(self, *arguments):
+        original(self, *arguments)
+        self._asked_all = True
+
+    monkeypatch.setattr(search.Search, "__init__", asks_all)
+    assert "an open flow is not reset" in broken_promises()
+
+
+def test_mutant_an_agent_admits_for_a_host_that_leaves(monkeypatch):
+    monkeypatch.setattr(flow_agent.FlowAgent, "_refusal", lambda *_: None)
+    assert "a host that leaves gets no new flow" in broken_promises()
+
+
+def test_mutant_a_restarted_agent_denies_what_it_does_not_know(monkeypatch):
+    monkeypatch.setattr(flow_agent.FlowAgent, "_knows_all_flows", lambda *_: True)
+    assert "an open flow is not reset" in broken_promises()
+
+
+def test_mutant_frames_do_not_name_their_service(monkeypatch):
+    monkeypatch.setattr(targets, "service_tag", lambda _: 1)
+    monkeypatch.setattr(flow_agent, "service_tag", lambda _: 1)
+    assert "a packet reaches only hosts of its service" in broken_promises()
+
+
+def test_mutant_a_late_call_makes_a_leaving_host_ready(monkeypatch):
+    def trusting(self, news, now):
+        self.host_id, self.call_number, self.heard_at = news.host_id, news.call_number, now
+        self.phase, self.capacity = HostPhase.READY, news.capacity
+        return True
+
+    monkeypatch.setattr(HostState, "announce", trusting)
+    assert "a host that leaves gets no new flow" in broken_promises()
+
+
+def test_mutant_packets_are_shown_to_everyone(monkeypatch):
+    def spray(self, pool, _budget, now):
+        self.rounds = search.ROUNDS
+        self.deadline = now + 5.0
+        return [(each, each.carry_head + self.packets[-1]) for each in pool.all_targets()] * 3
+
+    def answered(self, target, kind):
+        if kind is FrameKind.RETURNED:
+            self.asked[target] = kind
+
+    monkeypatch.setattr(search.Search, "advance", spray)
+    monkeypatch.setattr(search.Search, "note_answer", answered)
+    assert "an open flow is found again" in broken_promises()
