--- /dev/null
+++ b/tests/platform_adapter/test_processes.py
@@ -0,0 +1,221 @@
+"""The real programs as processes on loopback: a configuration is sent, a flow is served.
+
+Three control replicas, one balancer and one agent are started as the platform starts them. The
+test is the operator, the fabric, the host and the caller.
+"""
+
+import contextlib
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+
+import pytest
+from datagram_codec import PlatformCodec
+
+ROOT = Path(__file__).resolve().parents[2]
+PATIENCE_SECONDS = 60.0
+"""Bound of every wait; nothing is asserted about how long things take."""
+CODEC = PlatformCodec()
+CONTROL_HOSTS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
+BALANCER_HOST, AGENT_HOST, CALLER_HOST = "127.0.2.1", "127.0.3.1", "127.0.4.1"
+HOSTS = (*CONTROL_HOSTS, BALANCER_HOST, AGENT_HOST, CALLER_HOST)
+SYN, ACK = 4, 16
+
+
+def free_ports(count):
+    """Return ports that are free on every address, for TCP and UDP."""
+    found = []
+    while len(found) < count:
+        with contextlib.ExitStack() as stack:
+            port = 0
+            try:
+                for host in HOSTS:
+                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                        probe = stack.enter_context(socket.socket(socket.AF_INET, kind))
+                        probe.bind((host, port))
+                        port = probe.getsockname()[1]
+            except OSError:
+                continue
+            if port not in found:
+                found.append(port)
+    return found
+
+
+def packet(source, target, flags, data=b""):
+    head = bytearray(32)
+    head[0:4], head[4:6] = socket.inet_aton(source[0]), source[1].to_bytes(2, "big")
+    head[6:8], head[8:12] = target[1].to_bytes(2, "big"), socket.inet_aton(target[0])
+    head[28] = flags
+    head[30:32] = len(data).to_bytes(2, "big")
+    return bytes(head) + data
+
+
+class Fleet:
+    """The started programs; ended by their process IDs."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        names = ("replica", "operators", "frames", "ready", "calls", "outbound", "app", "ingress")
+        self.ports = dict(zip(names, free_ports(len(names)), strict=True))
+        self.processes = []
+
+    def start(self, role, name, **settings):
+        path = self.folder / f"{name}.toml"
+        seeds = [f"{host}:{self.ports['operators']}" for host in CONTROL_HOSTS]
+        settings = {"name": name, "zone": "a", "seeds": seeds, **settings}
+        lines = [f"{key} = {json.dumps(value)}" for key, value in settings.items()]
+        path.write_text("\n".join(lines) + "\n")
+        log = (self.folder / f"{name}.log").open("wb")
+        environment = {"PATH": os.environ["PATH"], "JASPERWALK_NODE_FILE": str(path)}
+        command = [sys.executable, "platform/run.py", role]
+        process = subprocess.Popen(command, cwd=ROOT, env=environment, stdout=log, stderr=log)
+        self.processes.append(process)
+        return process
+
+    def start_all(self):
+        ports = self.ports
+        for number, host in enumerate(CONTROL_HOSTS):
+            self.start(
+                "control",
+                f"control-{number}",
+                data_folder=str(self.folder / f"data-{number}"),
+                operators_listen=f"{host}:{ports['operators']}",
+                replica_listen=f"{host}:{ports['replica']}",
+                founding=True,
+            )
+        self.start(
+            "balancer",
+            "balancer",
+            callers_listen=f"{BALANCER_HOST}:{ports['ingress']}",
+            readiness_listen=f"{BALANCER_HOST}:{ports['ready']}",
+            frames_listen=f"{BALANCER_HOST}:{ports['frames']}",
+            replica_port=ports["replica"],
+        )
+        self.start(
+            "agent",
+            "agent",
+            service="web",
+            host=f"{AGENT_HOST}:{ports['app']}",
+            frames_listen=f"{AGENT_HOST}:{ports['frames']}",
+            host_packets_listen=f"{AGENT_HOST}:{ports['outbound']}",
+            host_calls_listen=f"{AGENT_HOST}:{ports['calls']}",
+            readiness_listen=f"{AGENT_HOST}:{ports['ready']}",
+            callers_port=ports["ingress"],
+            replica_port=ports["replica"],
+        )
+
+    def call(self, method, host, port, path, body=None):
+        """Make one call, following redirects by hand; return status and body."""
+        url = f"http://{host}:{self.ports[port]}{path}"
+        for _ in range(3):
+            request = urllib.request.Request(url, data=body, method=method)
+            try:
+                with urllib.request.urlopen(request, timeout=5) as response:
+                    return response.status, response.read()
+            except urllib.error.HTTPError as error:
+                if error.code != 307:
+                    return error.code, error.read()
+                url = error.headers["Location"]
+            except OSError:
+                return 0, b""
+        return 0, b""
+
+    def until(self, *call):
+        """Repeat a call until it succeeds; return its body."""
+        deadline = time.monotonic() + PATIENCE_SECONDS
+        while time.monotonic() < deadline:
+            status, body = self.call(*call)
+            if status == 200:
+                return body
+            time.sleep(0.05)
+        raise AssertionError(f"{call} did not succeed; logs in {self.folder}")
+
+    def end(self):
+        for process in self.processes:
+            process.terminate()
+        statuses = [process.wait(timeout=PATIENCE_SECONDS) for process in self.processes]
+        self.processes.clear()
+        return statuses
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    made = Fleet(tmp_path)
+    try:
+        made.start_all()
+        yield made
+    finally:
+        for process in made.processes:
+            process.kill()
+            process.wait()
+
+
+def bound(host, port):
+    made = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    made.bind((host, port))
+    made.settimeout(PATIENCE_SECONDS)
+    return made
+
+
+def heartbeat(state, number):
+    return json.dumps(
+        {"service": "web", "capacity": 4, "state": state, "coldLeftMs": 0, "callSeq": number}
+    ).encode()
+
+
+def test_a_flow_is_served_and_a_leaving_host_gets_no_more(fleet):
+    listener = ("198.18.0.1", 443)
+    body = json.dumps(
+        {
+            "version": 3,
+            "routes": [
+                {
+                    "name": "r",
+                    "host": listener[0],
+                    "pathPrefix": f"/{listener[1]}/",
+                    "timeoutMs": 1000,
+                    "service": "web",
+                }
+            ],
+            "services": [{"name": "web"}],
+        }
+    ).encode()
+    fleet.until("PUT", CONTROL_HOSTS[0], "operators", "/config", body)
+    assert fleet.until("GET", CONTROL_HOSTS[1], "operators", "/config") == body
+    assert fleet.call("PUT", CONTROL_HOSTS[2], "operators", "/config", b"{")[0] == 400
+    fleet.until("PUT", AGENT_HOST, "calls", "/instances/h1", heartbeat("ready", 1))
+    fleet.until("GET", BALANCER_HOST, "ready", "/readiness")
+
+    ports = fleet.ports
+    caller = (CALLER_HOST, 40001)
+    ingress = (BALANCER_HOST, ports["ingress"])
+    with (
+        bound(AGENT_HOST, ports["app"]) as host,
+        bound(CALLER_HOST, ports["ingress"]) as client,
+        bound(CALLER_HOST, 0) as fabric,
+    ):
+        opening = packet(caller, listener, SYN)
+        fabric.sendto(opening, ingress)
+        assert host.recv(2048) == opening
+        answer = packet(listener, caller, SYN | ACK)
+        host.sendto(answer, (AGENT_HOST, ports["outbound"]))
+        assert client.recv(2048) == answer
+        request = packet(caller, listener, ACK, b"request")
+        fabric.sendto(request, ingress)
+        assert host.recv(2048) == request
+
+        fleet.until("PUT", AGENT_HOST, "calls", "/instances/h1", heartbeat("draining", 2))
+        other = (CALLER_HOST, 40002)
+        refused = packet(other, listener, SYN)
+        fabric.sendto(refused, ingress)
+        assert client.recv(2048) == CODEC.reset_for(refused)
+        again = packet(caller, listener, ACK, b"again")
+        fabric.sendto(again, ingress)
+        assert host.recv(2048) == again
+    assert fleet.end() == [0] * 5
