--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from jasperwalk.agent.datagrams.admission_queue import AdmissionQueue, WaitingFlow
+from jasperwalk.agent.datagrams.counters import AgentCounters
 from jasperwalk.agent.datagrams.host import HostState
 from jasperwalk.agent.datagrams.load import LoadMeter
 from jasperwalk.fleet.messages import HostPhase
@@ -66,22 +67,6 @@
         return self.caller_ended and self.host_ended
 
 
-@dataclass
-class AgentCounters:
-    """What the agent did since it started."""
-
-    packets_in: int = 0
-    packets_out: int = 0
-    frames_malformed: int = 0
-    host_packets_malformed: int = 0
-    flows_accepted: int = 0
-    flows_refused: int = 0
-    flows_waited: int = 0
-    flows_waited_in_vain: int = 0
-    packets_returned: int = 0
-    other_service_drops: int = 0
-
-
 @dataclass
 class FlowAgent:
     """Admits, carries, answers balancers; call `sweep` every second."""
--- a/src/jasperwalk/balancer/datagrams/flow_balancer.py
+++ b/src/jasperwalk/balancer/datagrams/flow_balancer.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from jasperwalk.balancer.datagrams.counters import FlowCounters
 from jasperwalk.balancer.datagrams.search import QuestionBudget, Search, SearchVerdict
 from jasperwalk.balancer.datagrams.targets import SUSPECT_SECONDS, Target, TargetPool
 from jasperwalk.errors import MalformedMessage
@@ -68,23 +69,6 @@
     noted_at: float
 
 
-@dataclass
-class FlowCounters:
-    """What the balancer did since it started."""
-
-    packets_carried: int = 0
-    packets_malformed: int = 0
-    replies_malformed: int = 0
-    flows_opened: int = 0
-    flows_not_opened: int = 0
-    open_retries: int = 0
-    searches: int = 0
-    searches_found: int = 0
-    searches_given_up: int = 0
-    flows_reset: int = 0
-    not_ready_drops: int = 0
-
-
 @dataclass
 class FlowBalancer:
     """Routes packets; call `tick` every few milliseconds while `has_pending`."""
--- a/src/jasperwalk/balancer/datagrams/search.py
+++ b/src/jasperwalk/balancer/datagrams/search.py
@@ -91,7 +91,8 @@
         self._returned: set[Target] = set(returned)
         self._probing: Target | None = None
         self._pausing = False
-        self._candidates: set[Target] = set()
+        # Ordered: the same answers have to lead to the same questions.
+        self._candidates: dict[Target, None] = {}
         self._asked_all = False
 
     def hold(self, packet: bytes) -> None:
@@ -136,7 +137,7 @@
 
     def _ask_candidates(self, pool: TargetPool, now: float) -> list[Datagram]:
         candidates = pool.candidates(self._services, self.key)
-        self._candidates = set(candidates)
+        self._candidates = dict.fromkeys(candidates)
         return self._begin_round(candidates, now)
 
     def _ask_all(self, pool: TargetPool, budget: QuestionBudget, now: float) -> list[Datagram]:
