A replica that opens its disk again hears its peers

Cause, found by reading the change again: after a failed write a control process begins another life with a network of its own, but the links that peers had opened went on being served by the old one, whose beacon told them that all was well. The new life heard nothing until those links broke: a disk that was full for a moment cost the replica for good. Ruled out: the peers' silence limit (they are answered), the storage (it opens again at once). Before: test_a_replica_whose_disk_failed_follows_again_once_it_can_write ran into its 30 s bound. After: it passes. Closing a network now ends the links that peers opened, too; the other plane closes its network only at the end of the process.

--- a/src/jasperwalk/control/peer_links.py
+++ b/src/jasperwalk/control/peer_links.py
@@ -155,6 +155,7 @@
         self.on_message = on_message
         self._links: dict[int, PeerLink] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._served: set[FramedConnection] = set()
         self.malformed_messages = 0
 
     def set_peers(self, peers: Mapping[int, Endpoint]) -> None:
@@ -185,14 +186,22 @@
     async def serve(self, connection: FramedConnection) -> None:
         """Take messages from a link that a peer opened, until it ends."""
         beacon = asyncio.create_task(_send_alive(connection, self._times.alive_interval))
+        self._served.add(connection)
         try:
             while True:
                 self._take(connection, await connection.receive())
         finally:
+            self._served.discard(connection)
             beacon.cancel()
 
     async def close(self) -> None:
-        """Close all links."""
+        """Close all links, those that peers opened too.
+
+        A peer takes a link that stands for a replica that hears it: left open, it would go to
+        a replica that is gone while its successor in the same process hears nothing.
+        """
+        for connection in list(self._served):
+            connection.abort()
         tasks = list(self._tasks.values())
         for replica_id in list(self._links):
             self._close(replica_id)
--- a/tests/control/fleet/test_cluster.py
+++ b/tests/control/fleet/test_cluster.py
@@ -3,6 +3,7 @@
 import asyncio
 import shutil
 
+from jasperwalk.consensus.disk.failures import WriteFailed
 from tests.control.fleet.support import Cluster, configuration, until
 
 
@@ -113,3 +114,23 @@
             await until(lambda: away.version == 3)
 
     run(scenario())
+
+
+def test_a_replica_whose_disk_failed_follows_again_once_it_can_write(tmp_path):
+    async def scenario():
+        async with Cluster(tmp_path, 3) as cluster:
+            await cluster.put(configuration(1))
+            await cluster.all_hold(1)
+            failing = next(each for each in cluster.replicas if not each.leads)
+            before = failing.life
+
+            def refuse(_batch):
+                raise WriteFailed(path=tmp_path, reason="no space left")
+
+            before.runner._storage.persist = refuse
+            await cluster.put(configuration(2))
+            await until(lambda: failing.life not in (None, before))
+            await cluster.put(configuration(3))
+            await until(lambda: failing.version == 3)
+
+    run(scenario())
