A settings file that is unfinished costs a node no link

Cause, found by reading: the seeds are read from the settings file at every attempt to find a home; a file caught while it is written raised out of the link's task, which ended silently, and the node never linked again. Ruled out: reading only on SIGHUP (the file may change without one). Before: test_a_settings_file_that_is_being_written_costs_no_link ran into its 30 s bound. After: it passes; the seeds named before count, and settings-not-usable is logged.

--- a/src/jasperwalk/fleet/home_link.py
+++ b/src/jasperwalk/fleet/home_link.py
@@ -57,13 +57,18 @@
         on_link: Callable[[bool], None],
         source: random.Random,
     ) -> None:
-        """`record` gives what is announced, `seeds` the replicas that the settings name."""
+        """`record` gives what is announced, `seeds` the replicas that the settings name.
+
+        `seeds` reads the settings file, which may be unfinished at that moment: what it named
+        before counts then.
+        """
         self._record = record
         self._seeds = seeds
         self._on_message = on_message
         self._on_link = on_link
         self._random = source
         self._replicas: list[Endpoint] = []
+        self._last_seeds: list[Endpoint] = []
         self._connection: FramedConnection | None = None
         self._current_at = 0.0
         self.home: Endpoint | None = None
@@ -86,11 +91,18 @@
 
     def _candidates(self) -> list[Endpoint]:
         """Return the replicas in the order of trying; the one just lost comes last."""
-        known = list(dict.fromkeys([*self._replicas, *self._seeds()]))
+        known = list(dict.fromkeys([*self._replicas, *self._read_seeds()]))
         self._random.shuffle(known)
         known.sort(key=lambda replica: replica == self.home)
         return known
 
+    def _read_seeds(self) -> list[Endpoint]:
+        try:
+            self._last_seeds = list(self._seeds())
+        except JasperwalkError as error:
+            logger.warning("settings-not-usable", kind=error.kind, detail=error.describe())
+        return self._last_seeds
+
     async def _try(self, replica: Endpoint) -> None:
         hello = make_hello(ConnectionKind.SUBSCRIBER, self._record().name, CLUSTER_ID)
         try:
--- a/tests/fleet/test_home_link.py
+++ b/tests/fleet/test_home_link.py
@@ -19,6 +19,7 @@
     NodeRole,
     RoutesUpdate,
 )
+from jasperwalk.fleet.settings import InvalidSettings
 from jasperwalk.flows.routes import FlowRoute, RouteBackend, RouteSet
 from jasperwalk.transport.framed import ConnectionKind, make_hello
 from jasperwalk.transport.server import FramedServer
@@ -212,3 +213,28 @@
         assert False not in node.linked
 
     play(scenario)
+
+
+def test_a_settings_file_that_is_being_written_costs_no_link(play):
+    async def scenario(homes, start):
+        (home,) = homes
+        node = Node(home.server.endpoint)
+        broken = [True]
+
+        def seeds():
+            if broken[0]:
+                raise InvalidSettings("node.toml", "unfinished")
+            return (home.server.endpoint,)
+
+        node.link = HomeLink(
+            lambda: node.record, seeds, node.messages.append, node.linked.append, random.Random(1)
+        )
+        start(node)
+        await asyncio.sleep(0.05)
+        broken[0] = False
+        await until(lambda: node.of(HomeStatus))
+        broken[0] = True
+        node.link._connection.abort()
+        await until(lambda: node.linked == [True, False, True])
+
+    play(scenario)
