A refusal for an unknown reason is a malformed frame

Cause, found by reading: the reason was looked up only where it is logged, and an unknown one raised ValueError out of the socket's callback. Before: the new row of test_a_malformed_reply_is_a_typed_failure did not raise; after: it does.

--- a/src/jasperwalk/flows/frames.py
+++ b/src/jasperwalk/flows/frames.py
@@ -49,6 +49,8 @@
     RETURNED = 5
 
 
+REFUSAL_FLAGS = frozenset(RefusalReason)
+
 REQUEST_HEAD = struct.Struct("!BBI")
 """Kind, flags, service tag: in front of what a balancer sends."""
 REPLY_HEAD = struct.Struct("!BBIHH")
@@ -103,6 +105,8 @@
     kind, flags, tag, load, capacity = REPLY_HEAD.unpack_from(data)
     if not FrameKind.ACCEPTED <= kind <= FrameKind.RETURNED:
         raise MalformedMessage(reason=f"agent's frame of kind {kind}")
+    if kind == FrameKind.REFUSED and flags not in REFUSAL_FLAGS:
+        raise MalformedMessage(reason=f"refusal for the unknown reason {flags}")
     return AgentReply(
         kind=FrameKind(kind),
         flags=flags,
--- a/tests/flows/test_frames.py
+++ b/tests/flows/test_frames.py
@@ -43,8 +43,15 @@
 
 @pytest.mark.parametrize(
     "data",
-    [b"", b"\x0b", encode_reply(reply())[:-1], b"\x01" + encode_reply(reply())[1:], b"\xff" * 40],
-    ids=["empty", "short", "cut", "request's kind", "unknown kind"],
+    [
+        b"",
+        b"\x0b",
+        encode_reply(reply())[:-1],
+        b"\x01" + encode_reply(reply())[1:],
+        b"\xff" * 40,
+        encode_reply(reply(flags=99)),
+    ],
+    ids=["empty", "short", "cut", "request's kind", "unknown kind", "unknown refusal"],
 )
 def test_a_malformed_reply_is_a_typed_failure(data):
     with pytest.raises(MalformedMessage):
