Agents that may have taken a flow are given its caller's next packet, not searched

Change: an agent notes the number of its host's answer to an opening packet; the caller's next packet acknowledges exactly one. The balancer gives that packet (CONFIRM) to the agents it had asked; the one whose host was chosen passes it on, the others deny and forget. A carried packet that follows another host's answer goes back at once, without the host seeing it.

Ruled out: a longer time for answers alone (the ambiguity remains).

--- a/src/jasperwalk/agent/datagrams/admission_queue.py
+++ b/src/jasperwalk/agent/datagrams/admission_queue.py
@@ -90,6 +90,10 @@
         expires_at = min(now + LONGEST_WAIT_SECONDS, began_at + LONGEST_AGE_SECONDS)
         self._waiting.setdefault(key, WaitingFlow(packet, now, expires_at))
 
+    def discard(self, key: bytes) -> None:
+        """Let a flow go whose caller needs no host any more."""
+        self._waiting.pop(key, None)
+
     def pop_newest(self) -> tuple[bytes, WaitingFlow]:
         """Take the flow that came last."""
         return self._waiting.popitem(last=True)
--- a/src/jasperwalk/agent/datagrams/counters.py
+++ b/src/jasperwalk/agent/datagrams/counters.py
@@ -17,5 +17,7 @@
     flows_refused: int = 0
     flows_waited: int = 0
     flows_waited_in_vain: int = 0
+    flows_opened_elsewhere: int = 0
+    """Flows that several hosts had answered, whose callers chose another one."""
     packets_returned: int = 0
     other_service_drops: int = 0
--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -100,6 +100,8 @@
             self.counters.frames_malformed += 1
         elif kind == FrameKind.CARRY:
             self._carry(body, tag, sender, now)
+        elif kind == FrameKind.CONFIRM:
+            self._confirm(body, tag, sender, now)
         elif kind == FrameKind.OPEN:
             self._open(body, flags, tag, sender, now)
         else:
@@ -167,6 +169,10 @@
                 self._reply(FrameKind.RETURNED, 0, key, sender, now, packet)
                 return
             flow = self._flows[key] = HeldFlow(sender, now, now, confirmed=False)
+        elif not flow.followed_up and flow.answer_numbers and not self._is_followed(flow, packet):
+            self._let_go(key, flow, now)
+            self._reply(FrameKind.RETURNED, 0, key, sender, now, packet)
+            return
         flow.balancer = sender
         flow.seen_at = now
         flow.followed_up = True
@@ -175,6 +181,42 @@
         self.counters.packets_in += 1
         self.to_host(packet)
 
+    def _confirm(self, packet: bytes, tag: int, sender: SocketAddress, now: float) -> None:
+        """Tell whether a caller has followed this host's answer up; pass its packet on if so."""
+        key = self.codec.flow_key(packet)
+        flow = self._flows.get(key)
+        if flow is None or flow.followed_up or tag != self._tag:
+            answer = self._answer(key, tag, sender, now)
+        elif self._is_followed(flow, packet):
+            answer = FrameKind.HELD
+        else:
+            self._let_go(key, flow, now)
+            answer = FrameKind.NOT_HELD
+        if key in self.queue and tag == self._tag:
+            # Its caller has an answer, which cannot be this host's.
+            self.queue.discard(key)
+            answer = FrameKind.NOT_HELD
+        self.log.note(
+            "flow-confirmed" if answer is FrameKind.HELD else "flow-not-confirmed",
+            flow=self.codec.describe(key),
+            answer=answer.name.lower(),
+            opened_ms=-1 if flow is None else round(1000 * (now - flow.opened_at)),
+        )
+        self._reply(answer, 0, key, sender, now)
+        if answer is FrameKind.HELD:
+            self._carry(packet, tag, sender, now)
+
+    def _is_followed(self, flow: HeldFlow, packet: bytes) -> bool:
+        """Tell whether a half-open flow's caller has chosen this host."""
+        return any(self.codec.follows(packet, number) for number in flow.answer_numbers)
+
+    def _let_go(self, key: bytes, flow: HeldFlow, now: float) -> None:
+        """Forget a half-open flow whose caller chose another host."""
+        self.counters.flows_opened_elsewhere += 1
+        self._set_busy(flow, False, now)
+        self._half_open.discard(key)
+        del self._flows[key]
+
     def _note_caller_packet(self, flow: HeldFlow, packet: bytes, now: float) -> None:
         if self.codec.payload_bytes(packet) and flow.is_new_data(self.codec.data_number(packet)):
             flow.asked_at = now
@@ -344,6 +386,8 @@
 
     def _note_host_packet(self, key: bytes, flow: HeldFlow, packet: bytes, now: float) -> None:
         flow.seen_at = now
+        if not flow.followed_up:
+            flow.note_answer(self.codec.opening_answer_number(packet))
         if not flow.confirmed and flow.followed_up:
             flow.confirmed = True
             self._reply(FrameKind.HELD, 0, key, flow.balancer, now)
--- a/src/jasperwalk/agent/datagrams/held_flow.py
+++ b/src/jasperwalk/agent/datagrams/held_flow.py
@@ -8,6 +8,8 @@
 
 NUMBER_SPAN = 2**32
 """Numbers of data wrap around here."""
+MAXIMUM_ANSWERS = 3
+"""A caller sends its opening packet this often."""
 
 
 @dataclass(slots=True, eq=False)
@@ -26,6 +28,8 @@
     """When the caller last sent data."""
     confirmed: bool = True
     followed_up: bool = True
+    answer_numbers: tuple[int, ...] = ()
+    """Numbers of the host's answers to the opening packet and its copies."""
     data_number: int | None = None
     """Number of the newest data that the caller sent, None before the first."""
     caller_ended: bool = False
@@ -44,6 +48,11 @@
         self.data_number = number
         return True
 
+    def note_answer(self, number: int | None) -> None:
+        """Take the number of the host's answer to an opening packet, None for other packets."""
+        if number is not None and number not in self.answer_numbers:
+            self.answer_numbers = (*self.answer_numbers, number)[-MAXIMUM_ANSWERS:]
+
     def has_ended(self) -> bool:
         """Tell whether both sides have sent their last."""
         return self.caller_ended and self.host_ended
--- a/src/jasperwalk/balancer/datagrams/counters.py
+++ b/src/jasperwalk/balancer/datagrams/counters.py
@@ -16,6 +16,8 @@
     flows_not_opened: int = 0
     open_retries: int = 0
     searches: int = 0
+    searches_confirming: int = 0
+    """Searches that began by asking several agents which of them has the flow."""
     searches_found: int = 0
     searches_given_up: int = 0
     flows_reset: int = 0
--- a/src/jasperwalk/balancer/datagrams/flow_balancer.py
+++ b/src/jasperwalk/balancer/datagrams/flow_balancer.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from jasperwalk.balancer.datagrams.counters import FlowCounters
@@ -14,7 +15,13 @@
 from jasperwalk.balancer.datagrams.flow_opener import FlowOpener
 from jasperwalk.balancer.datagrams.openings import Flow
 from jasperwalk.balancer.datagrams.question_batch import KEYS_PER_FRAME, QuestionBatch
-from jasperwalk.balancer.datagrams.search import Question, Search, SearchStep, SearchVerdict
+from jasperwalk.balancer.datagrams.search import (
+    Confirm,
+    Question,
+    Search,
+    SearchStep,
+    SearchVerdict,
+)
 from jasperwalk.balancer.datagrams.targets import Target, TargetPool
 from jasperwalk.errors import MalformedMessage
 from jasperwalk.fleet.messages import FleetUpdate
@@ -126,9 +133,11 @@
             self.opener.resend(flow, packet, now)
             return
         opening = flow.opening
-        if opening is not None and not self.opener.follow_up(key, flow, packet, now):
-            self._search(key, packet, opening.route, now)
-            return
+        if opening is not None:
+            possible = self.opener.follow_up(key, flow, now)
+            if possible:
+                self._start_search(key, packet, opening.route, now, possible)
+                return
         self.send(flow.target.carry_head + packet, flow.target.address)
 
     def open(self, packet: bytes, arrived_at: float, now: float) -> None:
@@ -197,11 +206,19 @@
             return
         self._start_search(key, packet, route, now)
 
-    def _start_search(self, key: bytes, packet: bytes, route: RouteEntry, now: float) -> Search:
+    def _start_search(
+        self,
+        key: bytes,
+        packet: bytes,
+        route: RouteEntry,
+        now: float,
+        possible: Sequence[Target] = (),
+    ) -> Search:
         self.counters.searches += 1
+        self.counters.searches_confirming += bool(possible)
         known = self._returned_by.get(key)
         returned = frozenset[Target]() if known is None else known.targets
-        search = Search(key, packet, sorted(route.past_services), now, returned)
+        search = Search(key, packet, sorted(route.past_services), now, returned, possible)
         self._searches[key] = search
         self._advance(search, now)
         return search
@@ -232,8 +249,10 @@
         for step in steps:
             if isinstance(step, Question):
                 self._batch.ask(step.target, search.key)
-            else:
-                self.send(step.target.carry_head + step.packet, step.target.address)
+                continue
+            target = step.target
+            head = target.confirm_head if isinstance(step, Confirm) else target.carry_head
+            self.send(head + step.packet, target.address)
 
     def _begin_second_rounds(self, now: float) -> None:
         """Let the searches that are due ask everyone together."""
@@ -260,7 +279,7 @@
             asked=len(search.asked),
             waited_ms=round(1000 * (now - search.started_at), 1),
         )
-        for packet in search.packets:
+        for packet in search.packets[search.first_is_passed_on :]:
             self.send(target.carry_head + packet, target.address)
 
     # Agents' answers
--- a/src/jasperwalk/balancer/datagrams/flow_opener.py
+++ b/src/jasperwalk/balancer/datagrams/flow_opener.py
@@ -85,23 +85,24 @@
             age_seconds = max(age_seconds, now - flow.opening.began_at)
         self.send(flow.target.open_head(age_seconds) + packet, flow.target.address)
 
-    def follow_up(self, key: bytes, flow: Flow, packet: bytes, now: float) -> bool:
-        """Take the caller's first packet after the opening one; tell whether to pass it on.
+    def follow_up(self, key: bytes, flow: Flow, now: float) -> list[Target]:
+        """Take the caller's first packet after the opening one.
 
         A host has answered the caller. If several agents may have taken the flow, the packet
-        must not go to one of them by chance: the flow is forgotten, and has to be searched.
+        must not go to one of them by chance: the flow is forgotten, and they are returned to be
+        asked. None are returned where the packet is to go to the flow's agent.
         """
         opening = flow.opening
         assert opening is not None
         possible = opening.may_be_open_at()
         if len(possible) > 1:
             self.forget(key)
-            return False
+            return possible
         if not opening.is_accepted():
             # The answer is late or lost; the packet says as much.
             self._opened(key, flow, opening, now)
         flow.opening = None
-        return True
+        return []
 
     # Trying agents
 
--- a/src/jasperwalk/balancer/datagrams/search.py
+++ b/src/jasperwalk/balancer/datagrams/search.py
@@ -17,6 +17,7 @@
 
 import enum
 import math
+from collections.abc import Sequence
 
 import msgspec
 
@@ -25,6 +26,8 @@
 
 ANSWER_SECONDS = 0.06
 """How long a round waits for agents that do not answer."""
+CONFIRM_SECONDS = 0.15
+"""How long the agents that may have taken a flow may take to say which of them has it."""
 PROBE_SECONDS = 0.06
 """How long one host may take to hand a packet back."""
 ROUND_PAUSE_SECONDS = 0.3
@@ -51,7 +54,14 @@
     packet: bytes
 
 
-SearchStep = Question | Probe
+class Confirm(msgspec.Struct, frozen=True):
+    """Give an agent one packet of a flow that it may have taken; it passes on what is its own."""
+
+    target: Target
+    packet: bytes
+
+
+SearchStep = Question | Probe | Confirm
 
 
 class SearchVerdict(enum.Enum):
@@ -75,8 +85,13 @@
         services: list[str],
         now: float,
         returned: frozenset[Target] = frozenset(),
+        possible: Sequence[Target] = (),
     ) -> None:
-        """Begin with one packet; `returned` are agents whose hosts handed one back before."""
+        """Begin with one packet; `returned` are agents whose hosts handed one back before.
+
+        `possible` are the agents that may have taken the flow when it was opened: they are given
+        the packet first, and the one whose host the caller has chosen passes it on.
+        """
         self.key = key
         self.packets = [packet]
         self.started_at = now
@@ -93,6 +108,10 @@
         # Ordered: the same answers have to lead to the same questions.
         self._candidates: dict[Target, None] = {}
         self._asked_all = False
+        self._possible = tuple(possible)
+        self._confirming = False
+        self.first_is_passed_on = False
+        """True once the holder has got the first packet with the question."""
 
     def hold(self, packet: bytes) -> None:
         """Keep another packet of the flow."""
@@ -104,6 +123,7 @@
         if kind is FrameKind.HELD:
             self.holder = target
             self.verdict = SearchVerdict.FOUND
+            self.first_is_passed_on = self._confirming
             return
         if kind is FrameKind.RETURNED:
             self._probed.add(target)
@@ -125,6 +145,12 @@
         """Go on as far as answers and time allow; the second round begins by another call."""
         if self.verdict is not SearchVerdict.OPEN or self._pausing:
             return []
+        if self._possible:
+            return self._ask_possible(now)
+        if self._confirming:
+            if self.unanswered() and now < self.deadline:
+                return []
+            self._confirming = False
         if self.rounds == 0:
             return self._ask_candidates(pool, now)
         waits = self._probing is not None or self.unanswered()
@@ -152,6 +178,13 @@
             asked += [each for each in pool.all_targets() if each not in self._candidates]
         return self._begin_round(asked, now)
 
+    def _ask_possible(self, now: float) -> list[SearchStep]:
+        possible, self._possible = self._possible, ()
+        self._confirming = True
+        self.deadline = now + CONFIRM_SECONDS
+        self.asked = dict.fromkeys(possible)
+        return [Confirm(target, self.packets[0]) for target in possible]
+
     def _ask_candidates(self, pool: TargetPool, now: float) -> list[SearchStep]:
         candidates = pool.candidates(self._services, self.key)
         self._candidates = dict.fromkeys(candidates)
--- a/src/jasperwalk/balancer/datagrams/targets.py
+++ b/src/jasperwalk/balancer/datagrams/targets.py
@@ -55,6 +55,7 @@
     address: SocketAddress
     carry_head: bytes
     find_head: bytes
+    confirm_head: bytes
     service_tag: int
     hash_seed: int
     started_at: float
@@ -103,6 +104,7 @@
         address=(record.endpoint.host, record.endpoint.port),
         carry_head=encode_request(FrameKind.CARRY, 0, tag, b""),
         find_head=encode_request(FrameKind.FIND, 0, tag, b""),
+        confirm_head=encode_request(FrameKind.CONFIRM, 0, tag, b""),
         service_tag=tag,
         hash_seed=hash_seed(record.endpoint.pack()),
         started_at=now,
--- a/src/jasperwalk/flows/codec.py
+++ b/src/jasperwalk/flows/codec.py
@@ -63,6 +63,15 @@
         A packet that is sent again has the same number; it wraps around.
         """
 
+    def opening_answer_number(self, packet: bytes) -> int | None:
+        """Return the number of a back end's answer to an opening packet, None for others.
+
+        Back ends draw it at random, so it tells them apart.
+        """
+
+    def follows(self, packet: bytes, answer_number: int) -> bool:
+        """Tell whether a caller's packet follows this answer to its opening packet up."""
+
     def reset_for(self, packet: bytes) -> bytes:
         """Return the packet that resets the flow of a caller's packet."""
 
--- a/src/jasperwalk/flows/frames.py
+++ b/src/jasperwalk/flows/frames.py
@@ -27,6 +27,9 @@
     """Balancer: a packet of a flow that you hold."""
     FIND = 3
     """Balancer: do you hold this flow?"""
+    CONFIRM = 4
+    """Balancer: you may have taken this flow; here is its caller's next packet. Pass it on if it
+    follows your host's answer up, and say whether it does."""
     ACCEPTED = 11
     """Agent: the new flow went to my host."""
     REFUSED = 12
--- a/tests/balancer/datagrams/test_flow_balancer.py
+++ b/tests/balancer/datagrams/test_flow_balancer.py
@@ -5,6 +5,7 @@
     MAXIMUM_TRIES,
     OPEN_TIMEOUT_SECONDS,
 )
+from jasperwalk.balancer.datagrams.search import CONFIRM_SECONDS
 from jasperwalk.fleet.messages import HostPhase
 from jasperwalk.flows.frames import (
     REQUEST_HEAD,
@@ -17,6 +18,7 @@
 
 SYN = from_caller(OPENING)
 DATA = from_caller(0, b"data")
+MORE = from_caller(0, b"more")
 RESET_TO_CALLER = (PlainCodec().reset_for(SYN), (CALLER.host, CALLER.port))
 
 
@@ -202,18 +204,44 @@
 
 
 @pytest.mark.parametrize("answers", ["silent", "other", "silent other", "other silent", ""])
-def test_a_flow_that_two_agents_may_have_taken_is_searched(answers):
-    """The caller has answered one of their hosts; the other one must not get its packets."""
+def test_the_agents_that_may_have_taken_a_flow_are_given_its_callers_next_packet(answers):
+    """The caller has answered one of their hosts; the other one must not get its packets.
+
+    Nobody else is asked, and the holder gets the first packet with the question.
+    """
     bench, silent, other = passed_over()
     for name in answers.split():
         bench.answer({"silent": silent, "other": other}[name], FrameKind.ACCEPTED, 1.2)
     bench.core.receive(DATA, 1.3)
+    assert sorted(bench.take_sent()) == sorted(
+        [(FrameKind.CONFIRM, silent, DATA), (FrameKind.CONFIRM, other, DATA)]
+    )
+    bench.core.receive(MORE, 1.305)
+    bench.answer(other, FrameKind.NOT_HELD, 1.31)
+    assert bench.take_sent() == []
+    bench.answer(silent, FrameKind.HELD, 1.31)
+    assert bench.take_sent() == [(FrameKind.CARRY, silent, MORE)]
+    bench.core.receive(DATA, 1.4)
+    assert bench.take_sent() == [(FrameKind.CARRY, silent, DATA)]
+
+
+@pytest.mark.parametrize("denied", [True, False], ids=["denied", "unanswered"])
+def test_a_flow_that_none_of_the_agents_asked_confirms_is_searched(denied):
+    bench, silent, other = passed_over()
+    bench.core.receive(DATA, 1.3)
+    bench.take_sent()
+    if denied:
+        bench.answer(other, FrameKind.NOT_HELD, 1.31)
+        bench.answer(silent, FrameKind.NOT_HELD, 1.31)
+    else:
+        bench.core.tick(1.3 + CONFIRM_SECONDS)
     assert {(kind, number) for kind, number, _ in bench.take_sent()} == {
         (FrameKind.FIND, silent),
         (FrameKind.FIND, other),
     }
-    bench.answer(other, FrameKind.NOT_HELD, 1.31)
-    bench.answer(silent, FrameKind.UNSURE, 1.31)
+    now = 1.32 if denied else 1.31 + CONFIRM_SECONDS
+    bench.answer(other, FrameKind.NOT_HELD, now)
+    bench.answer(silent, FrameKind.UNSURE, now)
     assert bench.take_sent() == [(FrameKind.CARRY, silent, DATA)]
 
 
--- a/tests/flows/support.py
+++ b/tests/flows/support.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import struct
+from zlib import crc32
 
 from jasperwalk.addresses import Endpoint
 
 HEAD = struct.Struct("!6s6sBH")
+GREETING = b"hello "
 OPENING, ENDING, RESET, RETURNED = 1, 2, 4, 8
 LISTENER = Endpoint("198.18.0.1", 443)
 CALLER = Endpoint("100.64.0.7", 40001)
@@ -59,6 +61,14 @@
         """The first byte of the data is its number."""
         return packet[HEAD.size]
 
+    def opening_answer_number(self, packet):
+        """A host greets its caller with its name; the caller's packets end with @NAME."""
+        data = packet[HEAD.size :]
+        return crc32(data[len(GREETING) :]) if data.startswith(GREETING) else None
+
+    def follows(self, packet, answer_number):
+        return crc32(packet.rpartition(b"@")[2]) == answer_number
+
     def reset_for(self, packet):
         return HEAD.pack(packet[6:12], packet[:6], RESET, 0)
 
--- a/tests/platform_adapter/test_datagram_codec.py
+++ b/tests/platform_adapter/test_datagram_codec.py
@@ -83,3 +83,22 @@
     assert CODEC.is_whole(SYN)
     assert CODEC.is_whole(packet(16, b"data"))
     assert CODEC.payload_bytes(packet(16, b"data")) == 4
+
+
+@pytest.mark.parametrize(
+    ("flags", "number"), [(4 | 16, 0x11223344), (16, None), (4, None), (2, None)]
+)
+def test_the_number_of_a_hosts_answer(flags, number):
+    assert CODEC.opening_answer_number(packet(flags)) == number
+
+
+@pytest.mark.parametrize(
+    ("acknowledged", "follows"),
+    [(7, True), (8, True), (7 + 2**16 - 1, True), (7 + 2**16, False), (6, False), (0, False)],
+)
+def test_a_callers_packet_follows_the_answer_that_it_acknowledges(acknowledged, follows):
+    assert CODEC.follows(packet(16, ack=acknowledged), 7) is follows
+
+
+def test_acknowledged_numbers_wrap_around():
+    assert CODEC.follows(packet(16, ack=0), 2**32 - 1)
