An agent that is told to stop outlasts its leaving host; its flows are not reset early

Change: a stop signal while the host leaves waits for its goodbye, within the grace; an agent that vanished beside a leaving host counts as lost after 10 s instead of 2 s.

--- a/src/jasperwalk/agent/datagrams/host.py
+++ b/src/jasperwalk/agent/datagrams/host.py
@@ -69,6 +69,10 @@
         """Tell whether the present host has said that it is gone."""
         return self.host_id in self._left
 
+    def is_leaving(self) -> bool:
+        """Tell whether the host drains and has not said goodbye yet."""
+        return self.phase is HostPhase.DRAINING and not self.has_left()
+
     def slow_start_seconds(self, now: float) -> float:
         """Return how much longer the host is slow from its start."""
         return max(0.0, self.slow_until - now)
--- /dev/null
+++ b/src/jasperwalk/agent/datagrams/planned_stop.py
@@ -0,0 +1,32 @@
+"""The planned stop of an agent whose host is still leaving.
+
+The host's flows pass through its agent, so an agent that is told to stop first would cut them.
+It serves on until the host has said goodbye, for as long as the grace of the stop allows.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import structlog
+
+from jasperwalk.agent.datagrams.host import HostState
+
+POLL_SECONDS = 0.05
+FAREWELL_MARGIN_SECONDS = 1.0
+"""Part of the grace that is kept for the agent's own end."""
+
+logger = structlog.get_logger(__name__)
+
+
+async def outlast_leaving_host(host: HostState, grace_seconds: float) -> None:
+    """Return once the host has left, at once where it does not leave, or when grace runs out."""
+    if not host.is_leaving():
+        return
+    logger.info("stop-waits-for-host", host=host.host_id, grace_seconds=grace_seconds)
+    polls = max(0, int((grace_seconds - FAREWELL_MARGIN_SECONDS) / POLL_SECONDS))
+    for _ in range(polls):
+        if not host.is_leaving():
+            break
+        await asyncio.sleep(POLL_SECONDS)
+    logger.info("stop-goes-on", host=host.host_id, host_left=host.has_left())
--- a/src/jasperwalk/agent/datagrams/process.py
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -14,6 +14,7 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.agent.datagrams.flow_agent import FlowAgent
 from jasperwalk.agent.datagrams.host import HostAnnouncement, HostState
+from jasperwalk.agent.datagrams.planned_stop import outlast_leaving_host
 from jasperwalk.fleet.figures import ProcessFigures, metrics_server
 from jasperwalk.fleet.home_link import HomeLink
 from jasperwalk.fleet.messages import HomeMessage, HomeStatus, HostPhase, NodeRecord, NodeRole
@@ -167,6 +168,7 @@
         )
         jobs = [asyncio.create_task(self._link.run()), asyncio.create_task(self._sweep())]
         await stop.wait()
+        await outlast_leaving_host(self.host, self._settings.stop_grace_ms / 1000)
         await self._say_goodbye()
         for job in jobs:
             job.cancel()
--- a/src/jasperwalk/balancer/datagrams/search.py
+++ b/src/jasperwalk/balancer/datagrams/search.py
@@ -36,9 +36,6 @@
 """Second rounds begin at multiples of this."""
 MAXIMUM_HELD_PACKETS = 16
 ROUNDS = 2
-LOST_AFTER_SECONDS = 2.0
-"""An agent without a control link for this long that does not answer either is lost, or cut off
-from everybody: its callers are told to come back rather than held to their deadlines."""
 
 
 class Question(msgspec.Struct, frozen=True):
@@ -233,7 +230,7 @@
         """
         if kind is FrameKind.UNSURE and target not in self._candidates:
             return True
-        if kind is None and target.is_lost(now, LOST_AFTER_SECONDS):
+        if kind is None and target.is_lost(now):
             return True
         return kind is FrameKind.NOT_HELD or target in self._returned or target.departed
 
@@ -241,4 +238,4 @@
         """Tell whether a candidate that may hold the flow has not answered."""
         if kind is not None or target not in self._candidates or target in self._returned:
             return False
-        return not target.departed and not target.is_lost(now, LOST_AFTER_SECONDS)
+        return not target.departed and not target.is_lost(now)
--- a/src/jasperwalk/balancer/datagrams/targets.py
+++ b/src/jasperwalk/balancer/datagrams/targets.py
@@ -34,6 +34,12 @@
 """A host is expected to speak to its agent within this time of the agent's start."""
 UNLISTED_USABLE_SECONDS = 8.0
 """How long an agent that left the directory may still be chosen for new flows."""
+LOST_AFTER_SECONDS = 2.0
+"""An agent without a control link for this long that does not answer either is lost, or cut off
+from everybody: its callers are told to come back rather than held to their deadlines."""
+LEAVING_LOST_AFTER_SECONDS = 10.0
+"""The same for an agent whose host was leaving and has not said goodbye: the host may serve its
+last flows for many seconds yet, and they are not to be reset."""
 SUSPECT_SECONDS = 1.0
 """How long an agent that did not answer is chosen only if no other is left."""
 SUSPECT_COST = 1000.0
@@ -85,9 +91,13 @@
         load = (self.load + self.sent_since) / capacity
         return (load + 1.0 / capacity) * SLOW_START_FACTOR if now < self.slow_until else load
 
-    def is_lost(self, now: float, after_seconds: float) -> bool:
-        """Tell whether the directory has not listed the agent for this long."""
-        return self.unlisted_since is not None and now - self.unlisted_since >= after_seconds
+    def is_lost(self, now: float) -> bool:
+        """Tell whether the directory has not listed the agent for so long that it is gone."""
+        if self.unlisted_since is None:
+            return False
+        is_leaving = self.record.phase is HostPhase.DRAINING
+        longest = LEAVING_LOST_AFTER_SECONDS if is_leaving else LOST_AFTER_SECONDS
+        return now - self.unlisted_since >= longest
 
     def is_usable(self, now: float) -> bool:
         """Tell whether new flows may be sent there."""
--- a/tests/balancer/datagrams/test_search.py
+++ b/tests/balancer/datagrams/test_search.py
@@ -246,9 +246,9 @@
     assert len(callers) == bench.core.counters.searches_given_up
 
 
-def unanswered_twice(unlisted_at):
+def unanswered_twice(unlisted_at, phase=HostPhase.READY):
     """Search while agent 2 is silent, and unlisted since a time."""
-    bench = Bench(record(1), record(2))
+    bench = Bench(record(1), record(2, phase))
     bench.learn(removed=[address_of(2)], now=unlisted_at)
     bench.core.receive(DATA, 10.0)
     asked(bench)
@@ -265,6 +265,12 @@
     assert len(unanswered_twice(5.0).resets) == 1
 
 
+def test_a_leaving_host_whose_agent_vanished_may_still_serve_its_flows():
+    """Its agent was told to stop before it had said goodbye: seen as a broken flow."""
+    assert unanswered_twice(5.0, HostPhase.DRAINING).resets == []
+    assert len(unanswered_twice(-1.0, HostPhase.DRAINING).resets) == 1
+
+
 def test_an_agent_that_only_just_lost_its_link_may_still_hold_the_flow():
     assert unanswered_twice(9.5).resets == []
 
--- a/tests/balancer/datagrams/test_targets.py
+++ b/tests/balancer/datagrams/test_targets.py
@@ -1,7 +1,6 @@
 import random
 from collections import Counter
 
-from jasperwalk.balancer.datagrams.search import LOST_AFTER_SECONDS
 from jasperwalk.balancer.datagrams.targets import (
     CANDIDATES,
     SEARCHED_CANDIDATES,
@@ -150,5 +149,5 @@
     made = pool()
     lost = [address_of(1), address_of(2)]
     made.update(FleetUpdate(True, [record(1), record(2)], lost, [4.0, 0.5]), 10.0)
-    assert made.at(("10.0.0.1", 7602)).is_lost(10.0, LOST_AFTER_SECONDS)
-    assert not made.at(("10.0.0.2", 7602)).is_lost(10.0, LOST_AFTER_SECONDS)
+    assert made.at(("10.0.0.1", 7602)).is_lost(10.0)
+    assert not made.at(("10.0.0.2", 7602)).is_lost(10.0)
