Agents search flows on behalf of balancers

Cause: a flow that a balancer does not know costs it 12 questions and answers, up to 12 probes with their returned packets, and a round to all 47 agents: over 4 KB on a link of 3.7 Mbit/s.

Change: the balancer sends the packet once, to one agent of its zone (LOCATE); that agent searches with the code balancers had (moved to fleet/: targets, search, question_batch, flow_searches), passes the packet on to the holder and tells the balancer (LOCATED). Agents get the directory for it. A balancer still searches by itself where no agent can help. Switch: [policies] delegated_search. A lost flow costs a balancer one question and one answer, whatever the number of agents.

--- a/bench/datagrams.py
+++ b/bench/datagrams.py
@@ -21,8 +21,8 @@
 from bench.harness import MICROSECONDS, Figure
 from jasperwalk.addresses import Endpoint
 from jasperwalk.balancer.datagrams.flow_balancer import FlowBalancer
-from jasperwalk.balancer.datagrams.targets import TargetPool
 from jasperwalk.fleet.messages import FleetUpdate, HostPhase, NodeRecord, NodeRole
+from jasperwalk.fleet.targets import TargetPool
 from jasperwalk.flows.codec import PacketCodec, SocketAddress
 from jasperwalk.flows.frames import AgentReply, FrameKind, encode_reply, service_tag
 from jasperwalk.flows.routes import FlowRoute, RouteBackend, RouteSet, RouteTable
--- a/src/jasperwalk/agent/datagrams/process.py
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -15,17 +15,29 @@
 from jasperwalk.agent.datagrams.flow_agent import FlowAgent
 from jasperwalk.agent.datagrams.host import HostAnnouncement, HostState
 from jasperwalk.agent.datagrams.planned_stop import outlast_leaving_host
+from jasperwalk.agent.datagrams.search_helper import SearchHelper
 from jasperwalk.fleet.figures import ProcessFigures, metrics_server
 from jasperwalk.fleet.home_link import HomeLink
-from jasperwalk.fleet.messages import HomeMessage, HomeStatus, HostPhase, NodeRecord, NodeRole
+from jasperwalk.fleet.messages import (
+    FleetUpdate,
+    HomeMessage,
+    HomeStatus,
+    HostPhase,
+    NodeRecord,
+    NodeRole,
+)
 from jasperwalk.fleet.node import ReadinessInterface, draw_incarnation
 from jasperwalk.fleet.settings import AgentNodeSettings
+from jasperwalk.fleet.targets import TargetPool
 from jasperwalk.flows.codec import PacketCodec, SocketAddress
+from jasperwalk.flows.frames import FrameKind
 from jasperwalk.flows.sockets import DatagramSocket
 from jasperwalk.observability.decisions import DecisionLog, affordable_lines_per_second
 from jasperwalk.transport.http_server import HttpHandler, HttpServer, serving
 
 SWEEP_SECONDS = 1.0
+TICK_SECONDS = 0.02
+"""Pace of looking at searches while there are any."""
 QUEUE_SECONDS = 0.1
 """Pace of looking at waiting flows while no packet of the host gives the occasion."""
 FAREWELL_SECONDS = 0.05
@@ -109,6 +121,13 @@
             started_at=time.monotonic(),
             flow_lifetime_seconds=settings.flow_lifetime_ms / 1000,
         )
+        self.helper = SearchHelper(
+            codec=codec,
+            pool=TargetPool(settings.zone, self._random),
+            send=self._frames.send,
+            log=decisions,
+        )
+        self._helping = False
         self._link = HomeLink(
             self._record, lambda: reload().replicas(), self._news, self._linked, self._random
         )
@@ -122,17 +141,20 @@
 
         figures = ProcessFigures(
             process="agent",
-            counters=lambda: vars(self.core.counters),
+            counters=lambda: {**vars(self.core.counters), **vars(self.helper.counters)},
             gauges={
                 "flows": lambda: len(self.core),
                 "requests_under_way": lambda: self.core.meter.busy,
                 "flows_waiting": lambda: len(self.core.queue),
                 "host_ready": lambda: self.host.phase is HostPhase.READY,
+                "agents": lambda: len(self.helper.pool),
+                "searches": lambda: len(self.helper.searches),
                 "log_lines_dropped": lambda: decisions.dropped,
             },
             latencies={
                 "host": self.core.host_latency,
                 "flow_wait": self.core.wait_latency,
+                "flow_search": self.helper.searches.latency,
             },
         )
         self._metrics = metrics_server(settings.metrics_listen, settings.metrics_path, figures)
@@ -188,7 +210,27 @@
         self.core.host_changed(time.monotonic())
 
     def _frame(self, data: bytes, sender: SocketAddress) -> None:
-        self.core.receive_frame(data, sender, time.monotonic())
+        now = time.monotonic()
+        kind = data[0] if data else 0
+        if kind == FrameKind.LOCATE:
+            self.helper.locate(data, sender, now)
+        elif kind >= FrameKind.ACCEPTED:
+            self.helper.receive_reply(data, sender, now)
+        else:
+            self.core.receive_frame(data, sender, now)
+        self._keep_helping()
+
+    def _keep_helping(self) -> None:
+        if not self._helping and self.helper.has_pending():
+            self._helping = True
+            asyncio.get_running_loop().call_later(TICK_SECONDS, self._help)
+
+    def _help(self) -> None:
+        self._helping = False
+        # An answer that was not read yet is not missing.
+        if self._frames.catch_up():
+            self.helper.tick(time.monotonic())
+        self._keep_helping()
 
     def _host_packet(self, data: bytes, _sender: SocketAddress) -> None:
         self.core.receive_host_packet(data, time.monotonic())
@@ -208,12 +250,15 @@
             if now - swept_at >= SWEEP_SECONDS:
                 swept_at = now
                 self.core.sweep(now)
+                self.helper.sweep(now)
 
     def _linked(self, _linked: bool) -> None:
         """Do nothing: the answers to the host hold without the link."""
 
     def _news(self, message: HomeMessage) -> None:
-        """Learn how long a flow may rest; the longest time heard of counts."""
+        """Learn of other agents, and how long a flow may rest; the longest time heard counts."""
+        if isinstance(message, FleetUpdate):
+            self.helper.fleet_changed(message, time.monotonic())
         if isinstance(message, HomeStatus) and message.flow_idle_ms:
             idle_seconds = message.flow_idle_ms / 1000
             known = self.core.flow_idle_seconds
--- /dev/null
+++ b/src/jasperwalk/agent/datagrams/search_helper.py
@@ -0,0 +1,156 @@
+"""Searches of flows that this agent runs on balancers' behalf.
+
+An agent's link and processor carry the questions that a thin balancer's do not. The balancer
+sends one packet of the flow; the agent that holds the flow gets it from here, and the balancer
+is told who that is. Sans-IO: datagrams leave through `send`, times are seconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from jasperwalk.errors import MalformedMessage
+from jasperwalk.fleet.flow_searches import FlowSearches, SearchCounters
+from jasperwalk.fleet.messages import FleetUpdate
+from jasperwalk.fleet.search import Search
+from jasperwalk.fleet.targets import Target, TargetPool
+from jasperwalk.flows.codec import DatagramSender, PacketCodec, SocketAddress
+from jasperwalk.flows.frames import (
+    AgentReply,
+    FrameKind,
+    LocateRequest,
+    LocateVerdict,
+    decode_locate,
+    decode_replies,
+    encode_reply,
+)
+from jasperwalk.observability.decisions import DecisionLog
+
+FORGET_AGENTS_SECONDS = 70.0
+"""Agents that left are forgotten once no flow can be as old as that."""
+
+
+@dataclass
+class HelperCounters(SearchCounters):
+    """What this agent did for balancers."""
+
+    locate_frames: int = 0
+    locate_frames_malformed: int = 0
+    locate_frames_refused: int = 0
+    """Asked before the directory had come."""
+    replies_malformed: int = 0
+    replies_unexpected: int = 0
+
+
+@dataclass
+class SearchHelper:
+    """Takes balancers' questions and other agents' answers; call `tick` while it has searches."""
+
+    codec: PacketCodec
+    pool: TargetPool
+    send: DatagramSender
+    log: DecisionLog
+    counters: HelperCounters = field(default_factory=HelperCounters)
+    _balancers: dict[bytes, SocketAddress] = field(default_factory=dict)
+    """Who wants to know where a flow is held."""
+
+    def __post_init__(self) -> None:
+        """Prepare the searches."""
+        self.searches = FlowSearches(
+            codec=self.codec,
+            pool=self.pool,
+            send=self.send,
+            log=self.log,
+            counters=self.counters,
+            handler=self,
+        )
+
+    def has_pending(self) -> bool:
+        """Tell whether `tick` has anything to do."""
+        return bool(self.searches)
+
+    def fleet_changed(self, update: FleetUpdate, now: float) -> None:
+        """Take the directory's news in."""
+        self.pool.update(update, now)
+
+    def locate(self, data: bytes, balancer: SocketAddress, now: float) -> None:
+        """Take a balancer's question."""
+        self.counters.locate_frames += 1
+        try:
+            request = decode_locate(data)
+        except MalformedMessage:
+            self.counters.locate_frames_malformed += 1
+            return
+        if not self.codec.is_whole(request.packet):
+            self.counters.locate_frames_malformed += 1
+            return
+        self._locate(request, balancer, now)
+        self.searches.flush()
+
+    def _locate(self, request: LocateRequest, balancer: SocketAddress, now: float) -> None:
+        key = self.codec.flow_key(request.packet)
+        if not len(self.pool):
+            self.counters.locate_frames_refused += 1
+            self._answer(key, LocateVerdict.UNABLE, balancer)
+            return
+        is_searched = key in self.searches
+        self._balancers[key] = balancer
+        if is_searched:
+            self.searches.hold(key, request.packet)
+            return
+        services = self.pool.services_of(request.service_tags)
+        if self.searches.start(key, request.packet, services, now) is None:
+            self._end(key, LocateVerdict.UNABLE)
+
+    def receive_reply(self, data: bytes, sender: SocketAddress, now: float) -> None:
+        """Take another agent's answer."""
+        target = self.pool.at(sender)
+        try:
+            replies = decode_replies(data, self.codec.flow_key_bytes)
+        except MalformedMessage:
+            self.counters.replies_malformed += 1
+            return
+        for reply in replies:
+            if target is None or not self._take(target, reply, now):
+                self.counters.replies_unexpected += 1
+        self.searches.flush()
+
+    def _take(self, target: Target, reply: AgentReply, now: float) -> bool:
+        return self.searches.note_answer(reply.flow_key, target, reply.kind, now)
+
+    def tick(self, now: float) -> None:
+        """Go on with searches whose agents did not answer."""
+        self.searches.tick(now)
+        self.searches.flush()
+
+    def sweep(self, now: float) -> None:
+        """Forget agents that left long ago; call every second."""
+        self.searches.sweep(now)
+        self.pool.forget_old(now, FORGET_AGENTS_SECONDS)
+
+    # Verdicts
+
+    def search_found(self, search: Search, holder: Target, _now: float) -> None:
+        """Pass the packets on, and tell the balancer where the flow's later ones belong."""
+        for packet in search.packets[search.first_is_passed_on :]:
+            self.send(holder.carry_head + packet, holder.address)
+        self._end(search.key, LocateVerdict.FOUND, holder.record.endpoint.pack())
+
+    def search_nowhere(self, search: Search, _now: float) -> None:
+        """Tell the balancer that the flow is held nowhere."""
+        self._end(search.key, LocateVerdict.NOWHERE)
+
+    def search_unknown(self, search: Search, _now: float) -> None:
+        """Tell the balancer that some agents did not answer."""
+        self._end(search.key, LocateVerdict.UNKNOWN)
+
+    def _end(self, key: bytes, verdict: LocateVerdict, holder: bytes = b"") -> None:
+        balancer = self._balancers.pop(key, None)
+        if balancer is not None:
+            self._answer(key, verdict, balancer, holder)
+
+    def _answer(
+        self, key: bytes, verdict: LocateVerdict, balancer: SocketAddress, holder: bytes = b""
+    ) -> None:
+        reply = AgentReply(FrameKind.LOCATED, verdict, 0, 0.0, 0, key, holder)
+        self.send(encode_reply(reply), balancer)
--- a/src/jasperwalk/balancer/datagrams/counters.py
+++ b/src/jasperwalk/balancer/datagrams/counters.py
@@ -4,9 +4,11 @@
 
 from dataclasses import dataclass
 
+from jasperwalk.fleet.flow_searches import SearchCounters
+
 
 @dataclass
-class FlowCounters:
+class FlowCounters(SearchCounters):
     """What the balancer did since it started."""
 
     packets_carried: int = 0
@@ -15,11 +17,9 @@
     flows_opened: int = 0
     flows_not_opened: int = 0
     open_retries: int = 0
-    searches: int = 0
-    searches_confirming: int = 0
-    """Searches that began by asking several agents which of them has the flow."""
-    searches_found: int = 0
-    searches_given_up: int = 0
+    searches_delegated: int = 0
+    searches_unanswered: int = 0
+    """Delegated searches whose agent never answered."""
     flows_reset: int = 0
     early_packets: int = 0
     """Packets that came before the first routes."""
--- /dev/null
+++ b/src/jasperwalk/balancer/datagrams/delegated_searches.py
@@ -0,0 +1,87 @@
+"""Searches that an agent runs on this balancer's behalf.
+
+A balancer's link and processor may be thin, and finding a flow may take questions to many
+agents. So it sends the packet, once, to one agent near by, which asks the others and passes the
+packet on; this balancer keeps what follows until it hears who holds the flow. What a lost flow
+costs a balancer does not grow with the number of agents.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from jasperwalk.balancer.datagrams.counters import FlowCounters
+from jasperwalk.fleet.search import MAXIMUM_HELD_PACKETS
+from jasperwalk.fleet.targets import SUSPECT_SECONDS, Target, TargetPool
+from jasperwalk.flows.codec import DatagramSender
+from jasperwalk.flows.frames import encode_locate, service_tag
+from jasperwalk.observability.latency import LatencyCounts
+
+ANSWER_SECONDS = 0.8
+"""An agent has its verdict after two rounds and the pause between them, or not at all."""
+MAXIMUM_DELEGATIONS = 4096
+
+
+@dataclass(slots=True, eq=False)
+class Delegation:
+    """One flow's search at an agent; the first packet went there, the others wait here."""
+
+    helper: Target
+    services: list[str]
+    packets: list[bytes]
+    started_at: float
+
+
+@dataclass
+class DelegatedSearches:
+    """Owns the searches that agents run; sans-IO, times are seconds."""
+
+    pool: TargetPool
+    send: DatagramSender
+    counters: FlowCounters
+    latency: LatencyCounts
+    is_wanted: bool
+    _open: dict[bytes, Delegation] = field(default_factory=dict)
+
+    def __len__(self) -> int:
+        """Return how many searches are open."""
+        return len(self._open)
+
+    def hold(self, key: bytes, packet: bytes) -> bool:
+        """Keep another packet of a flow that is being searched; False where none is."""
+        delegation = self._open.get(key)
+        if delegation is None:
+            return False
+        if len(delegation.packets) < MAXIMUM_HELD_PACKETS:
+            delegation.packets.append(packet)
+        return True
+
+    def start(self, key: bytes, packet: bytes, services: list[str], now: float) -> bool:
+        """Let an agent search; False where there is none to ask."""
+        if not self.is_wanted or len(self._open) >= MAXIMUM_DELEGATIONS:
+            return False
+        helper = self.pool.helper(key, now)
+        if helper is None:
+            return False
+        self.counters.searches_delegated += 1
+        self._open[key] = Delegation(helper, services, [packet], now)
+        tags = [service_tag(service) for service in services]
+        self.send(encode_locate(tags, packet), helper.address)
+        return True
+
+    def take(self, key: bytes, helper: Target, now: float) -> Delegation | None:
+        """End a search with its agent's verdict; None where that agent was not asked."""
+        delegation = self._open.get(key)
+        if delegation is None or delegation.helper is not helper:
+            return None
+        self.latency.observe(now - delegation.started_at)
+        return self._open.pop(key)
+
+    def tick(self, now: float) -> None:
+        """Give up agents that do not answer: the caller's next packet goes to another one."""
+        for key, delegation in list(self._open.items()):
+            if now - delegation.started_at < ANSWER_SECONDS:
+                break
+            delegation.helper.suspect_until = now + SUSPECT_SECONDS
+            self.counters.searches_unanswered += 1
+            del self._open[key]
--- a/src/jasperwalk/balancer/datagrams/flow_balancer.py
+++ b/src/jasperwalk/balancer/datagrams/flow_balancer.py
@@ -10,44 +10,25 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from jasperwalk.addresses import Endpoint
 from jasperwalk.balancer.datagrams.counters import FlowCounters
+from jasperwalk.balancer.datagrams.delegated_searches import DelegatedSearches
 from jasperwalk.balancer.datagrams.early_packets import EarlyPackets
 from jasperwalk.balancer.datagrams.flow_opener import FlowOpener
 from jasperwalk.balancer.datagrams.openings import Flow
-from jasperwalk.balancer.datagrams.question_batch import KEYS_PER_FRAME, QuestionBatch
-from jasperwalk.balancer.datagrams.search import (
-    Confirm,
-    Question,
-    Search,
-    SearchStep,
-    SearchVerdict,
-)
-from jasperwalk.balancer.datagrams.targets import Target, TargetPool
 from jasperwalk.errors import MalformedMessage
+from jasperwalk.fleet.flow_searches import FlowSearches
 from jasperwalk.fleet.messages import FleetUpdate
+from jasperwalk.fleet.search import Search
+from jasperwalk.fleet.targets import Target, TargetPool
 from jasperwalk.flows.codec import DatagramSender, PacketCodec, SocketAddress
-from jasperwalk.flows.frames import AgentReply, FrameKind, decode_replies
+from jasperwalk.flows.frames import AgentReply, FrameKind, LocateVerdict, decode_replies
 from jasperwalk.flows.routes import RouteEntry, RouteTable
 from jasperwalk.observability.decisions import DecisionLog
 from jasperwalk.observability.latency import LatencyCounts
-from jasperwalk.token_bucket import TokenBucket
 
 FLOW_LIFETIME_SECONDS = 70.0
 """A cached flow without a packet for this long is forgotten."""
-MAXIMUM_SEARCHES = 4096
-QUESTIONS_PER_SECOND = 600.0
-QUESTIONS_AT_ONCE = 1200.0
-"""Budget of one balancer's frames that ask everyone."""
-RETURNED_MEMORY_SECONDS = 5.0
-"""How long it is remembered which hosts do not hold a flow that was not found."""
-
-
-@dataclass(slots=True)
-class ReturnedBy:
-    """Agents whose hosts handed back a packet of a flow that was not found, and when."""
-
-    targets: frozenset[Target]
-    noted_at: float
 
 
 @dataclass
@@ -63,17 +44,29 @@
     counters: FlowCounters = field(default_factory=FlowCounters)
     open_latency: LatencyCounts = field(default_factory=LatencyCounts)
     search_latency: LatencyCounts = field(default_factory=LatencyCounts)
-    _questions: TokenBucket = field(
-        default_factory=lambda: TokenBucket(QUESTIONS_PER_SECOND, QUESTIONS_AT_ONCE, 0.0)
-    )
+    delegates_searches: bool = False
+    """True to let agents search on this balancer's behalf."""
     _flows: dict[bytes, Flow] = field(default_factory=dict)
-    _searches: dict[bytes, Search] = field(default_factory=dict)
-    _returned_by: dict[bytes, ReturnedBy] = field(default_factory=dict)
     _early: EarlyPackets = field(default_factory=EarlyPackets)
 
     def __post_init__(self) -> None:
         """Share the table of flows with what opens them."""
-        self._batch = QuestionBatch(self.send)
+        self.searches = FlowSearches(
+            codec=self.codec,
+            pool=self.pool,
+            send=self.send,
+            log=self.log,
+            counters=self.counters,
+            handler=self,
+            latency=self.search_latency,
+        )
+        self.delegated = DelegatedSearches(
+            pool=self.pool,
+            send=self.send,
+            counters=self.counters,
+            latency=self.search_latency,
+            is_wanted=self.delegates_searches,
+        )
         self.opener = FlowOpener(
             codec=self.codec,
             pool=self.pool,
@@ -91,7 +84,7 @@
 
     def has_pending(self) -> bool:
         """Tell whether `tick` has anything to do."""
-        return bool(self._searches) or self.opener.has_pending()
+        return bool(self.searches or self.delegated) or self.opener.has_pending()
 
     # Callers' packets
 
@@ -115,7 +108,7 @@
     def receive_whole(self, key: bytes, packet: bytes, now: float) -> None:
         """Take a caller's packet that `key_of` has looked at."""
         self._receive(key, packet, now)
-        self._batch.flush()
+        self.searches.flush()
 
     def _receive(self, key: bytes, packet: bytes, now: float) -> None:
         flow = self._flows.get(key)
@@ -136,7 +129,7 @@
         if opening is not None:
             possible = self.opener.follow_up(key, flow, now)
             if possible:
-                self._start_search(key, packet, opening.route, now, possible)
+                self._search(key, packet, opening.route, now, possible)
                 return
         self.send(flow.target.carry_head + packet, flow.target.address)
 
@@ -186,7 +179,7 @@
         for each in early:
             if not self.codec.is_opening(each.packet):
                 self._receive(self.codec.flow_key(each.packet), each.packet, now)
-        self._batch.flush()
+        self.searches.flush()
         for each in reversed(openings):
             self.open(each.packet, each.arrived_at, now)
 
@@ -197,90 +190,69 @@
 
     # Flows that are not in the table
 
-    def _search(self, key: bytes, packet: bytes, route: RouteEntry, now: float) -> None:
-        search = self._searches.get(key)
-        if search is not None:
-            search.hold(packet)
-            return
-        if len(self._searches) >= MAXIMUM_SEARCHES:
-            return
-        self._start_search(key, packet, route, now)
-
-    def _start_search(
+    def _search(
         self,
         key: bytes,
         packet: bytes,
         route: RouteEntry,
         now: float,
         possible: Sequence[Target] = (),
-    ) -> Search:
-        self.counters.searches += 1
-        self.counters.searches_confirming += bool(possible)
-        known = self._returned_by.get(key)
-        returned = frozenset[Target]() if known is None else known.targets
-        search = Search(key, packet, sorted(route.past_services), now, returned, possible)
-        self._searches[key] = search
-        self._advance(search, now)
-        return search
-
-    def _advance(self, search: Search, now: float) -> None:
-        """Send what the search wants sent, and end it once it has a verdict."""
-        self._take_steps(search, search.advance(self.pool, now))
-        if search.verdict is SearchVerdict.OPEN:
-            return
-        del self._searches[search.key]
-        if search.verdict is SearchVerdict.FOUND:
-            self._found(search, now)
-        elif search.verdict is SearchVerdict.NOWHERE:
-            self.reject(search.key, search.packets[-1], "held-nowhere")
-        else:
-            if search.returned:
-                self._returned_by[search.key] = ReturnedBy(search.returned, now)
-            self.counters.searches_given_up += 1
-            self.log.note(
-                "flow-not-found",
-                flow=self.codec.describe(search.key),
-                asked=len(search.asked),
-                unanswered=",".join(search.unanswered()),
-                rounds=search.rounds,
-            )
-
-    def _take_steps(self, search: Search, steps: list[SearchStep]) -> None:
-        for step in steps:
-            if isinstance(step, Question):
-                self._batch.ask(step.target, search.key)
-                continue
-            target = step.target
-            head = target.confirm_head if isinstance(step, Confirm) else target.carry_head
-            self.send(head + step.packet, target.address)
-
-    def _begin_second_rounds(self, now: float) -> None:
-        """Let the searches that are due ask everyone together."""
-        due = [each for each in self._searches.values() if each.is_second_round_due(now)]
-        if not due:
+    ) -> None:
+        """Look for the holder of a flow; `possible` are the agents that may have taken it."""
+        if key in self.searches:
+            self.searches.hold(key, packet)
+        elif not self.delegated.hold(key, packet):
+            services = sorted(route.past_services)
+            if possible or not self.delegated.start(key, packet, services, now):
+                self.searches.start(key, packet, services, now, possible)
+
+    def search_found(self, search: Search, holder: Target, now: float) -> None:
+        """Carry the packets that waited."""
+        self._take_holder(search.key, holder, search.packets[search.first_is_passed_on :], now)
+
+    def search_nowhere(self, search: Search, _now: float) -> None:
+        """Tell the caller to begin anew."""
+        self.reject(search.key, search.packets[-1], "held-nowhere")
+
+    def search_unknown(self, search: Search, now: float) -> None:
+        """Let the flow be: its caller's next packet begins another search."""
+
+    def _take_holder(
+        self, key: bytes, holder: Target, packets: Sequence[bytes], now: float
+    ) -> None:
+        self._flows[key] = Flow(holder, now)
+        for packet in packets:
+            self.send(holder.carry_head + packet, holder.address)
+
+    def _take_verdict(self, helper: Target, reply: AgentReply, now: float) -> None:
+        """Take what an agent found that has searched on this balancer's behalf."""
+        delegation = self.delegated.take(reply.flow_key, helper, now)
+        if delegation is None:
             return
-        frames = len(self.pool) * -(-len(due) // KEYS_PER_FRAME)
-        asks_everyone = self._questions.take(now, frames)
-        for search in due:
-            steps = search.begin_second_round(self.pool, asks_everyone, now)
-            self._take_steps(search, steps)
-            self._advance(search, now)
-
-    def _found(self, search: Search, now: float) -> None:
-        target = search.holder
-        assert target is not None
-        self.counters.searches_found += 1
-        self.search_latency.observe(now - search.started_at)
-        self._flows[search.key] = Flow(target, now)
+        verdict = LocateVerdict(reply.flags)
+        holder = self._target_at(reply.packet)
+        if verdict is LocateVerdict.FOUND and holder is not None:
+            # The helper has passed the first packet on.
+            self._take_holder(reply.flow_key, holder, delegation.packets[1:], now)
+        elif verdict is LocateVerdict.NOWHERE:
+            self.reject(reply.flow_key, delegation.packets[-1], "held-nowhere")
+        elif verdict is LocateVerdict.UNABLE:
+            self.searches.start(reply.flow_key, delegation.packets[0], delegation.services, now)
         self.log.note(
-            "flow-found",
-            flow=self.codec.describe(search.key),
-            agent=target.record.name,
-            asked=len(search.asked),
-            waited_ms=round(1000 * (now - search.started_at), 1),
+            "search-answered",
+            flow=self.codec.describe(reply.flow_key),
+            helper=helper.record.name,
+            verdict=verdict.name.lower(),
+            holder="" if holder is None else holder.record.name,
+            waited_ms=round(1000 * (now - delegation.started_at), 1),
         )
-        for packet in search.packets[search.first_is_passed_on :]:
-            self.send(target.carry_head + packet, target.address)
+
+    def _target_at(self, packed: bytes) -> Target | None:
+        """Return the agent at a packed end point, None where there is none or it is not known."""
+        if not packed:
+            return None
+        endpoint = Endpoint.unpack(packed)
+        return self.pool.at((endpoint.host, endpoint.port))
 
     # Agents' answers
 
@@ -296,17 +268,18 @@
             return
         for reply in replies:
             self._take_reply(target, reply, now)
-        self._batch.flush()
+        self.searches.flush()
 
     def _take_reply(self, target: Target, reply: AgentReply, now: float) -> None:
-        target.note_load(reply.load)
         key = reply.flow_key
-        search = self._searches.get(key)
+        if reply.kind is not FrameKind.LOCATED:
+            target.note_load(reply.load)
         if reply.kind in (FrameKind.ACCEPTED, FrameKind.REFUSED):
             self.opener.receive_answer(key, target, reply, now)
-        elif search is not None:
-            search.note_answer(target, reply.kind)
-            self._advance(search, now)
+        elif reply.kind is FrameKind.LOCATED:
+            self._take_verdict(target, reply, now)
+        elif self.searches.note_answer(key, target, reply.kind, now):
+            return
         elif reply.kind is FrameKind.RETURNED:
             self._returned(key, self._flows.get(key), target, reply.packet, now)
 
@@ -322,26 +295,22 @@
         if route is None:
             self.reject(key, packet, "no-route")
             return
-        search = self._start_search(key, packet, route, now)
-        search.note_answer(target, FrameKind.RETURNED)
+        self._search(key, packet, route, now)
+        self.searches.note_answer(key, target, FrameKind.RETURNED, now)
 
     # Time
 
     def tick(self, now: float) -> None:
         """Give up waiting for agents that do not answer."""
         self.opener.tick(now)
-        self._begin_second_rounds(now)
-        for search in list(self._searches.values()):
-            if now >= search.deadline and search.key in self._searches:
-                self._advance(search, now)
-        self._batch.flush()
+        self.searches.tick(now)
+        self.delegated.tick(now)
+        self.searches.flush()
 
     def sweep(self, now: float) -> None:
         """Forget flows and agents that are long gone; call every few seconds."""
         oldest = now - FLOW_LIFETIME_SECONDS
         for key in [key for key, flow in self._flows.items() if flow.seen_at < oldest]:
             self.opener.forget(key)
-        for key, known in list(self._returned_by.items()):
-            if now - known.noted_at > RETURNED_MEMORY_SECONDS:
-                del self._returned_by[key]
+        self.searches.sweep(now)
         self.pool.forget_old(now, FLOW_LIFETIME_SECONDS)
--- a/src/jasperwalk/balancer/datagrams/flow_opener.py
+++ b/src/jasperwalk/balancer/datagrams/flow_opener.py
@@ -13,7 +13,7 @@
 
 from jasperwalk.balancer.datagrams.counters import FlowCounters
 from jasperwalk.balancer.datagrams.openings import Flow, Opening, OpeningAnswer
-from jasperwalk.balancer.datagrams.targets import (
+from jasperwalk.fleet.targets import (
     SUSPECT_SECONDS,
     Target,
     TargetPool,
--- a/src/jasperwalk/balancer/datagrams/openings.py
+++ b/src/jasperwalk/balancer/datagrams/openings.py
@@ -5,7 +5,7 @@
 import enum
 from dataclasses import dataclass, field
 
-from jasperwalk.balancer.datagrams.targets import Target
+from jasperwalk.fleet.targets import Target
 from jasperwalk.flows.routes import RouteEntry
 
 
--- a/src/jasperwalk/balancer/datagrams/process.py
+++ b/src/jasperwalk/balancer/datagrams/process.py
@@ -13,7 +13,6 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.balancer.datagrams.flow_balancer import FlowBalancer
 from jasperwalk.balancer.datagrams.packet_intake import PacketIntake
-from jasperwalk.balancer.datagrams.targets import TargetPool
 from jasperwalk.fleet.figures import ProcessFigures, metrics_server
 from jasperwalk.fleet.home_link import HomeLink
 from jasperwalk.fleet.messages import (
@@ -26,6 +25,7 @@
 )
 from jasperwalk.fleet.node import ReadinessInterface, draw_incarnation
 from jasperwalk.fleet.settings import BalancerNodeSettings
+from jasperwalk.fleet.targets import TargetPool
 from jasperwalk.flows.codec import PacketCodec, SocketAddress
 from jasperwalk.flows.routes import FlowRoute, RouteSet, RouteTable
 from jasperwalk.flows.sockets import DatagramSocket
@@ -74,6 +74,7 @@
             send=self._frames.send,
             reset=self._send_to_caller,
             log=decisions,
+            delegates_searches=settings.policies.delegated_search,
         )
         self._intake = PacketIntake(self.core)
         self._taking_in = False
--- a/src/jasperwalk/control/fleet/home_links.py
+++ b/src/jasperwalk/control/fleet/home_links.py
@@ -129,8 +129,9 @@
         )
         news = self._directory.announce(record)
         self._tell_replicas(news)
-        if is_new and record.role is NodeRole.BALANCER:
+        if is_new:
             link.send(self._directory.agents(time.monotonic()))
+        if is_new and record.role is NodeRole.BALANCER:
             link.send_routes(self._view().routes)
         self.publish_fleet()
 
@@ -153,10 +154,11 @@
         self._to_links(list(self._links), lambda link: link.send(status))
 
     def publish_fleet(self) -> None:
-        """Send the linked balancers what changed in the directory."""
+        """Send the linked nodes what changed in the directory: all of them look for flows."""
         changes = self._directory.take_changes()
         if changes is not None:
-            self._to_balancers(lambda link: link.send(changes))
+            announced = [link for link in self._links if link.record is not None]
+            self._to_links(announced, lambda link: link.send(changes))
 
     def publish_routes(self) -> None:
         """Send the linked balancers the routes in force."""
--- /dev/null
+++ b/src/jasperwalk/fleet/flow_searches.py
@@ -0,0 +1,207 @@
+"""Many searches of flows at once: their questions share frames, their verdicts go to a handler.
+
+Runs in a balancer that searches by itself, and in an agent that searches on a balancer's behalf.
+Sans-IO: datagrams leave through `send`, time is a parameter, in seconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from jasperwalk.fleet.question_batch import KEYS_PER_FRAME, QuestionBatch
+from jasperwalk.fleet.search import Confirm, Question, Search, SearchStep, SearchVerdict
+from jasperwalk.fleet.targets import Target, TargetPool
+from jasperwalk.flows.codec import DatagramSender, PacketCodec
+from jasperwalk.flows.frames import FrameKind
+from jasperwalk.observability.decisions import DecisionLog
+from jasperwalk.observability.latency import LatencyCounts
+from jasperwalk.token_bucket import TokenBucket
+
+MAXIMUM_SEARCHES = 4096
+QUESTIONS_PER_SECOND = 600.0
+QUESTIONS_AT_ONCE = 1200.0
+"""Budget of one process's frames that ask everyone."""
+RETURNED_MEMORY_SECONDS = 5.0
+"""How long it is remembered which hosts do not hold a flow that was not found."""
+
+
+@dataclass
+class SearchCounters:
+    """What the searches of a process came to, and what they cost."""
+
+    searches: int = 0
+    searches_confirming: int = 0
+    """Searches that began by asking several agents which of them has the flow."""
+    searches_found: int = 0
+    searches_given_up: int = 0
+    search_questions: int = 0
+    """Agents asked, the keys of one frame counted one by one; probes of hosts included."""
+
+
+class SearchHandler(Protocol):
+    """What is told of searches that end."""
+
+    def search_found(self, search: Search, holder: Target, now: float) -> None:
+        """Take the holder; the search's packets wait for it."""
+
+    def search_nowhere(self, search: Search, now: float) -> None:
+        """Take note that every agent has denied the flow."""
+
+    def search_unknown(self, search: Search, now: float) -> None:
+        """Take note that some agents did not answer."""
+
+
+@dataclass(slots=True)
+class ReturnedBy:
+    """Agents whose hosts handed back a packet of a flow that was not found, and when."""
+
+    targets: frozenset[Target]
+    noted_at: float
+
+
+@dataclass
+class FlowSearches:
+    """Owns the searches.
+
+    Call `tick` every few milliseconds while there are any, and `flush` after every frame or
+    packet taken.
+    """
+
+    codec: PacketCodec
+    pool: TargetPool
+    send: DatagramSender
+    log: DecisionLog
+    counters: SearchCounters
+    handler: SearchHandler
+    latency: LatencyCounts = field(default_factory=LatencyCounts)
+    _questions: TokenBucket = field(
+        default_factory=lambda: TokenBucket(QUESTIONS_PER_SECOND, QUESTIONS_AT_ONCE, 0.0)
+    )
+    _searches: dict[bytes, Search] = field(default_factory=dict)
+    _returned_by: dict[bytes, ReturnedBy] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Prepare the frames that searches share."""
+        self._batch = QuestionBatch(self.send)
+
+    def __len__(self) -> int:
+        """Return how many searches are open."""
+        return len(self._searches)
+
+    def __contains__(self, key: bytes) -> bool:
+        """Tell whether a flow is being searched."""
+        return key in self._searches
+
+    def hold(self, key: bytes, packet: bytes) -> None:
+        """Keep another packet of a flow that is being searched."""
+        self._searches[key].hold(packet)
+
+    def start(
+        self,
+        key: bytes,
+        packet: bytes,
+        services: list[str],
+        now: float,
+        possible: Sequence[Target] = (),
+    ) -> Search | None:
+        """Begin a search among the agents of these services; None where too many are open."""
+        if len(self._searches) >= MAXIMUM_SEARCHES:
+            return None
+        self.counters.searches += 1
+        self.counters.searches_confirming += bool(possible)
+        known = self._returned_by.get(key)
+        returned = frozenset[Target]() if known is None else known.targets
+        search = Search(key, packet, services, now, returned, possible)
+        self._searches[key] = search
+        self._advance(search, now)
+        return search
+
+    def note_answer(self, key: bytes, target: Target, kind: FrameKind, now: float) -> bool:
+        """Take an agent's answer; False where the flow is not being searched."""
+        search = self._searches.get(key)
+        if search is None:
+            return False
+        search.note_answer(target, kind)
+        self._advance(search, now)
+        return True
+
+    def flush(self) -> None:
+        """Send the questions that were collected."""
+        self._batch.flush()
+
+    def tick(self, now: float) -> None:
+        """Go on with searches whose agents did not answer."""
+        self._begin_second_rounds(now)
+        for search in list(self._searches.values()):
+            if now >= search.deadline and search.key in self._searches:
+                self._advance(search, now)
+
+    def sweep(self, now: float) -> None:
+        """Forget what was remembered for too long; call every few seconds."""
+        for key, known in list(self._returned_by.items()):
+            if now - known.noted_at > RETURNED_MEMORY_SECONDS:
+                del self._returned_by[key]
+
+    def _advance(self, search: Search, now: float) -> None:
+        """Send what the search wants sent, and end it once it has a verdict."""
+        self._take_steps(search, search.advance(self.pool, now))
+        if search.verdict is SearchVerdict.OPEN:
+            return
+        del self._searches[search.key]
+        if search.verdict is SearchVerdict.FOUND:
+            self._found(search, now)
+        elif search.verdict is SearchVerdict.NOWHERE:
+            self.handler.search_nowhere(search, now)
+        else:
+            self._not_found(search, now)
+
+    def _take_steps(self, search: Search, steps: list[SearchStep]) -> None:
+        self.counters.search_questions += len(steps)
+        for step in steps:
+            target = step.target
+            if isinstance(step, Question):
+                self._batch.ask(target, search.key)
+                continue
+            head = target.confirm_head if isinstance(step, Confirm) else target.carry_head
+            self.send(head + step.packet, target.address)
+
+    def _begin_second_rounds(self, now: float) -> None:
+        """Let the searches that are due ask everyone together."""
+        due = [each for each in self._searches.values() if each.is_second_round_due(now)]
+        if not due:
+            return
+        frames = len(self.pool) * -(-len(due) // KEYS_PER_FRAME)
+        asks_everyone = self._questions.take(now, frames)
+        for search in due:
+            steps = search.begin_second_round(self.pool, asks_everyone, now)
+            self._take_steps(search, steps)
+            self._advance(search, now)
+
+    def _found(self, search: Search, now: float) -> None:
+        holder = search.holder
+        assert holder is not None
+        self.counters.searches_found += 1
+        self.latency.observe(now - search.started_at)
+        self.log.note(
+            "flow-found",
+            flow=self.codec.describe(search.key),
+            agent=holder.record.name,
+            asked=len(search.asked),
+            waited_ms=round(1000 * (now - search.started_at), 1),
+        )
+        self.handler.search_found(search, holder, now)
+
+    def _not_found(self, search: Search, now: float) -> None:
+        if search.returned:
+            self._returned_by[search.key] = ReturnedBy(search.returned, now)
+        self.counters.searches_given_up += 1
+        self.log.note(
+            "flow-not-found",
+            flow=self.codec.describe(search.key),
+            asked=len(search.asked),
+            unanswered=",".join(search.unanswered()),
+            rounds=search.rounds,
+        )
+        self.handler.search_unknown(search, now)
--- a/src/jasperwalk/balancer/datagrams/search.py
+++ b/src/jasperwalk/fleet/search.py
@@ -21,7 +21,7 @@
 
 import msgspec
 
-from jasperwalk.balancer.datagrams.targets import Target, TargetPool
+from jasperwalk.fleet.targets import Target, TargetPool
 from jasperwalk.flows.frames import FrameKind
 
 ANSWER_SECONDS = 0.06
--- a/src/jasperwalk/fleet/settings.py
+++ b/src/jasperwalk/fleet/settings.py
@@ -31,6 +31,13 @@
         return f"{self.path}: {self.reason}"
 
 
+class Policies(msgspec.Struct, frozen=True, kw_only=True):
+    """Table `[policies]`: mechanisms that may be switched off, to measure what each is worth."""
+
+    delegated_search: bool = True
+    """Agents search flows on behalf of balancers."""
+
+
 class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
     """What a balancer's and an agent's settings have in common and need not name.
 
@@ -43,6 +50,7 @@
     metrics_listen: str = ""
     metrics_path: str = "/metrics"
     log_level: str = "info"
+    policies: Policies = Policies()
     processor_share: float = 1.0
     processor_speed: float = 1.0
 
--- a/src/jasperwalk/balancer/datagrams/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -99,6 +99,10 @@
         longest = LEAVING_LOST_AFTER_SECONDS if is_leaving else LOST_AFTER_SECONDS
         return now - self.unlisted_since >= longest
 
+    def may_help(self, now: float) -> bool:
+        """Tell whether the agent may be asked to search."""
+        return not self.departed and self.unlisted_since is None and now >= self.suspect_until
+
     def is_usable(self, now: float) -> bool:
         """Tell whether new flows may be sent there."""
         if self.departed or self.record.phase is not HostPhase.READY:
@@ -226,6 +230,20 @@
             found += _ranked(alive, key, SEARCHED_CANDIDATES)
         return found
 
+    def helper(self, key: bytes, now: float) -> Target | None:
+        """Return the agent that searches for a flow on this process's behalf.
+
+        One in this zone where there is any that answers, always the same for a key, so that
+        what a caller sends again joins the search that is under way.
+        """
+        answering = [each for each in self._targets.values() if each.may_help(now)]
+        near = [each for each in answering if each.record.zone == self.zone]
+        return next(iter(_ranked(near or answering, key, 1)), None)
+
+    def services_of(self, tags: Collection[int]) -> list[str]:
+        """Return the services known by these tags."""
+        return [service for service in self._by_service if service_tag(service) in tags]
+
     def all_targets(self) -> list[Target]:
         """Return every agent that may hold flows."""
         return [target for target in self._targets.values() if not target.departed]
--- a/src/jasperwalk/flows/frames.py
+++ b/src/jasperwalk/flows/frames.py
@@ -30,6 +30,9 @@
     CONFIRM = 4
     """Balancer: you may have taken this flow; here is its caller's next packet. Pass it on if it
     follows your host's answer up, and say whether it does."""
+    LOCATE = 5
+    """Balancer: search this flow on my behalf, and pass its packet on. The flags count the tags
+    of the services that may hold it, which come before the packet."""
     ACCEPTED = 11
     """Agent: the new flow went to my host."""
     REFUSED = 12
@@ -44,6 +47,9 @@
     """Agent: my host does not hold the flow of this packet."""
     ANSWERS = 17
     """Agent: `HELD`, `NOT_HELD` or `UNSURE` for each of several flow keys."""
+    LOCATED = 18
+    """Agent: what the search came to; the flags hold a `LocateVerdict`. Where the flow was found
+    the agent's end point stands in place of a packet."""
 
 
 class RefusalReason(enum.IntEnum):
@@ -58,14 +64,32 @@
     """The host does not answer opening packets."""
 
 
+class LocateVerdict(enum.IntEnum):
+    """What a search on a balancer's behalf came to."""
+
+    FOUND = 1
+    NOWHERE = 2
+    UNKNOWN = 3
+    """Some agents did not answer."""
+    UNABLE = 4
+    """This agent cannot search now."""
+
+
 SEARCH_ANSWERS = frozenset((FrameKind.HELD, FrameKind.NOT_HELD, FrameKind.UNSURE))
 REFUSAL_FLAGS = frozenset(RefusalReason)
+VERDICT_FLAGS = frozenset(LocateVerdict)
+REPLY_KINDS = frozenset(
+    kind for kind in FrameKind if kind >= FrameKind.ACCEPTED and kind is not FrameKind.ANSWERS
+)
+"""Kinds of an agent's frames that answer for one flow."""
 
 REQUEST_HEAD = struct.Struct("!BBI")
 """Kind, flags, service tag: in front of what a balancer sends."""
 REPLY_HEAD = struct.Struct("!BBIHH")
 """Kind, flags, service tag, load in `LOAD_UNITS`, capacity: in front of what an agent sends."""
 
+ENDPOINT_BYTES = 6
+"""Address and port of an agent."""
 FLAG_WAIT = 2
 """On `OPEN`: let the flow wait for room; other agents have refused or are known to be full."""
 AGE_SHIFT = 4
@@ -131,10 +155,12 @@
     if len(data) < key_end:
         raise MalformedMessage(reason=f"agent's frame of {len(data)} bytes")
     kind, flags, tag, load, capacity = REPLY_HEAD.unpack_from(data)
-    if not FrameKind.ACCEPTED <= kind <= FrameKind.RETURNED:
+    if kind not in REPLY_KINDS:
         raise MalformedMessage(reason=f"agent's frame of kind {kind}")
     if kind == FrameKind.REFUSED and flags not in REFUSAL_FLAGS:
         raise MalformedMessage(reason=f"refusal for the unknown reason {flags}")
+    if kind == FrameKind.LOCATED and not is_verdict(flags, data[key_end:]):
+        raise MalformedMessage(reason=f"verdict {flags} with {len(data) - key_end} bytes")
     return AgentReply(
         kind=FrameKind(kind),
         flags=flags,
@@ -146,6 +172,35 @@
     )
 
 
+def is_verdict(flags: int, body: bytes) -> bool:
+    """Tell whether a `LOCATED` frame is well formed: an end point where a flow was found."""
+    wanted = ENDPOINT_BYTES if flags == LocateVerdict.FOUND else 0
+    return flags in VERDICT_FLAGS and len(body) == wanted
+
+
+def encode_locate(service_tags: list[int], packet: bytes) -> bytes:
+    """Encode the question for a flow that agents of these services may hold."""
+    tags = struct.pack(f"!{len(service_tags)}I", *service_tags)
+    return REQUEST_HEAD.pack(FrameKind.LOCATE, len(service_tags), 0) + tags + packet
+
+
+class LocateRequest(msgspec.Struct, frozen=True):
+    """A `LOCATE` frame: tags of services, and a caller's packet."""
+
+    service_tags: tuple[int, ...]
+    packet: bytes
+
+
+def decode_locate(data: bytes) -> LocateRequest:
+    """Decode a `LOCATE` frame; raises `MalformedMessage`. The packet is not looked at."""
+    _, count, _ = REQUEST_HEAD.unpack_from(data)
+    tags = struct.Struct(f"!{count}I")
+    packet_starts = REQUEST_HEAD.size + tags.size
+    if len(data) <= packet_starts:
+        raise MalformedMessage(reason=f"question of {len(data)} bytes")
+    return LocateRequest(tags.unpack_from(data, REQUEST_HEAD.size), data[packet_starts:])
+
+
 def encode_answers(answers: list[AgentReply]) -> bytes:
     """Encode answers to one `FIND` frame with several keys, in one frame.
 
--- a/tests/balancer/datagrams/support.py
+++ b/tests/balancer/datagrams/support.py
@@ -6,8 +6,8 @@
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.balancer.datagrams.flow_balancer import FlowBalancer
-from jasperwalk.balancer.datagrams.targets import TargetPool
 from jasperwalk.fleet.messages import FleetUpdate, HostPhase, NodeRecord, NodeRole
+from jasperwalk.fleet.targets import TargetPool
 from jasperwalk.flows.frames import (
     FLAG_WAIT,
     REQUEST_HEAD,
--- a/tests/balancer/datagrams/test_flow_balancer.py
+++ b/tests/balancer/datagrams/test_flow_balancer.py
@@ -5,8 +5,8 @@
     MAXIMUM_TRIES,
     OPEN_TIMEOUT_SECONDS,
 )
-from jasperwalk.balancer.datagrams.search import CONFIRM_SECONDS
 from jasperwalk.fleet.messages import HostPhase
+from jasperwalk.fleet.search import CONFIRM_SECONDS
 from jasperwalk.flows.frames import (
     REQUEST_HEAD,
     FrameKind,
--- a/tests/balancer/datagrams/test_search.py
+++ b/tests/balancer/datagrams/test_search.py
@@ -1,14 +1,14 @@
 import pytest
 
-from jasperwalk.balancer.datagrams.question_batch import KEYS_PER_FRAME
-from jasperwalk.balancer.datagrams.search import (
+from jasperwalk.fleet.messages import HostPhase
+from jasperwalk.fleet.question_batch import KEYS_PER_FRAME
+from jasperwalk.fleet.search import (
     ANSWER_SECONDS,
     MAXIMUM_HELD_PACKETS,
     PROBE_SECONDS,
     ROUND_PAUSE_SECONDS,
 )
-from jasperwalk.balancer.datagrams.targets import SEARCHED_CANDIDATES
-from jasperwalk.fleet.messages import HostPhase
+from jasperwalk.fleet.targets import SEARCHED_CANDIDATES
 from jasperwalk.flows.frames import AgentReply, FrameKind, encode_answers, service_tag
 from jasperwalk.token_bucket import TokenBucket
 from tests.balancer.datagrams.support import Bench, address_of, record
@@ -236,7 +236,7 @@
 
 def test_questions_to_everyone_are_bounded_and_no_flow_is_reset_without_them():
     bench = Bench(*many())
-    bench.core._questions = TokenBucket(0.0, 59.0, 1.0)
+    bench.core.searches._questions = TokenBucket(0.0, 59.0, 1.0)
     callers = search_many(bench, 5)
     for _, number, body in bench.take_sent():
         for key in keys_in(body):
--- a/tests/fleet/test_home_link.py
+++ b/tests/fleet/test_home_link.py
@@ -134,12 +134,15 @@
     play(scenario)
 
 
-def test_an_agent_gets_neither_routes_nor_agents(play):
+def test_an_agent_gets_the_agents_but_no_routes(play):
+    """It searches flows among them on behalf of balancers."""
+
     async def scenario(homes, start):
         (home,) = homes
         agent = start(Node(home.server.endpoint, role=NodeRole.AGENT))
-        await until(lambda: agent.of(HomeStatus))
-        assert agent.of(RoutesUpdate) == agent.of(FleetUpdate) == []
+        await until(lambda: agent.of(HomeStatus) and agent.of(FleetUpdate))
+        assert agent.of(FleetUpdate)[0].whole
+        assert agent.of(RoutesUpdate) == []
 
     play(scenario)
 
--- a/tests/balancer/datagrams/test_targets.py
+++ b/tests/fleet/test_targets.py
@@ -1,13 +1,13 @@
 import random
 from collections import Counter
 
-from jasperwalk.balancer.datagrams.targets import (
+from jasperwalk.fleet.messages import FleetUpdate, HostPhase
+from jasperwalk.fleet.targets import (
     CANDIDATES,
     SEARCHED_CANDIDATES,
     UNLISTED_USABLE_SECONDS,
     TargetPool,
 )
-from jasperwalk.fleet.messages import FleetUpdate, HostPhase
 from tests.balancer.datagrams.support import SEED, address_of, record
 
 KEY = b"flow key"
--- a/tests/flows/fleet_model.py
+++ b/tests/flows/fleet_model.py
@@ -15,9 +15,11 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.agent.datagrams.flow_agent import FlowAgent
 from jasperwalk.agent.datagrams.host import HostAnnouncement, HostState
+from jasperwalk.agent.datagrams.search_helper import SearchHelper
 from jasperwalk.balancer.datagrams.flow_balancer import FlowBalancer
-from jasperwalk.balancer.datagrams.targets import TargetPool
 from jasperwalk.fleet.messages import FleetUpdate, HostPhase, NodeRecord, NodeRole
+from jasperwalk.fleet.targets import TargetPool
+from jasperwalk.flows.frames import FrameKind
 from jasperwalk.flows.routes import FlowRoute, RouteBackend, RouteSet, RouteTable
 from tests.flows.support import (
     LISTENER,
@@ -130,6 +132,13 @@
             flow_lifetime_seconds=LIFETIME,
         )
         self.agent.flow_idle_seconds = IDLE
+        self.helper = SearchHelper(
+            codec=self.world.codec,
+            pool=TargetPool("a", random.Random(self.world.random.random())),
+            send=lambda data, to: self.world.send_to_balancer(self, data, to),
+            log=SilentLog(),
+        )
+        self.helper.fleet_changed(self.world.directory(), self.world.now)
         self.world.tell(self)
 
     def send_to_host(self, packet):
@@ -173,7 +182,13 @@
             self.agent.receive_host_packet(packet, self.world.now)
 
     def receive(self, data, sender):
-        if self.agent is not None:
+        if self.agent is None:
+            return
+        if data[0] == FrameKind.LOCATE:
+            self.helper.locate(data, sender, self.world.now)
+        elif data[0] >= FrameKind.ACCEPTED:
+            self.helper.receive_reply(data, sender, self.world.now)
+        else:
             self.agent.receive_frame(data, sender, self.world.now)
 
 
@@ -200,12 +215,10 @@
             send=lambda data, to: world.send_to_slot(self, data, to),
             reset=world.send_to_caller,
             log=SilentLog(),
+            delegates_searches=world.delegates,
         )
         self.routes.replace(world.route_set())
-        records = [slot.record() for slot in world.slots.values()]
-        # The directory remembers for a while agents that left without a goodbye.
-        lost = [slot.address for slot in world.slots.values() if slot.agent is None]
-        self.core.fleet_changed(FleetUpdate(True, records, lost), world.now)
+        self.core.fleet_changed(world.directory(), world.now)
 
 
 @dataclass
@@ -259,6 +272,8 @@
     slot_count: int = 6
     balancer_count: int = 3
     loss: float = 0.01
+    delegates: bool = False
+    """Whether agents search on behalf of balancers."""
     now: float = 0.0
     violations: list[Violation] = field(default_factory=list)
 
@@ -294,6 +309,7 @@
         for slot in self.slots.values():
             if slot.agent is not None:
                 slot.agent.admit_waiting(self.now)
+                slot.helper.tick(self.now)
         self.later(TICK, self._tick)
 
     def _deliver(self, action, lag=0.0):
@@ -312,7 +328,12 @@
         self._deliver(lambda: slot.receive(data, balancer.address))
 
     def send_to_balancer(self, slot, data, to):
+        """Send an agent's frame to a balancer, or to another agent where it helps."""
         sender = (slot.address.host, slot.address.port)
+        other = next((each for each in self.slots.values() if each.address.host == to[0]), None)
+        if other is not None:
+            self._deliver(lambda: other.receive(data, sender))
+            return
         balancer = next((each for each in self.balancers if each.address == to), None)
         if balancer is not None:
             self._deliver(
@@ -330,6 +351,15 @@
         for balancer in self.balancers:
             delay = self.random.uniform(0.001, 0.05)
             self.later(delay, lambda core=balancer.core: self._told(core, record))
+        for other in self.slots.values():
+            delay = self.random.uniform(0.001, 0.05)
+            self.later(delay, lambda other=other: self._told(other.helper, record))
+
+    def directory(self):
+        """Return the directory whole; it remembers for a while agents that left silently."""
+        records = [slot.record() for slot in self.slots.values()]
+        lost = [slot.address for slot in self.slots.values() if slot.agent is None]
+        return FleetUpdate(True, records, lost)
 
     def _told(self, core, record):
         core.fleet_changed(FleetUpdate(False, [record], []), self.now)
--- a/tests/flows/test_fleet_model.py
+++ b/tests/flows/test_fleet_model.py
@@ -6,7 +6,7 @@
 
 from jasperwalk.agent.datagrams import flow_agent
 from jasperwalk.agent.datagrams.host import HostState
-from jasperwalk.balancer.datagrams import search, targets
+from jasperwalk.fleet import search, targets
 from jasperwalk.fleet.messages import HostPhase
 from jasperwalk.flows.frames import FrameKind
 from tests.flows.fleet_model import play
@@ -17,11 +17,18 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_day_breaks_no_promise(seed):
-    world = play(seed)
+    world = play(seed, delegates=bool(seed % 2))
     assert world.violations == []
     assert len(world.holders) > 20
 
 
+def test_agents_search_on_behalf_of_balancers():
+    world = play(3, delegates=True)
+    counters = [balancer.core.counters for balancer in world.balancers]
+    assert sum(each.searches_delegated for each in counters) > 20
+    assert sum(each.searches for each in counters) < 20
+
+
 def test_the_same_seed_plays_the_same_day():
     first, second = play(7), play(7)
     assert first.order == second.order
@@ -31,7 +38,8 @@
 def broken_promises():
     promises = set()
     for seed in MUTANT_SEEDS:
-        promises.update(violation.promise for violation in play(seed).violations)
+        world = play(seed, delegates=bool(seed % 2))
+        promises.update(violation.promise for violation in world.violations)
     return promises
 
 
