A balancer opens only as many uploads at once as its link drains in a moment

Hypothesis: each upload may have 20 KB under way, and its packets cross a balancer's link of 3.7 Mbit/s twice. Three or more at once make a queue of over 0.2 s; callers then send everything again, which keeps the queue alive, and every other flow waits behind it.

Change: uploads (routes that the operator declares as such) are counted while they send; as many as the link drains in 0.1 s are open at once, further ones wait at most 0.8 s, the oldest first, and are reset at once after that. The link's rate comes from the settings; without it, or on a fat link, nothing changes. Switch: [policies] bulk_admission.

--- a/src/jasperwalk/balancer/datagrams/counters.py
+++ b/src/jasperwalk/balancer/datagrams/counters.py
@@ -21,5 +21,7 @@
     searches_unanswered: int = 0
     """Delegated searches whose agent never answered."""
     flows_reset: int = 0
+    uploads_waited: int = 0
+    """Uploads that waited for room on the link."""
     early_packets: int = 0
     """Packets that came before the first routes."""
--- a/src/jasperwalk/balancer/datagrams/flow_balancer.py
+++ b/src/jasperwalk/balancer/datagrams/flow_balancer.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from jasperwalk.addresses import Endpoint
+from jasperwalk.balancer.datagrams.bulk_admission import BulkAdmission
 from jasperwalk.balancer.datagrams.counters import FlowCounters
 from jasperwalk.balancer.datagrams.delegated_searches import DelegatedSearches
 from jasperwalk.balancer.datagrams.early_packets import EarlyPackets
@@ -46,11 +47,14 @@
     search_latency: LatencyCounts = field(default_factory=LatencyCounts)
     delegates_searches: bool = False
     """True to let agents search on this balancer's behalf."""
+    uploads_limit: int | None = None
+    """Uploads at once, None where the link does not limit them."""
     _flows: dict[bytes, Flow] = field(default_factory=dict)
     _early: EarlyPackets = field(default_factory=EarlyPackets)
 
     def __post_init__(self) -> None:
         """Share the table of flows with what opens them."""
+        self.uploads = BulkAdmission(self.codec, self.uploads_limit)
         self.searches = FlowSearches(
             codec=self.codec,
             pool=self.pool,
@@ -84,7 +88,9 @@
 
     def has_pending(self) -> bool:
         """Tell whether `tick` has anything to do."""
-        return bool(self.searches or self.delegated) or self.opener.has_pending()
+        if self.searches or self.delegated or self.uploads.has_waiting():
+            return True
+        return self.opener.has_pending()
 
     # Callers' packets
 
@@ -122,6 +128,8 @@
             self._receive_unknown(key, packet, now, now)
             return
         self.counters.packets_carried += 1
+        if flow.is_bulk:
+            self.uploads.note_packet(key, packet, now)
         if self.codec.is_opening(packet):
             self.opener.resend(flow, packet, now)
             return
@@ -145,13 +153,37 @@
         route = self.routes.find(self.codec.listener_of(key))
         if route is None:
             self.reject(key, packet, "no-route")
-        elif self.knows(key) or self.opener.is_parked(key):
+        elif self.knows(key) or self.opener.is_parked(key) or key in self.uploads:
             return
         elif self.codec.is_opening(packet):
-            self.opener.open(key, packet, route, arrived_at, now)
+            self._open(key, packet, route, arrived_at, now)
         else:
             self._search(key, packet, route, now)
 
+    def _open(
+        self, key: bytes, packet: bytes, route: RouteEntry, arrived_at: float, now: float
+    ) -> None:
+        """Open a new flow, or let it wait for room on the link."""
+        if route.route.is_bulk and not self.uploads.take(key, packet, route, arrived_at, now):
+            self.counters.uploads_waited += 1
+            return
+        self.opener.open(key, packet, route, arrived_at, now)
+
+    def _work_off_uploads(self, now: float) -> None:
+        """Open uploads that have waited for room, and reset those that came too late."""
+        for key, upload in self.uploads.take_late(now):
+            self.reject(key, upload.packet, "link-full")
+        for key, upload in self.uploads.take_due(now):
+            active, waiting = self.uploads.counts()
+            self.log.note(
+                "upload-admitted",
+                flow=self.codec.describe(key),
+                waited_ms=round(1000 * (now - upload.arrived_at)),
+                under_way=active,
+                waiting=waiting,
+            )
+            self.opener.open(key, upload.packet, upload.route, upload.arrived_at, now)
+
     def reject(self, key: bytes, packet: bytes, reason: str) -> None:
         """Tell the caller at once that its flow is not to be; it decides when to come back."""
         if self.codec.is_reset(packet):
@@ -220,7 +252,9 @@
     def _take_holder(
         self, key: bytes, holder: Target, packets: Sequence[bytes], now: float
     ) -> None:
-        self._flows[key] = Flow(holder, now)
+        route = self.routes.find(self.codec.listener_of(key))
+        is_bulk = route is not None and route.route.is_bulk
+        self._flows[key] = Flow(holder, now, is_bulk=is_bulk)
         for packet in packets:
             self.send(holder.carry_head + packet, holder.address)
 
@@ -303,6 +337,7 @@
     def tick(self, now: float) -> None:
         """Give up waiting for agents that do not answer."""
         self.opener.tick(now)
+        self._work_off_uploads(now)
         self.searches.tick(now)
         self.delegated.tick(now)
         self.searches.flush()
--- a/src/jasperwalk/balancer/datagrams/flow_opener.py
+++ b/src/jasperwalk/balancer/datagrams/flow_opener.py
@@ -153,7 +153,7 @@
         opening.answers[target] = OpeningAnswer.MISSING
         opening.deadline = now + OPEN_TIMEOUT_SECONDS
         target.sent_since += 1
-        flow = Flow(target, now, opening)
+        flow = Flow(target, now, opening, opening.route.route.is_bulk)
         self.flows[key] = flow
         self._waiting_for_answers[key] = flow
         head = target.open_head(now - opening.began_at, opening.waits)
--- a/src/jasperwalk/balancer/datagrams/openings.py
+++ b/src/jasperwalk/balancer/datagrams/openings.py
@@ -56,3 +56,5 @@
     target: Target
     seen_at: float
     opening: Opening | None = None
+    is_bulk: bool = False
+    """True for an upload, whose packets load the link."""
--- a/src/jasperwalk/balancer/datagrams/process.py
+++ b/src/jasperwalk/balancer/datagrams/process.py
@@ -11,6 +11,7 @@
 import structlog
 
 from jasperwalk.addresses import Endpoint
+from jasperwalk.balancer.datagrams.bulk_admission import uploads_at_once
 from jasperwalk.balancer.datagrams.flow_balancer import FlowBalancer
 from jasperwalk.balancer.datagrams.packet_intake import PacketIntake
 from jasperwalk.fleet.figures import ProcessFigures, metrics_server
@@ -41,6 +42,13 @@
 logger = structlog.get_logger(__name__)
 
 
+def _uploads_limit(settings: BalancerNodeSettings) -> int | None:
+    """Return how many uploads the link carries at once, None where nothing limits them."""
+    if not settings.policies.bulk_admission:
+        return None
+    return uploads_at_once(settings.link_megabits, settings.caller_window_bytes)
+
+
 class BalancerProcess:
     """Owns a balancer's parts; `run` serves until its stop event is set."""
 
@@ -75,6 +83,7 @@
             reset=self._send_to_caller,
             log=decisions,
             delegates_searches=settings.policies.delegated_search,
+            uploads_limit=_uploads_limit(settings),
         )
         self._intake = PacketIntake(self.core)
         self._taking_in = False
--- a/src/jasperwalk/fleet/settings.py
+++ b/src/jasperwalk/fleet/settings.py
@@ -36,6 +36,8 @@
 
     delegated_search: bool = True
     """Agents search flows on behalf of balancers."""
+    bulk_admission: bool = True
+    """A balancer opens only as many uploads at once as its link drains in a moment."""
 
 
 class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -66,6 +68,10 @@
     name: str
     zone: str
     callers_listen: str
+    link_megabits: float = 0.0
+    """The link's rate in megabits a second, 0 where it is not known."""
+    caller_window_bytes: int = 20_000
+    """What a caller may have under way on one flow."""
     readiness_listen: str
     frames_listen: str
     replica_port: int
--- a/src/jasperwalk/flows/routes.py
+++ b/src/jasperwalk/flows/routes.py
@@ -20,6 +20,8 @@
     name: str
     listener: Endpoint
     backends: list[RouteBackend]
+    is_bulk: bool = False
+    """True where callers send far more than they are answered: uploads."""
 
     def services(self) -> list[str]:
         """Return the names of the services."""
@@ -97,7 +99,8 @@
         current = self._entries.get(listener)
         if current is None:
             return RouteEntry(route, frozenset())
-        if current.route.backends == route.backends:
+        is_same = current.route.backends == route.backends
+        if is_same and current.route.is_bulk == route.is_bulk:
             return current
         return RouteEntry(route, current.past_services)
 
--- a/tests/platform_adapter/test_configuration_document.py
+++ b/tests/platform_adapter/test_configuration_document.py
@@ -52,6 +52,14 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("kind", "is_bulk"), [("upload", True), ("safe", False), ("download", False), (None, False)]
+)
+def test_routes_of_uploads_are_bulk(kind, is_bulk):
+    body = changed(lambda each: each["routes"][0].update(routeType=kind))
+    assert parse_configuration(body).routes[0].is_bulk is is_bulk
+
+
 def test_a_part_with_no_weight_beside_one_with_is_valid():
     body = changed(lambda each: each["routes"][1]["backends"][0].update(weight=0))
     assert parse_configuration(body).routes[1].backends[0].weight == 0.0
