Uploads stay in their zone; a host has 1.4 requests a slot at hand instead of two

(b) After an outage hosts are cold; with two requests a slot each waits for a whole one before it and misses its objective by little.

Changes: (a) an upload leaves its zone only where hosts there are busier by a request a slot; (b) agents refuse at 1.4 requests a slot, so that flows wait where the newest goes first.

Tests: test_flow_admission.py (the tests fill a host by its limit instead of by four), test_targets.py.

--- a/src/jasperwalk/agent/datagrams/admission.py
+++ b/src/jasperwalk/agent/datagrams/admission.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+import math
+
 from jasperwalk.agent.datagrams.host import HostState
 from jasperwalk.agent.datagrams.host_response import HostResponse
 from jasperwalk.fleet.messages import HostPhase
 from jasperwalk.flows.frames import FULL_LOAD_PER_SLOT, RefusalReason
 
 
+def most_requests(capacity: int) -> int:
+    """Return how many requests may be under way at a host with this many slots."""
+    return math.ceil(FULL_LOAD_PER_SLOT * capacity)
+
+
 def refusal_of(
     host: HostState, response: HostResponse, busy: int, now: float
 ) -> RefusalReason | None:
@@ -18,6 +25,6 @@
         return RefusalReason.NOT_READY
     if response.refuses(host.heard_at, now):
         return RefusalReason.SILENT
-    if busy >= FULL_LOAD_PER_SLOT * host.capacity:
+    if busy >= most_requests(host.capacity):
         return RefusalReason.FULL
     return None
--- a/src/jasperwalk/balancer/datagrams/flow_opener.py
+++ b/src/jasperwalk/balancer/datagrams/flow_opener.py
@@ -144,7 +144,8 @@
     ) -> Target | None:
         """Return the best agent of the chosen service, or else of the route's others."""
         for service in dict.fromkeys([opening.service, *opening.route.route.services()]):
-            target = self.pool.choose(service, key, excluded, now)
+            is_bulk = opening.route.route.is_bulk
+            target = self.pool.choose(service, key, excluded, now, is_bulk)
             if target is not None:
                 return target
         return None
--- a/src/jasperwalk/fleet/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -46,6 +46,9 @@
 """More than any load: a suspect is chosen only if no other is left."""
 OTHER_ZONE_COST = 0.12
 """What crossing zones adds to an agent's relative load: bytes between zones are paid for."""
+BULK_OTHER_ZONE_COST = 1.0
+"""The same for uploads, whose every packet crosses: another zone only where this one is busier
+by a request for each slot."""
 SLOW_START_FACTOR = 2.0
 """How much an agent's load counts while its host is in slow start."""
 JITTER = 0.05
@@ -192,17 +195,25 @@
         return self._by_address.get(address)
 
     def choose(
-        self, service: str, key: bytes, excluded: Collection[Target], now: float
+        self,
+        service: str,
+        key: bytes,
+        excluded: Collection[Target],
+        now: float,
+        is_bulk: bool = False,
     ) -> Target | None:
         """Return the least loaded usable candidate for a flow key, None where there is none."""
         usable = [each for each in self._by_service.get(service, ()) if each.is_usable(now)]
         candidates = [each for each in _ranked(usable, key, CANDIDATES) if each not in excluded]
-        return min(candidates, key=lambda target: self._cost(target, now), default=None)
+        other_zone_cost = BULK_OTHER_ZONE_COST if is_bulk else OTHER_ZONE_COST
+        return min(
+            candidates, key=lambda target: self._cost(target, other_zone_cost, now), default=None
+        )
 
-    def _cost(self, target: Target, now: float) -> float:
+    def _cost(self, target: Target, other_zone_cost: float, now: float) -> float:
         cost = target.relative_load(now) + self.source.random() * JITTER
         if target.record.zone != self.zone:
-            cost += OTHER_ZONE_COST
+            cost += other_zone_cost
         if now < target.suspect_until:
             cost += SUSPECT_COST
         return cost
--- a/src/jasperwalk/flows/frames.py
+++ b/src/jasperwalk/flows/frames.py
@@ -100,10 +100,11 @@
 LOAD_UNIT = 0.01
 """Requests under way that one unit of the load field stands for."""
 HIGHEST_LOAD = 0xFFFF
-FULL_LOAD_PER_SLOT = 2
+FULL_LOAD_PER_SLOT = 1.4
 """Requests under way for each of a host's slots at which its agent refuses new flows, and a
-balancer expects it to: every slot has its next request at hand then, and further ones wait
-better elsewhere."""
+balancer expects it to. A host with a few slots has its next request at hand then; with one more
+for each slot every request would wait for a whole one before it, which is late on a cold host.
+Further ones wait better where the newest goes first."""
 
 
 def service_tag(service: str) -> int:
--- a/tests/agent/datagrams/support.py
+++ b/tests/agent/datagrams/support.py
@@ -1,6 +1,7 @@
 """An agent, its host, and what left it."""
 
 from jasperwalk.addresses import Endpoint
+from jasperwalk.agent.datagrams.admission import most_requests
 from jasperwalk.agent.datagrams.flow_agent import FlowAgent
 from jasperwalk.agent.datagrams.host import HostAnnouncement, HostState
 from jasperwalk.fleet.messages import HostPhase
@@ -23,6 +24,8 @@
 BALANCER = ("10.0.0.1", 7601)
 OTHER_BALANCER = ("10.0.0.2", 7601)
 LIFETIME = 60.0
+CAPACITY = 2
+"""Slots of the host."""
 
 
 class Bench:
@@ -48,7 +51,7 @@
             self.say(phase, 1)
 
     def say(self, phase, number):
-        self.host.announce(HostAnnouncement("h1", phase, 2, 0.0, number), 0.0)
+        self.host.announce(HostAnnouncement("h1", phase, CAPACITY, 0.0, number), 0.0)
 
     def frame(self, kind, body, now=1.0, service="web", sender=BALANCER, flags=0):
         data = encode_request(kind, flags, service_tag(service), body)
@@ -60,7 +63,8 @@
 
     def fill(self):
         """Bring the host to its limit; return the callers."""
-        callers = [Endpoint("100.64.0.9", port) for port in range(1, 5)]
+        ports = range(1, 1 + most_requests(CAPACITY))
+        callers = [Endpoint("100.64.0.9", port) for port in ports]
         for caller in callers:
             assert self.open(caller=caller).kind is FrameKind.ACCEPTED
         self.host_packets.clear()
--- a/tests/agent/datagrams/test_flow_admission.py
+++ b/tests/agent/datagrams/test_flow_admission.py
@@ -3,6 +3,7 @@
 import pytest
 
 from jasperwalk.addresses import Endpoint
+from jasperwalk.agent.datagrams.admission import most_requests
 from jasperwalk.agent.datagrams.admission_queue import LONGEST_WAIT_SECONDS
 from jasperwalk.agent.datagrams.half_open import ANSWER_EXPECTED_SECONDS
 from jasperwalk.agent.datagrams.host_response import HOST_SILENCE_SECONDS, SILENT_LOAD_FACTOR
@@ -210,3 +211,8 @@
     bench.agent.receive_host_packet(from_host(ENDING, caller=callers[0]), 3.0)
     assert bench.host_packets == []
     assert len(bench.caller_packets) == 2
+
+
+@pytest.mark.parametrize(("slots", "requests"), [(1, 2), (2, 3), (3, 5), (4, 6), (10, 14)])
+def test_a_host_has_its_next_requests_at_hand_and_no_more(slots, requests):
+    assert most_requests(slots) == requests
--- a/tests/fleet/test_targets.py
+++ b/tests/fleet/test_targets.py
@@ -1,6 +1,8 @@
 import random
 from collections import Counter
 
+import pytest
+
 from jasperwalk.fleet.messages import FleetUpdate, HostPhase
 from jasperwalk.fleet.targets import (
     CANDIDATES,
@@ -151,3 +153,14 @@
     made.update(FleetUpdate(True, [record(1), record(2)], lost, [4.0, 0.5]), 10.0)
     assert made.at(("10.0.0.1", 7602)).is_lost(10.0)
     assert not made.at(("10.0.0.2", 7602)).is_lost(10.0)
+
+
+@pytest.mark.parametrize(("busy", "expected"), [(0, 1), (3, 1), (5, 2)])
+def test_an_upload_leaves_its_zone_only_where_hosts_there_are_much_busier(busy, expected):
+    """Its every packet would cross; other flows move at a fraction of that difference."""
+    made = pool(record(1, zone="a"), record(2, zone="b"))
+    load(made, 1, busy)
+    target = made.choose("web", KEY, (), 1.0, is_bulk=True)
+    assert target.record.name == f"agent-{expected}"
+    if busy:
+        assert chosen(made) == "agent-2"
