--- a/src/jasperwalk/flows/frames.py
+++ b/src/jasperwalk/flows/frames.py
@@ -194,6 +194,8 @@
 
 def decode_locate(data: bytes) -> LocateRequest:
     """Decode a `LOCATE` frame; raises `MalformedMessage`. The packet is not looked at."""
+    if len(data) < REQUEST_HEAD.size:
+        raise MalformedMessage(reason=f"question of {len(data)} bytes")
     _, count, _ = REQUEST_HEAD.unpack_from(data)
     tags = struct.Struct(f"!{count}I")
     packet_starts = REQUEST_HEAD.size + tags.size
