--- /dev/null
+++ b/tests/balancer/datagrams/thin_link_model.py
@@ -0,0 +1,137 @@
+"""A model of one balancer on a thin link under uploads, on virtual time and from one seed.
+
+Each upload's packets cross the link twice, in and out, first come first served. A caller has a
+bounded number of packets under way, and sends a packet again that was not acknowledged in time,
+as callers do that cannot tell a queue from a loss. The product's own admission decides.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass, field
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.balancer.datagrams.bulk_admission import BulkAdmission, uploads_at_once
+from tests.flows.support import ENDING, PlainCodec, from_caller
+
+PACKET_BYTES = 1232
+PACKETS = 33
+WINDOW = 16
+FIRST_RETRY_SECONDS = 0.2
+LONGEST_RETRY_SECONDS = 1.6
+DELAY_SECONDS = 0.002
+OBJECTIVE_SECONDS = 1.0
+TRIES = 3
+TICK_SECONDS = 0.02
+
+
+@dataclass(eq=False)
+class Upload:
+    """One upload of a caller; it is tried again where it is reset."""
+
+    number: int
+    began_at: float
+    tries: int = 1
+    next_packet: int = 0
+    acknowledged: set[int] = field(default_factory=set)
+    ended_at: float | None = None
+
+    def caller(self):
+        return Endpoint("100.64.0.1", self.number * TRIES + self.tries)
+
+    def key(self):
+        return PlainCodec().flow_key(from_caller(caller=self.caller()))
+
+    def packet(self, flags=0):
+        return from_caller(flags, b"data", caller=self.caller())
+
+
+class ThinLink:
+    """Plays uploads through one balancer; `limited` switches the admission on."""
+
+    def __init__(self, seed, megabits, limited):
+        self.random = random.Random(seed)
+        self.bytes_per_second = megabits * 1e6 / 8
+        limit = uploads_at_once(megabits, WINDOW * PACKET_BYTES) if limited else None
+        self.admission = BulkAdmission(PlainCodec(), limit)
+        self.now, self.events, self.order = 0.0, [], 0
+        self.free_at = {"in": 0.0, "out": 0.0}
+        self.uploads = []
+        self.open = {}
+
+    def later(self, delay, action):
+        self.order += 1
+        heapq.heappush(self.events, (self.now + delay, self.order, action))
+
+    def play(self, rate_at, seconds):
+        """Let uploads arrive at `rate_at(second)` a second."""
+        at = 0.0
+        while at < seconds:
+            at += self.random.expovariate(rate_at(at))
+            self.later(at, self.arrive)
+        self.later(TICK_SECONDS, self.tick)
+        while self.events and self.events[0][0] < seconds + 8.0:
+            self.now, _, action = heapq.heappop(self.events)
+            action()
+
+    def tick(self):
+        for key, _ in self.admission.take_late(self.now):
+            self.reset(self.open.pop(key))
+        for key, _ in self.admission.take_due(self.now):
+            self.send_more(self.open[key])
+        self.later(TICK_SECONDS, self.tick)
+
+    def arrive(self):
+        upload = Upload(len(self.uploads), self.now)
+        self.uploads.append(upload)
+        self.begin(upload)
+
+    def begin(self, upload):
+        key = upload.key()
+        self.open[key] = upload
+        if self.admission.take(key, upload.packet(), None, self.now, self.now):
+            self.send_more(upload)
+
+    def reset(self, upload):
+        if upload.tries < TRIES:
+            upload.tries += 1
+            self.later(DELAY_SECONDS, lambda: self.begin(upload))
+
+    def send_more(self, upload):
+        while upload.next_packet < min(PACKETS, len(upload.acknowledged) + WINDOW):
+            self.send(upload, upload.next_packet, FIRST_RETRY_SECONDS)
+            upload.next_packet += 1
+
+    def send(self, upload, position, patience):
+        if position in upload.acknowledged:
+            return
+        self.cross("in", lambda: self.carry(upload, position))
+        following = min(2 * patience, LONGEST_RETRY_SECONDS)
+        self.later(patience, lambda: self.send(upload, position, following))
+
+    def cross(self, direction, arrived):
+        start = max(self.now, self.free_at[direction])
+        self.free_at[direction] = start + PACKET_BYTES / self.bytes_per_second
+        self.later(self.free_at[direction] - self.now + DELAY_SECONDS, arrived)
+
+    def carry(self, upload, position):
+        self.admission.note_packet(upload.key(), upload.packet(), self.now)
+        self.cross("out", lambda: self.acknowledge(upload, position))
+
+    def acknowledge(self, upload, position):
+        upload.acknowledged.add(position)
+        if len(upload.acknowledged) == PACKETS and upload.ended_at is None:
+            upload.ended_at = self.now
+            self.admission.note_packet(upload.key(), upload.packet(ENDING), self.now)
+        self.send_more(upload)
+
+    def in_time(self, since, until):
+        """Return the share of uploads begun in this span that met their objective."""
+        begun = [each for each in self.uploads if since <= each.began_at < until]
+        met = [
+            each
+            for each in begun
+            if each.ended_at is not None and each.ended_at - each.began_at <= OBJECTIVE_SECONDS
+        ]
+        return len(met) / len(begun)
