--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -13,9 +13,10 @@
 
 from jasperwalk.agent.datagrams.admission import refusal_of
 from jasperwalk.agent.datagrams.admission_queue import AdmissionQueue, WaitingFlow
+from jasperwalk.agent.datagrams.balancer_answers import BalancerAnswers
 from jasperwalk.agent.datagrams.counters import AgentCounters
 from jasperwalk.agent.datagrams.half_open import HalfOpenFlows
-from jasperwalk.agent.datagrams.held_flow import HeldFlow
+from jasperwalk.agent.datagrams.held_flow import ENDED_LINGER_SECONDS, NO_BALANCER, HeldFlow
 from jasperwalk.agent.datagrams.host import HostState
 from jasperwalk.agent.datagrams.host_response import SILENT_LOAD_FACTOR, HostResponse
 from jasperwalk.agent.datagrams.load import LoadMeter
@@ -24,19 +25,15 @@
 from jasperwalk.flows.frames import (
     FLAG_WAIT,
     REQUEST_HEAD,
-    AgentReply,
     FrameKind,
     RefusalReason,
-    encode_answers,
-    encode_reply,
     opening_age_seconds,
     service_tag,
+    split_keys,
 )
 from jasperwalk.observability.decisions import DecisionLog
 from jasperwalk.observability.latency import LatencyCounts
 
-ENDED_LINGER_SECONDS = 6.0
-"""A flow that ended is kept this long: its last packets may be sent again."""
 SILENT_HOST_SECONDS = 4.0
 """A host that has not spoken this long after its agent's start is not there."""
 STUCK_REQUEST_SECONDS = 2.5
@@ -45,8 +42,6 @@
 LIFETIME_SLACK_SECONDS = 10.0
 IDLE_SLACK = 2.0
 """Seconds added to the longest rest of a flow: packets under way, clocks of both sides."""
-NO_BALANCER: SocketAddress = ("0.0.0.0", 0)
-"""Stands for the balancer of a flow that waited, until its next packet names one."""
 
 
 @dataclass
@@ -72,11 +67,11 @@
     _flows: dict[bytes, HeldFlow] = field(default_factory=dict)
     _host_started_here: bool = False
     _half_open: HalfOpenFlows = field(default_factory=HalfOpenFlows)
-    _told_silent: bool = False
 
     def __post_init__(self) -> None:
         """Prepare what every frame needs."""
         self._tag = service_tag(self.service)
+        self.answers = BalancerAnswers(self._tag, self.host, self._load, self.to_balancer)
         self.meter = LoadMeter(self.started_at)
         self.queue = AdmissionQueue(self.started_at)
         self.response = HostResponse()
@@ -109,17 +104,12 @@
 
     def _find(self, keys: bytes, tag: int, sender: SocketAddress, now: float) -> None:
         """Answer whether flows are held, one or several in a frame."""
-        length = self.codec.flow_key_bytes
-        if not keys or len(keys) % length:
+        asked = split_keys(keys, self.codec.flow_key_bytes)
+        if not asked:
             self.counters.frames_malformed += 1
             return
-        each_key = [keys[at : at + length] for at in range(0, len(keys), length)]
-        load = self._load(now)
-        answers = [
-            self._make_reply(self._answer(key, tag, sender, now), key, load) for key in each_key
-        ]
-        frame = encode_reply(answers[0]) if len(answers) == 1 else encode_answers(answers)
-        self.to_balancer(frame, sender)
+        kinds = {key: self._answer(key, tag, sender, now) for key in asked}
+        self.answers.reply_all(kinds, sender, now)
 
     def _answer(self, key: bytes, tag: int, sender: SocketAddress, now: float) -> FrameKind:
         flow = self._flows.get(key)
@@ -161,17 +151,21 @@
         if tag != self._tag:
             # The address was another service's when the balancer learned it.
             self.counters.other_service_drops += 1
-            self._reply(FrameKind.RETURNED, 0, key, sender, now, packet)
+            self.answers.reply(FrameKind.RETURNED, 0, key, sender, now, packet)
             return
         flow = self._flows.get(key)
         if flow is None:
             if self._knows_all_flows(now):
-                self._reply(FrameKind.RETURNED, 0, key, sender, now, packet)
+                self.answers.reply(FrameKind.RETURNED, 0, key, sender, now, packet)
                 return
             flow = self._flows[key] = HeldFlow(sender, now, now, confirmed=False)
-        elif not flow.followed_up and flow.answer_numbers and not self._is_followed(flow, packet):
+        elif (
+            not flow.followed_up
+            and flow.answer_numbers
+            and not flow.is_followed(packet, self.codec)
+        ):
             self._let_go(key, flow, now)
-            self._reply(FrameKind.RETURNED, 0, key, sender, now, packet)
+            self.answers.reply(FrameKind.RETURNED, 0, key, sender, now, packet)
             return
         flow.balancer = sender
         flow.seen_at = now
@@ -187,7 +181,7 @@
         flow = self._flows.get(key)
         if flow is None or flow.followed_up or tag != self._tag:
             answer = self._answer(key, tag, sender, now)
-        elif self._is_followed(flow, packet):
+        elif flow.is_followed(packet, self.codec):
             answer = FrameKind.HELD
         else:
             self._let_go(key, flow, now)
@@ -202,14 +196,10 @@
             answer=answer.name.lower(),
             opened_ms=-1 if flow is None else round(1000 * (now - flow.opened_at)),
         )
-        self._reply(answer, 0, key, sender, now)
+        self.answers.reply(answer, 0, key, sender, now)
         if answer is FrameKind.HELD:
             self._carry(packet, tag, sender, now)
 
-    def _is_followed(self, flow: HeldFlow, packet: bytes) -> bool:
-        """Tell whether a half-open flow's caller has chosen this host."""
-        return any(self.codec.follows(packet, number) for number in flow.answer_numbers)
-
     def _let_go(self, key: bytes, flow: HeldFlow, now: float) -> None:
         """Forget a half-open flow whose caller chose another host."""
         self.counters.flows_opened_elsewhere += 1
@@ -246,15 +236,15 @@
         if reason is RefusalReason.FULL and is_copy:
             reason = None
         if reason is RefusalReason.FULL and self._lets_wait(key, packet, flags, now):
-            self._reply(FrameKind.ACCEPTED, 0, key, sender, now)
+            self.answers.reply(FrameKind.ACCEPTED, 0, key, sender, now)
             return
         if reason is not None:
             self.counters.flows_refused += 1
-            self._reply(FrameKind.REFUSED, reason, key, sender, now)
+            self.answers.reply(FrameKind.REFUSED, reason, key, sender, now)
             return
         if not is_copy:
             self._admit(key, sender, now)
-        self._reply(FrameKind.ACCEPTED, 0, key, sender, now)
+        self.answers.reply(FrameKind.ACCEPTED, 0, key, sender, now)
         self.to_host(packet)
 
     def _lets_wait(self, key: bytes, packet: bytes, flags: int, now: float) -> bool:
@@ -320,34 +310,7 @@
             busy=self.meter.busy,
             capacity=self.host.capacity,
             waited_ms=round(1000 * waited_seconds),
-            host=self.host.host_id,
-            host_call=self.host.call_number,
-            host_heard_ms=round(1000 * (now - self.host.heard_at)),
-        )
-
-    def _reply(
-        self,
-        kind: FrameKind,
-        flags: int,
-        key: bytes,
-        sender: SocketAddress,
-        now: float,
-        packet: bytes = b"",
-    ) -> None:
-        reply = self._make_reply(kind, key, self._load(now), flags, packet)
-        self.to_balancer(encode_reply(reply), sender)
-
-    def _make_reply(
-        self, kind: FrameKind, key: bytes, load: float, flags: int = 0, packet: bytes = b""
-    ) -> AgentReply:
-        return AgentReply(
-            kind=kind,
-            flags=flags,
-            tag=self._tag,
-            load=load,
-            capacity=self.host.capacity,
-            flow_key=key,
-            packet=packet,
+            **self.host.describe(now),
         )
 
     def _load(self, now: float) -> float:
@@ -357,12 +320,9 @@
 
     def _tell_silence(self, now: float) -> None:
         """Log that the host no longer answers, or does again."""
-        is_silent = self.response.is_silent(now)
-        if is_silent != self._told_silent:
-            self._told_silent = is_silent
-            event = "host-silent" if is_silent else "host-answers-again"
-            heard_ms = round(1000 * (now - self.host.heard_at))
-            self.log.note(event, host=self.host.host_id, host_heard_ms=heard_ms)
+        if self.response.has_turned(now):
+            event = "host-silent" if self.response.is_silent(now) else "host-answers-again"
+            self.log.note(event, **self.host.describe(now))
 
     # From the host
 
@@ -390,7 +350,7 @@
             flow.note_answer(self.codec.opening_answer_number(packet))
         if not flow.confirmed and flow.followed_up:
             flow.confirmed = True
-            self._reply(FrameKind.HELD, 0, key, flow.balancer, now)
+            self.answers.reply(FrameKind.HELD, 0, key, flow.balancer, now)
         if self.codec.payload_bytes(packet):
             if flow.busy:
                 self.queue.completions.note(now)
@@ -422,9 +382,9 @@
         if flow.balancer == NO_BALANCER:
             self.to_caller(self.codec.reset_for(packet), self.codec.caller_of(key))
         elif is_opening:
-            self._reply(FrameKind.REFUSED, RefusalReason.RETURNED, key, flow.balancer, now)
+            self.answers.reply(FrameKind.REFUSED, RefusalReason.RETURNED, key, flow.balancer, now)
         else:
-            self._reply(FrameKind.RETURNED, 0, key, flow.balancer, now, packet)
+            self.answers.reply(FrameKind.RETURNED, 0, key, flow.balancer, now, packet)
 
     # Time
 
--- a/src/jasperwalk/agent/datagrams/held_flow.py
+++ b/src/jasperwalk/agent/datagrams/held_flow.py
@@ -4,10 +4,14 @@
 
 from dataclasses import dataclass
 
-from jasperwalk.flows.codec import SocketAddress
+from jasperwalk.flows.codec import PacketCodec, SocketAddress
 
 NUMBER_SPAN = 2**32
 """Numbers of data wrap around here."""
+NO_BALANCER: SocketAddress = ("0.0.0.0", 0)
+"""Stands for the balancer of a flow that waited, until its next packet names one."""
+ENDED_LINGER_SECONDS = 6.0
+"""A flow that ended is kept this long: its last packets may be sent again."""
 MAXIMUM_ANSWERS = 3
 """A caller sends its opening packet this often."""
 
@@ -53,6 +57,10 @@
         if number is not None and number not in self.answer_numbers:
             self.answer_numbers = (*self.answer_numbers, number)[-MAXIMUM_ANSWERS:]
 
+    def is_followed(self, packet: bytes, codec: PacketCodec) -> bool:
+        """Tell whether a packet shows that the caller of this half-open flow chose this host."""
+        return any(codec.follows(packet, number) for number in self.answer_numbers)
+
     def has_ended(self) -> bool:
         """Tell whether both sides have sent their last."""
         return self.caller_ended and self.host_ended
--- a/src/jasperwalk/agent/datagrams/host.py
+++ b/src/jasperwalk/agent/datagrams/host.py
@@ -73,6 +73,11 @@
         """Tell whether the host drains and has not said goodbye yet."""
         return self.phase is HostPhase.DRAINING and not self.has_left()
 
+    def describe(self, now: float) -> dict[str, object]:
+        """Return what a log line tells of the host: who, its last call, and that call's age."""
+        heard_ms = round(1000 * (now - self.heard_at))
+        return {"host": self.host_id, "host_call": self.call_number, "host_heard_ms": heard_ms}
+
     def slow_start_seconds(self, now: float) -> float:
         """Return how much longer the host is slow from its start."""
         return max(0.0, self.slow_until - now)
--- a/src/jasperwalk/agent/datagrams/host_response.py
+++ b/src/jasperwalk/agent/datagrams/host_response.py
@@ -26,6 +26,7 @@
 
     _unanswered_since: float | None = None
     _tried_at: float = 0.0
+    _was_silent: bool = False
 
     def note_asked(self, now: float) -> None:
         """Note that the host got an opening packet."""
@@ -44,6 +45,11 @@
         since = self._unanswered_since
         return since is not None and now - since > HOST_SILENCE_SECONDS
 
+    def has_turned(self, now: float) -> bool:
+        """Tell whether the host has fallen silent, or answers again, since the last call."""
+        was_silent, self._was_silent = self._was_silent, self.is_silent(now)
+        return was_silent != self._was_silent
+
     def refuses(self, announced_at: float, now: float) -> bool:
         """Tell whether a new flow is kept from the host, which last announced itself then."""
         since = self._unanswered_since
--- a/src/jasperwalk/flows/frames.py
+++ b/src/jasperwalk/flows/frames.py
@@ -179,6 +179,13 @@
     return flags in VERDICT_FLAGS and len(body) == wanted
 
 
+def split_keys(body: bytes, flow_key_bytes: int) -> list[bytes]:
+    """Return the flow keys of a `FIND` frame's body, none where it is malformed."""
+    if len(body) % flow_key_bytes:
+        return []
+    return [body[at : at + flow_key_bytes] for at in range(0, len(body), flow_key_bytes)]
+
+
 def encode_locate(service_tags: list[int], packet: bytes) -> bytes:
     """Encode the question for a flow that agents of these services may hold."""
     tags = struct.pack(f"!{len(service_tags)}I", *service_tags)
