--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -16,7 +16,7 @@
 from jasperwalk.agent.datagrams.balancer_answers import BalancerAnswers
 from jasperwalk.agent.datagrams.counters import AgentCounters
 from jasperwalk.agent.datagrams.half_open import HalfOpenFlows
-from jasperwalk.agent.datagrams.held_flow import ENDED_LINGER_SECONDS, NO_BALANCER, HeldFlow
+from jasperwalk.agent.datagrams.held_flow import NO_BALANCER, HeldFlow
 from jasperwalk.agent.datagrams.host import HostState
 from jasperwalk.agent.datagrams.host_response import SILENT_LOAD_FACTOR, HostResponse
 from jasperwalk.agent.datagrams.load import LoadMeter
@@ -36,9 +36,6 @@
 
 SILENT_HOST_SECONDS = 4.0
 """A host that has not spoken this long after its agent's start is not there."""
-STUCK_REQUEST_SECONDS = 2.5
-"""A request without a packet for this long no longer counts as under way: its caller has left, or
-the agent took the copy of a request for a new one, because it started after the answer."""
 LIFETIME_SLACK_SECONDS = 10.0
 IDLE_SLACK = 2.0
 """Seconds added to the longest rest of a flow: packets under way, clocks of both sides."""
@@ -394,9 +391,8 @@
         self.admit_waiting(now)
         longest = self.flow_lifetime_seconds + LIFETIME_SLACK_SECONDS
         for key, flow in list(self._flows.items()):
-            idle = now - flow.seen_at
-            if idle > STUCK_REQUEST_SECONDS:
+            if flow.is_stuck(now):
                 self._set_busy(flow, False, now)
-            if (flow.has_ended() and idle > ENDED_LINGER_SECONDS) or idle > longest:
+            if flow.is_over(now, longest):
                 self._set_busy(flow, False, now)
                 del self._flows[key]
--- a/src/jasperwalk/agent/datagrams/held_flow.py
+++ b/src/jasperwalk/agent/datagrams/held_flow.py
@@ -12,6 +12,9 @@
 """Stands for the balancer of a flow that waited, until its next packet names one."""
 ENDED_LINGER_SECONDS = 6.0
 """A flow that ended is kept this long: its last packets may be sent again."""
+STUCK_REQUEST_SECONDS = 2.5
+"""A request without a packet for this long no longer counts as under way: its caller has left, or
+the agent took the copy of a request for a new one, because it started after the answer."""
 MAXIMUM_ANSWERS = 3
 """A caller sends its opening packet this often."""
 
@@ -61,6 +64,15 @@
         """Tell whether a packet shows that the caller of this half-open flow chose this host."""
         return any(codec.follows(packet, number) for number in self.answer_numbers)
 
+    def is_stuck(self, now: float) -> bool:
+        """Tell whether its request no longer counts as under way."""
+        return now - self.seen_at > STUCK_REQUEST_SECONDS
+
+    def is_over(self, now: float, longest_seconds: float) -> bool:
+        """Tell whether it may be forgotten: it has ended, or cannot be alive any longer."""
+        idle = now - self.seen_at
+        return idle > (ENDED_LINGER_SECONDS if self.has_ended() else longest_seconds)
+
     def has_ended(self) -> bool:
         """Tell whether both sides have sent their last."""
         return self.caller_ended and self.host_ended
