Read once more: one pace of ticks, no dead property, agents are indexed when they change

No change of behaviour. The core tells the first index of a leadership, and the runner compares it with what the state holds; - agents look for agents to forget once a second, and rebuilt their index each time: forget_old does so only where it forgot one; - scripts/ablation read the bench's lines anew beside scripts/platform_days: one pattern now; - a LOCATE frame is written by encode_request; an unused import and a wrapper called once are gone.

Tests keep their assertions and pass (agent, balancer, fleet, flows, control/fleet, consensus, scripts, platform_adapter); lint clean.

--- a/deploy/bundle.py
+++ b/deploy/bundle.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import importlib
-import importlib.util
 import marshal
 import os
 import sys
--- a/scripts/ablation.py
+++ b/scripts/ablation.py
@@ -17,12 +17,11 @@
 from msgspec.structs import fields
 
 from jasperwalk.fleet.settings import Policies
+from scripts.platform_days import BROKEN, DAY_LINE
 
 ROOT = Path(__file__).resolve().parent.parent
 TEMPLATES = ("balancer", "agent")
 NOTHING_OFF = "none"
-WORTH_COLUMN = 3
-"""Of a day's line: name, machines, score, worth."""
 
 
 @dataclass(frozen=True)
@@ -49,14 +48,10 @@
 def read_day(output: str, day: str) -> PlayedDay | None:
     """Read a day's line from the bench's output; None where the day was not played."""
     for line in output.splitlines():
-        columns = line.split()
-        if not columns or columns[0] != day or len(columns) <= WORTH_COLUMN:
-            continue
-        try:
-            worth = float(columns[WORTH_COLUMN])
-        except ValueError:
-            continue
-        return PlayedDay(worth, line.partition("BROKEN:")[2].strip())
+        found = DAY_LINE.match(line)
+        if found is not None and line.split()[0] == day:
+            broken = BROKEN.search(line)
+            return PlayedDay(float(found["worth"]), broken["rules"] if broken else "")
     return None
 
 
--- a/src/jasperwalk/agent/datagrams/process.py
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -27,6 +27,7 @@
     NodeRole,
 )
 from jasperwalk.fleet.node import ReadinessInterface, draw_incarnation
+from jasperwalk.fleet.search_ticks import SearchTicks
 from jasperwalk.fleet.settings import AgentNodeSettings
 from jasperwalk.fleet.targets import TargetPool
 from jasperwalk.flows.codec import PacketCodec, SocketAddress
@@ -36,8 +37,6 @@
 from jasperwalk.transport.http_server import HttpHandler, HttpServer, serving
 
 SWEEP_SECONDS = 1.0
-TICK_SECONDS = 0.02
-"""Pace of looking at searches while there are any."""
 QUEUE_SECONDS = 0.1
 """Pace of looking at waiting flows while no packet of the host gives the occasion."""
 FAREWELL_SECONDS = 0.05
@@ -127,7 +126,7 @@
             send=self._frames.send,
             log=decisions,
         )
-        self._helping = False
+        self._ticks = SearchTicks(self._frames, self.helper.has_pending, self.helper.tick)
         self._link = HomeLink(
             self._record, lambda: reload().replicas(), self._news, self._linked, self._random
         )
@@ -218,19 +217,7 @@
             self.helper.receive_reply(data, sender, now)
         else:
             self.core.receive_frame(data, sender, now)
-        self._keep_helping()
-
-    def _keep_helping(self) -> None:
-        if not self._helping and self.helper.has_pending():
-            self._helping = True
-            asyncio.get_running_loop().call_later(TICK_SECONDS, self._help)
-
-    def _help(self) -> None:
-        self._helping = False
-        # An answer that was not read yet is not missing.
-        if self._frames.catch_up():
-            self.helper.tick(time.monotonic())
-        self._keep_helping()
+        self._ticks.keep_up()
 
     def _host_packet(self, data: bytes, _sender: SocketAddress) -> None:
         self.core.receive_host_packet(data, time.monotonic())
--- a/src/jasperwalk/agent/datagrams/search_helper.py
+++ b/src/jasperwalk/agent/datagrams/search_helper.py
@@ -111,13 +111,11 @@
             self.counters.replies_malformed += 1
             return
         for reply in replies:
-            if target is None or not self._take(target, reply, now):
+            key, kind = reply.flow_key, reply.kind
+            if target is None or not self.searches.note_answer(key, target, kind, now):
                 self.counters.replies_unexpected += 1
         self.searches.flush()
 
-    def _take(self, target: Target, reply: AgentReply, now: float) -> bool:
-        return self.searches.note_answer(reply.flow_key, target, reply.kind, now)
-
     def tick(self, now: float) -> None:
         """Go on with searches whose agents did not answer."""
         self.searches.tick(now)
--- a/src/jasperwalk/balancer/datagrams/flow_balancer.py
+++ b/src/jasperwalk/balancer/datagrams/flow_balancer.py
@@ -53,7 +53,7 @@
     _early: EarlyPackets = field(default_factory=EarlyPackets)
 
     def __post_init__(self) -> None:
-        """Share the table of flows with what opens them."""
+        """Prepare the parts; they share the table of flows, the agents, counters and log."""
         self.uploads = BulkAdmission(self.codec, self.uploads_limit)
         self.searches = FlowSearches(
             codec=self.codec,
--- a/src/jasperwalk/balancer/datagrams/process.py
+++ b/src/jasperwalk/balancer/datagrams/process.py
@@ -25,6 +25,7 @@
     RoutesUpdate,
 )
 from jasperwalk.fleet.node import ReadinessInterface, draw_incarnation
+from jasperwalk.fleet.search_ticks import SearchTicks
 from jasperwalk.fleet.settings import BalancerNodeSettings
 from jasperwalk.fleet.targets import TargetPool
 from jasperwalk.flows.codec import PacketCodec, SocketAddress
@@ -33,7 +34,6 @@
 from jasperwalk.observability.decisions import DecisionLog, affordable_lines_per_second
 from jasperwalk.transport.http_server import HttpServer, serving
 
-TICK_SECONDS = 0.02
 SWEEP_SECONDS = 4.0
 LEAVING_SECONDS = 1.6
 """After a stop signal the balancer is not ready but carries packets until the fabric, which
@@ -87,7 +87,7 @@
         )
         self._intake = PacketIntake(self.core)
         self._taking_in = False
-        self._ticking = False
+        self._ticks = SearchTicks(self._frames, self.core.has_pending, self.core.tick)
         self._link = HomeLink(
             self._record, lambda: reload().replicas(), self._news, self._linked, self._random
         )
@@ -158,7 +158,7 @@
         if self._intake.has_work() and not self._taking_in:
             self._taking_in = True
             asyncio.get_running_loop().call_soon(self._take_in_more)
-        self._keep_ticking()
+        self._ticks.keep_up()
 
     def _take_in_more(self) -> None:
         self._taking_in = False
@@ -166,23 +166,11 @@
 
     def _frame(self, data: bytes, sender: SocketAddress) -> None:
         self.core.receive_reply(data, sender, time.monotonic())
-        self._keep_ticking()
+        self._ticks.keep_up()
 
     def _send_to_caller(self, packet: bytes, caller: SocketAddress) -> None:
         self._callers.send(packet, (caller[0], self._callers_port))
 
-    def _keep_ticking(self) -> None:
-        if not self._ticking and self.core.has_pending():
-            self._ticking = True
-            asyncio.get_running_loop().call_later(TICK_SECONDS, self._tick)
-
-    def _tick(self) -> None:
-        self._ticking = False
-        # An answer that was not read yet is not missing.
-        if self._frames.catch_up():
-            self.core.tick(time.monotonic())
-        self._keep_ticking()
-
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
@@ -245,4 +233,4 @@
                 home=str(self._link.home),
             )
             self.core.routes_changed(time.monotonic())
-            self._keep_ticking()
+            self._ticks.keep_up()
--- a/src/jasperwalk/consensus/core.py
+++ b/src/jasperwalk/consensus/core.py
@@ -83,18 +83,12 @@
         return self._state.role is Role.LEADER
 
     @property
-    def is_settled(self) -> bool:
-        """Whether this replica leads and has committed an entry of its own term.
+    def first_index_of_leadership(self) -> int | None:
+        """Index of the first entry of this leader's own term, None where it does not lead.
 
-        Only then does it know everything that earlier leaders committed.
+        Once it is committed the leader knows everything that earlier leaders committed.
         """
         leadership = self._leading()
-        return leadership is not None and leadership.first_index <= self._state.commit_index
-
-    @property
-    def first_index_of_leadership(self) -> int | None:
-        """Index of the first entry of this leader's own term, None where it does not lead."""
-        leadership = self._leading()
         return None if leadership is None else leadership.first_index
 
     @property
--- a/src/jasperwalk/control/raft_runner.py
+++ b/src/jasperwalk/control/raft_runner.py
@@ -158,7 +158,7 @@
         first_index = self._node.first_index_of_leadership
         if first_index is None or self._node.is_transferring:
             return False
-        return self._node.is_settled and self._applier.applied_index >= first_index
+        return self._applier.applied_index >= first_index
 
     @property
     def leader_id(self) -> int | None:
--- /dev/null
+++ b/src/jasperwalk/fleet/search_ticks.py
@@ -0,0 +1,39 @@
+"""Ticks of a process that waits for frames, only while anything is pending."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from jasperwalk.flows.sockets import DatagramSocket
+
+TICK_SECONDS = 0.02
+
+
+class SearchTicks:
+    """Calls `tick` with the time while `has_pending`, once the frames that came were read."""
+
+    def __init__(
+        self,
+        frames: DatagramSocket,
+        has_pending: Callable[[], bool],
+        tick: Callable[[float], None],
+    ) -> None:
+        self._frames = frames
+        self._has_pending = has_pending
+        self._tick = tick
+        self._ticking = False
+
+    def keep_up(self) -> None:
+        """Go on ticking where there is reason to; call after whatever may give one."""
+        if not self._ticking and self._has_pending():
+            self._ticking = True
+            asyncio.get_running_loop().call_later(TICK_SECONDS, self._on_time)
+
+    def _on_time(self) -> None:
+        self._ticking = False
+        # An answer that was not read yet is not missing.
+        if self._frames.catch_up():
+            self._tick(time.monotonic())
+        self.keep_up()
--- a/src/jasperwalk/fleet/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -183,12 +183,16 @@
 
     def forget_old(self, now: float, lifetime_seconds: float) -> None:
         """Forget agents that left longer ago than any flow may last."""
-        for endpoint, target in list(self._targets.items()):
-            left_at = target.unlisted_since
-            if left_at is not None and now - left_at > lifetime_seconds:
-                target.departed = True
-                del self._targets[endpoint]
-        self._index()
+        old = [
+            target
+            for target in self._targets.values()
+            if target.unlisted_since is not None and now - target.unlisted_since > lifetime_seconds
+        ]
+        for target in old:
+            target.departed = True
+            del self._targets[target.record.endpoint]
+        if old:
+            self._index()
 
     def at(self, address: SocketAddress) -> Target | None:
         """Return the target that sends from this address."""
--- a/src/jasperwalk/flows/frames.py
+++ b/src/jasperwalk/flows/frames.py
@@ -189,7 +189,7 @@
 def encode_locate(service_tags: list[int], packet: bytes) -> bytes:
     """Encode the question for a flow that agents of these services may hold."""
     tags = struct.pack(f"!{len(service_tags)}I", *service_tags)
-    return REQUEST_HEAD.pack(FrameKind.LOCATE, len(service_tags), 0) + tags + packet
+    return encode_request(FrameKind.LOCATE, len(service_tags), 0, tags + packet)
 
 
 class LocateRequest(msgspec.Struct, frozen=True):
