--- a/src/jasperwalk/balancer/datagrams/process.py
+++ b/src/jasperwalk/balancer/datagrams/process.py
@@ -6,6 +6,7 @@
 import random
 import secrets
 import time
+from collections import Counter
 from collections.abc import Callable
 
 import structlog
@@ -76,14 +77,16 @@
         self._callers = DatagramSocket(bound.callers, self._packet, self._take_in)
         self._frames = DatagramSocket(bound.frames, self._frame)
         self._callers_port = Endpoint.parse(settings.callers_listen).port
-        decisions = DecisionLog(time.monotonic, affordable_lines_per_second(settings.processors))
+        self._decisions = DecisionLog(
+            time.monotonic, affordable_lines_per_second(settings.processors)
+        )
         self.core = FlowBalancer(
             codec=codec,
             routes=self.routes,
             pool=self.pool,
             send=self._frames.send,
             reset=self._send_to_caller,
-            log=decisions,
+            log=self._decisions,
             delegates_searches=settings.policies.delegated_search,
             uploads_limit=_uploads_limit(settings),
         )
@@ -102,7 +105,7 @@
                 "flows": lambda: len(self.core),
                 "agents": lambda: len(self.pool),
                 "routes_version": lambda: self.routes.version,
-                "log_lines_dropped": lambda: decisions.dropped,
+                "log_lines_dropped": lambda: self._decisions.dropped,
             },
             latencies={
                 "flow_open": self.core.open_latency,
@@ -196,8 +199,26 @@
     def _fleet_changed(self, update: FleetUpdate) -> None:
         self._has_agents = True
         self.core.fleet_changed(update, time.monotonic())
+        if update.whole:
+            self._log_snapshot(update)
+        else:
+            self._log_changes(update)
+
+    def _log_snapshot(self, update: FleetUpdate) -> None:
+        """Write one line: the home logs each agent, and this process has callers waiting."""
+        phases = Counter(record.phase.value for record in update.records)
+        logger.info(
+            "agents-known",
+            agents=len(update.records),
+            unlisted=len(update.removed),
+            home=str(self._link.home),
+            **phases,
+        )
+
+    def _log_changes(self, update: FleetUpdate) -> None:
+        """Write a line for each agent, as far as the budget for lines goes."""
         for record in update.records:
-            logger.info(
+            self._decisions.note(
                 "agent-changed",
                 agent=record.name,
                 service=record.service,
@@ -206,7 +227,7 @@
                 incarnation=record.incarnation,
             )
         for endpoint in update.removed:
-            logger.info("agent-unlisted", endpoint=str(endpoint))
+            self._decisions.note("agent-unlisted", endpoint=str(endpoint))
 
     def _routes_changed(self, update: RoutesUpdate) -> None:
         """Follow the link's versions; what is put in force is decided by `_put_in_force`."""
--- a/src/jasperwalk/cli/explain.py
+++ b/src/jasperwalk/cli/explain.py
@@ -23,6 +23,7 @@
         "agent-changed",
         "agent-started",
         "agent-unlisted",
+        "agents-known",
         "balancer-started",
         "home-linked",
         "home-lost",
--- a/src/jasperwalk/control/fleet/directory.py
+++ b/src/jasperwalk/control/fleet/directory.py
@@ -156,6 +156,10 @@
             removed_seconds_ago=[now - each.at for each in lost],
         )
 
+    def has_changes(self) -> bool:
+        """Tell whether `take_changes` would have something to look at."""
+        return bool(self._changed)
+
     def take_changes(self) -> FleetUpdate | None:
         """Return the agents that changed since the last call, None where there is nothing."""
         changed, self._changed = self._changed, {}
--- a/src/jasperwalk/control/fleet/home_links.py
+++ b/src/jasperwalk/control/fleet/home_links.py
@@ -31,6 +31,12 @@
 
 NODE_SILENCE_SECONDS = 1.6
 """A node pings several times in this span; without any message its link is closed."""
+FLEET_INTERVAL_SECONDS = 0.05
+"""Least time between two updates of the agents to the linked nodes. Many nodes change at once when
+a replica is cut off or power returns: an update for each of them to each of the others would be
+some ten thousand messages from a replica with forty links, and on a balancer with a sixth of a
+processor its cost comes before callers' packets. A flow's opening that goes to an agent which has
+just left costs 0.1 s, so half of that is no loss."""
 
 logger = structlog.get_logger(__name__)
 
@@ -74,6 +80,16 @@
         self.sent_routes = listed
 
 
+@dataclass
+class HomeCounters:
+    """What a home has sent its nodes about the fleet."""
+
+    fleet_updates: int = 0
+    """Updates, each of which went to every linked node."""
+    fleet_records: int = 0
+    """Agents in them that changed or left."""
+
+
 class HomeLinks:
     """Serves the nodes' links; `tell_replicas` passes news of them on."""
 
@@ -82,12 +98,17 @@
         directory: NodeDirectory,
         view: Callable[[], HomeView],
         tell_replicas: Callable[[HomedNodes], None],
+        fleet_interval_seconds: float = FLEET_INTERVAL_SECONDS,
     ) -> None:
         self._directory = directory
         self._view = view
         self._tell_replicas = tell_replicas
+        self.counters = HomeCounters()
         self._links: set[NodeLink] = set()
         self._told_current = False
+        self._fleet_interval_seconds = fleet_interval_seconds
+        self._fleet_published_at = float("-inf")
+        self._fleet_publication: asyncio.TimerHandle | None = None
 
     async def serve(self, connection: FramedConnection) -> None:
         """Serve one node's link until it ends or is silent for too long."""
@@ -129,10 +150,10 @@
         )
         news = self._directory.announce(record)
         self._tell_replicas(news)
-        if is_new:
-            link.send(self._directory.agents(time.monotonic()))
         if is_new and record.role is NodeRole.BALANCER:
             link.send_routes(self._view().routes)
+        if is_new:
+            link.send(self._directory.agents(time.monotonic()))
         self.publish_fleet()
 
     def _forget(self, link: NodeLink, reason: str) -> None:
@@ -154,11 +175,31 @@
         self._to_links(list(self._links), lambda link: link.send(status))
 
     def publish_fleet(self) -> None:
-        """Send the linked nodes what changed in the directory: all of them look for flows."""
+        """Send the linked nodes what changed in the directory: all of them look for flows.
+
+        At once where nothing was sent lately; otherwise together with what changes until the
+        interval has passed.
+        """
+        if self._fleet_publication is not None:
+            return
+        wait_seconds = self._fleet_published_at + self._fleet_interval_seconds - time.monotonic()
+        if wait_seconds <= 0:
+            self._publish_fleet_now()
+        elif self._directory.has_changes():
+            loop = asyncio.get_running_loop()
+            self._fleet_publication = loop.call_later(wait_seconds, self._publish_fleet_now)
+
+    def _publish_fleet_now(self) -> None:
+        self._fleet_publication = None
         changes = self._directory.take_changes()
-        if changes is not None:
-            announced = [link for link in self._links if link.record is not None]
-            self._to_links(announced, lambda link: link.send(changes))
+        if changes is None:
+            return
+        self._fleet_published_at = time.monotonic()
+        self.counters.fleet_updates += 1
+        self.counters.fleet_records += len(changes.records) + len(changes.removed)
+        announced = [link for link in self._links if link.record is not None]
+        payload = codec.encode(changes)
+        self._to_links(announced, lambda link: link.connection.write(payload))
 
     def publish_routes(self) -> None:
         """Send the linked balancers the routes in force."""
@@ -178,6 +219,15 @@
             try:
                 send(link)
             except JasperwalkError as error:
-                name = "" if link.record is None else link.record.name
-                logger.warning("node-link-stuck", node=name, kind=error.kind)
-                link.connection.abort()
+                self._give_up(link, error)
+
+    def _give_up(self, link: NodeLink, error: JasperwalkError) -> None:
+        """End a link that takes nothing more; `serve` then forgets its node.
+
+        It leaves the set at once: when many links end together, what is published about the
+        first of them must not be tried on all the others.
+        """
+        self._links.discard(link)
+        name = "" if link.record is None else link.record.name
+        logger.warning("node-link-given-up", node=name, kind=error.kind)
+        link.connection.abort()
--- a/src/jasperwalk/control/fleet/process.py
+++ b/src/jasperwalk/control/fleet/process.py
@@ -57,7 +57,7 @@
         self._http = HttpServer(operators, interface(service, operators.port))
         figures = ProcessFigures(
             process="control",
-            counters=lambda: vars(service.counters),
+            counters=lambda: {**vars(service.counters), **vars(self._homes.counters)},
             gauges={
                 "configuration_version": lambda: self._home_view().routes.version,
                 "leader": lambda: self._replica is not None and self._replica.runner.is_leader,
--- /dev/null
+++ b/tests/control/fleet/test_home_links.py
@@ -0,0 +1,178 @@
+"""What a home sends to its linked nodes when many of them come and go at once."""
+
+import asyncio
+
+import msgspec
+import pytest
+import structlog
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.control.fleet import home_links
+from jasperwalk.control.fleet.directory import NodeDirectory
+from jasperwalk.control.fleet.home_links import HomeLinks, HomeView
+from jasperwalk.fleet.messages import (
+    HOME_DECODER,
+    Announce,
+    FleetUpdate,
+    HomeStatus,
+    HostPhase,
+    NodeRecord,
+    NodeRole,
+    RoutesUpdate,
+)
+from jasperwalk.flows.routes import FlowRoute, RouteBackend, RouteSet
+from jasperwalk.messages import codec
+from jasperwalk.transport.errors import ConnectionLost
+
+from .support import until
+
+ROUTES = RouteSet(3, [FlowRoute("r", Endpoint("198.18.0.1", 443), [RouteBackend("web", 1.0)])])
+AGENTS = 60
+NEVER_SECONDS = 86_400.0
+SHORT_SECONDS = 0.001
+
+
+class Connection:
+    """A framed connection whose other side is the test."""
+
+    def __init__(self):
+        self.inbox = asyncio.Queue()
+        self.written = []
+        self.is_closed = False
+
+    def write(self, payload):
+        if self.is_closed:
+            raise ConnectionLost(reason="closed on this side")
+        self.written.append(HOME_DECODER.decode(payload))
+
+    async def receive(self):
+        payload = await self.inbox.get()
+        if payload is None:
+            raise ConnectionLost(reason="closed by the other side")
+        return payload
+
+    def abort(self):
+        self.close()
+
+    def close(self):
+        self.is_closed = True
+        self.inbox.put_nowait(None)
+
+    def announce(self, record):
+        self.inbox.put_nowait(codec.encode(Announce(record)))
+
+    def updates(self):
+        return [each for each in self.written if isinstance(each, FleetUpdate)]
+
+
+def node(number, role=NodeRole.AGENT):
+    endpoint = Endpoint(f"10.0.{number // 250}.{number % 250 + 1}", 7000)
+    return NodeRecord(
+        f"n-{number}", number + 1, role, "a", endpoint, service="web", phase=HostPhase.READY
+    )
+
+
+class Home:
+    """The links of one home, without sockets."""
+
+    def __init__(self, interval_seconds):
+        self.directory = NodeDirectory(1)
+        self.links = HomeLinks(
+            self.directory,
+            lambda: HomeView(True, ROUTES, []),
+            lambda news: None,
+            interval_seconds,
+        )
+        self.tasks = []
+
+    def link(self, record):
+        connection = Connection()
+        self.tasks.append(asyncio.create_task(self.links.serve(connection)))
+        connection.announce(record)
+        return connection
+
+    def end(self):
+        for task in self.tasks:
+            task.cancel()
+
+
+@pytest.fixture(autouse=True)
+def patient_home(monkeypatch):
+    """Nodes of these tests send no pings."""
+    monkeypatch.setattr(home_links, "NODE_SILENCE_SECONDS", NEVER_SECONDS)
+
+
+def run(scenario, interval_seconds):
+    async def main():
+        home = Home(interval_seconds)
+        try:
+            await scenario(home)
+        finally:
+            home.end()
+
+    asyncio.run(main())
+
+
+async def linked_fleet(home):
+    balancer = home.link(node(0, NodeRole.BALANCER))
+    agents = [home.link(node(number)) for number in range(1, AGENTS + 1)]
+    await until(lambda: home.directory.counts()["agent"] == AGENTS)
+    return balancer, agents
+
+
+def in_phase(record, phase):
+    return msgspec.structs.replace(record, phase=phase)
+
+
+def test_of_many_changes_at_once_the_first_is_sent_alone_and_the_others_wait_for_the_interval():
+    async def scenario(home):
+        balancer, agents = await linked_fleet(home)
+        for agent in agents[1:]:
+            agent.close()
+        await until(lambda: home.directory.counts()["agent"] == 1)
+        whole, first = balancer.updates()
+        assert whole.whole
+        assert len(first.records) == 1
+
+    run(scenario, NEVER_SECONDS)
+
+
+def test_what_waited_for_the_interval_is_sent_in_the_end():
+    async def scenario(home):
+        balancer, agents = await linked_fleet(home)
+        for agent in agents[1:]:
+            agent.close()
+        gone = {node(number).endpoint for number in range(2, AGENTS + 1)}
+        await until(lambda: {each for one in balancer.updates() for each in one.removed} >= gone)
+        assert home.links.counters.fleet_records >= 2 * AGENTS - 1
+
+    run(scenario, SHORT_SECONDS)
+
+
+def test_a_link_that_ended_is_given_up_once_however_many_updates_follow():
+    async def scenario(home):
+        _, agents = await linked_fleet(home)
+        with structlog.testing.capture_logs() as logs:
+            for agent in agents[1:]:
+                agent.is_closed = True  # Its end is not noticed yet.
+            for phase in (HostPhase.DRAINING, HostPhase.READY, HostPhase.GONE):
+                agents[0].announce(in_phase(node(1), phase))
+                sent = len(agents[0].updates())
+                await until(lambda sent=sent: len(agents[0].updates()) > sent)
+        given_up = [line["node"] for line in logs if line["event"] == "node-link-given-up"]
+        assert sorted(given_up) == sorted(f"n-{number}" for number in range(2, AGENTS + 1))
+
+    run(scenario, SHORT_SECONDS)
+
+
+def test_a_balancer_gets_the_routes_before_the_agents_and_then_whether_they_are_current():
+    async def scenario(home):
+        for number in range(1, 4):
+            home.link(node(number))
+        await until(lambda: home.directory.counts()["agent"] == 3)
+        balancer = home.link(node(0, NodeRole.BALANCER))
+        await until(lambda: len(balancer.written) >= 3)
+        kinds = [type(each) for each in balancer.written[:3]]
+        assert kinds == [RoutesUpdate, FleetUpdate, HomeStatus]
+
+    run(scenario, SHORT_SECONDS)
