A silent agent that never saw its host no longer keeps all searches open

Ruled out: agents with flows.

Change: an agent whose host never announced itself could only answer that it does not know, which rules it out where the flow's key does not lead to it. If such an agent leaves three questions in 0.2 s unanswered, its silence counts as that answer. It is asked again every 60 ms meanwhile; the next searches know already. Candidates, agents with a host and leaving ones keep the old bounds.

The doubt about agents with a host that go dark is as long as before.

--- a/src/jasperwalk/fleet/flow_searches.py
+++ b/src/jasperwalk/fleet/flow_searches.py
@@ -124,6 +124,7 @@
         if search is None:
             return False
         search.note_answer(target, kind)
+        target.note_answer()
         self._advance(search, now)
         return True
 
@@ -146,7 +147,7 @@
 
     def _advance(self, search: Search, now: float) -> None:
         """Send what the search wants sent, and end it once it has a verdict."""
-        self._take_steps(search, search.advance(self.pool, now))
+        self._take_steps(search, search.advance(self.pool, now), now)
         if search.verdict is SearchVerdict.OPEN:
             return
         del self._searches[search.key]
@@ -157,11 +158,12 @@
         else:
             self._not_found(search, now)
 
-    def _take_steps(self, search: Search, steps: list[SearchStep]) -> None:
+    def _take_steps(self, search: Search, steps: list[SearchStep], now: float) -> None:
         self.counters.search_questions += len(steps)
         for step in steps:
             target = step.target
             if isinstance(step, Question):
+                target.note_question(now)
                 self._batch.ask(target, search.key)
                 continue
             head = target.confirm_head if isinstance(step, Confirm) else target.carry_head
@@ -176,7 +178,7 @@
         asks_everyone = self._questions.take(now, frames)
         for search in due:
             steps = search.begin_second_round(self.pool, asks_everyone, now)
-            self._take_steps(search, steps)
+            self._take_steps(search, steps, now)
             self._advance(search, now)
 
     def _found(self, search: Search, now: float) -> None:
--- a/src/jasperwalk/fleet/search.py
+++ b/src/jasperwalk/fleet/search.py
@@ -38,6 +38,10 @@
 """Second rounds begin at multiples of this."""
 MAXIMUM_HELD_PACKETS = 16
 ROUNDS = 2
+REPEAT_SECONDS = 0.06
+"""Pace of asking again those whose silence would settle the search; they are few."""
+REPEATED_ROUNDS = 4
+"""Rounds beyond the second at most: enough for `SILENT_QUESTIONS` in `SILENT_SECONDS`."""
 
 
 class Question(msgspec.Struct, frozen=True):
@@ -220,11 +224,41 @@
             earliest = max(now + ROUND_PAUSE_SECONDS, (heard_at or now) + SETTLING_SECONDS)
             self.deadline = math.ceil(earliest / ROUND_GRID_SECONDS) * ROUND_GRID_SECONDS
             return []
+        doubtful = self._doubtful(now)
+        if doubtful and self.rounds < ROUNDS + REPEATED_ROUNDS:
+            return self._ask_again(doubtful, now)
         denied = all(self._has_denied(target, kind, now) for target, kind in self.asked.items())
         is_nowhere = denied and self._asked_all and bool(self.asked)
         self.verdict = SearchVerdict.NOWHERE if is_nowhere else SearchVerdict.UNKNOWN
         return []
 
+    def _doubtful(self, now: float) -> list[Target]:
+        """Return the agents that would deny the flow by a longer silence."""
+        if not self._asked_all:
+            return []
+        return [
+            target
+            for target, kind in self.asked.items()
+            if kind is None and self._denies_by_silence(target) and not target.is_silent(now)
+        ]
+
+    def _ask_again(self, targets: list[Target], now: float) -> list[SearchStep]:
+        self.rounds += 1
+        self.deadline = now + REPEAT_SECONDS
+        return [Question(target) for target in targets]
+
+    def _denies_by_silence(self, target: Target) -> bool:
+        """Tell whether an agent's silence says as much as its answer would.
+
+        One that never saw its host could only answer that it does not know, which rules it out
+        where the flow's key does not lead to it. After a loss of power the machines of hosts that
+        had left before are back for a moment and then end, one after the other; without this, each
+        of them would keep every search open until its home has missed it.
+        """
+        if target in self._candidates or target.departed:
+            return False
+        return target.never_saw_its_host()
+
     def _has_denied(self, target: Target, kind: FrameKind | None, now: float) -> bool:
         """Tell whether an agent's answer rules it out.
 
@@ -233,6 +267,8 @@
         """
         if kind is FrameKind.UNSURE and target not in self._candidates:
             return True
+        if kind is None and self._denies_by_silence(target) and target.is_silent(now):
+            return True
         if kind is None and target.is_lost(now):
             return True
         return kind is FrameKind.NOT_HELD or target in self._returned or target.departed
--- a/src/jasperwalk/fleet/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -13,6 +13,8 @@
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 
+import msgspec
+
 from jasperwalk.addresses import Endpoint
 from jasperwalk.fleet.messages import FleetUpdate, HostPhase, NodeRecord
 from jasperwalk.flows.codec import SocketAddress
@@ -40,6 +42,11 @@
 LEAVING_LOST_AFTER_SECONDS = 10.0
 """The same for an agent whose host was leaving and has not said goodbye: the host may serve its
 last flows for many seconds yet, and they are not to be reset."""
+SILENT_SECONDS = 0.2
+"""An agent that has answered no question for this long is silent; answers take 1 to 2 ms, also in
+the second after a loss of all power (lsl-hanoi-edge-large trouble-2)."""
+SILENT_QUESTIONS = 3
+"""Questions in a row that have to be unanswered as well: one in a hundred datagrams may be lost."""
 SUSPECT_SECONDS = 1.0
 """How long an agent that did not answer is chosen only if no other is left."""
 SUSPECT_COST = 1000.0
@@ -56,8 +63,7 @@
 UNKNOWN_CAPACITY = 1
 
 
-@dataclass(slots=True, eq=False)
-class Target:
+class Target(msgspec.Struct, eq=False):
     """One process of an agent; frames for it are prepared."""
 
     record: NodeRecord
@@ -74,6 +80,11 @@
     suspect_until: float = float("-inf")
     slow_until: float = float("-inf")
     unlisted_since: float | None = None
+    silent_since: float | None = None
+    """When the first question was asked that has had no answer yet, None where there is none."""
+    questions_unanswered: int = 0
+    """Questions asked since then, several at the same moment counted once."""
+    asked_at: float = float("-inf")
     departed: bool = False
     """True once the agent said that its host is gone, or another process took its address."""
 
@@ -88,6 +99,33 @@
         self.sent_since = 0
         self.suspect_until = float("-inf")
 
+    def note_question(self, now: float) -> None:
+        """Note that the agent was asked whether it holds a flow."""
+        if self.silent_since is None:
+            self.silent_since = now
+        if now > self.asked_at:
+            self.asked_at = now
+            self.questions_unanswered += 1
+
+    def note_answer(self) -> None:
+        """Note that the agent answered a question."""
+        self.silent_since = None
+        self.questions_unanswered = 0
+
+    def is_silent(self, now: float) -> bool:
+        """Tell whether the agent has left several questions unanswered for a while."""
+        if self.silent_since is None or self.questions_unanswered < SILENT_QUESTIONS:
+            return False
+        return now - self.silent_since >= SILENT_SECONDS
+
+    def never_saw_its_host(self) -> bool:
+        """Tell whether the host beside the agent's present process has not announced itself.
+
+        Such an agent holds no flow that it has admitted. Its host may hold flows that an earlier
+        process of the agent admitted, until the host announces itself or is known to be gone.
+        """
+        return self.record.phase is HostPhase.UNKNOWN
+
     def relative_load(self, now: float) -> float:
         """Return requests under way for each slot, as far as known."""
         capacity = max(self.record.capacity, UNKNOWN_CAPACITY)
@@ -128,7 +166,7 @@
     )
 
 
-@dataclass
+@dataclass(eq=False, repr=False)
 class TargetPool:
     """All agents that this balancer knows; sans-IO."""
 
--- a/tests/balancer/datagrams/test_search.py
+++ b/tests/balancer/datagrams/test_search.py
@@ -334,3 +334,69 @@
     assert bench.resets == []
     bench.core.receive(MORE, 1.4)
     assert (FrameKind.CARRY, 1, MORE) in bench.take_sent()
+
+
+def play_until(bench, until, deny_by=()):
+    """Let time pass from 1.0 s; the agents named in `deny_by` answer each question at once."""
+    for step in range(1, round((until - 1.0) / 0.02) + 1):
+        now = 1.0 + step * 0.02
+        bench.core.tick(now)
+        for _, number, _ in bench.take_sent():
+            if number in deny_by:
+                bench.answer(number, FrameKind.NOT_HELD, now)
+
+
+def fleet_with_a_silent_agent(phase):
+    """Search among 60 agents of which the last, beyond the candidates, says nothing."""
+    numbers = list(range(1, 60))
+    silent = record(60, phase, service="export")
+    bench = searching(*(record(number) for number in numbers), silent)
+    deny(bench, asked(bench), 1.0)
+    return bench, numbers
+
+
+def test_an_agent_without_a_host_that_falls_silent_does_not_keep_callers_of_dead_flows_waiting():
+    """After a loss of power, machines of hosts that had left came back for some seconds."""
+    bench, numbers = fleet_with_a_silent_agent(HostPhase.UNKNOWN)
+    play_until(bench, 2.0, deny_by=numbers)
+    assert len(bench.resets) == 1
+    assert not bench.core.has_pending()
+
+
+def test_the_next_search_knows_already_that_the_agent_is_silent():
+    bench, numbers = fleet_with_a_silent_agent(HostPhase.UNKNOWN)
+    play_until(bench, 2.0, deny_by=numbers)
+    other = CALLER.__class__("100.64.1.1", 7)
+    bench.core.receive(from_caller(0, b"data", caller=other), 2.0)
+    for now in (2.0, 2.1, 2.2, 2.3):
+        bench.core.tick(now)
+        for _, number, _ in bench.take_sent():
+            if number in numbers:
+                bench.answer(number, FrameKind.NOT_HELD, now, key=key_of(other))
+    assert len(bench.resets) == 2
+
+
+@pytest.mark.parametrize("phase", [HostPhase.READY, HostPhase.DRAINING])
+def test_an_agent_with_a_host_that_falls_silent_may_hold_the_flow(phase):
+    bench, numbers = fleet_with_a_silent_agent(phase)
+    play_until(bench, 3.0, deny_by=numbers)
+    assert bench.resets == []
+    assert not bench.core.has_pending()
+
+
+def test_a_candidate_without_a_host_that_falls_silent_may_hold_the_flow():
+    bench = searching(record(1), record(2, HostPhase.UNKNOWN))
+    deny(bench, [1], 1.0)
+    play_until(bench, 3.0, deny_by=[1])
+    assert bench.resets == []
+
+
+def test_one_lost_answer_is_no_silence():
+    """The second question to an agent that never saw its host is answered."""
+    bench, numbers = fleet_with_a_silent_agent(HostPhase.UNKNOWN)
+    play_until(bench, 1.1, deny_by=numbers)
+    bench.core.tick(1.18)
+    assert [number for _, number, _ in bench.take_sent()] == [60]
+    bench.answer(60, FrameKind.HELD, 1.19)
+    assert bench.resets == []
+    assert bench.take_sent() == [(FrameKind.CARRY, 60, DATA)]
