--- a/src/jasperwalk_lab/cli.py
+++ b/src/jasperwalk_lab/cli.py
@@ -12,7 +12,6 @@
 from jasperwalk_lab.commands.experiment import experiment, report
 from jasperwalk_lab.commands.fleet import fleet
 from jasperwalk_lab.commands.load import load
-from jasperwalk_lab.commands.scale import scale, scale_hollow, scale_parts, scale_slopes
 from jasperwalk_lab.commands.simulate import simulate
 from jasperwalk_lab.commands.stand_in import stand_in
 from jasperwalk_lab.serving import configure_lab_logging
@@ -32,10 +31,6 @@
 lab.add_command(fleet)
 lab.add_command(load)
 lab.add_command(report)
-lab.add_command(scale)
-lab.add_command(scale_hollow)
-lab.add_command(scale_parts)
-lab.add_command(scale_slopes)
 lab.add_command(simulate)
 lab.add_command(stand_in)
 
