--- a/src/jasperwalk/agent/datagrams/admission.py
+++ b/src/jasperwalk/agent/datagrams/admission.py
@@ -23,7 +23,7 @@
         return RefusalReason.DRAINING
     if host.phase is not HostPhase.READY:
         return RefusalReason.NOT_READY
-    if response.refuses(host.heard_at, now):
+    if response.refuses(host.announced_at, now):
         return RefusalReason.SILENT
     if busy >= most_requests(host.capacity):
         return RefusalReason.FULL
--- a/src/jasperwalk/agent/datagrams/admission_queue.py
+++ b/src/jasperwalk/agent/datagrams/admission_queue.py
@@ -8,8 +8,8 @@
 The newest flow is admitted first. While more comes than the host can do, first come first
 served would make every caller wait about as long as the oldest one and none be in time; newest
 first serves those that come now in time, and what the host can do beyond them goes to the
-ones before. A full queue lets its oldest flow go, whose caller has waited longest and is told
-at once to try again.
+ones before. A full queue lets its oldest flow go, whose caller has waited longest and is reset
+at once, so that it tries again.
 """
 
 from __future__ import annotations
--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -328,7 +328,7 @@
         if not self.codec.is_whole(packet):
             self.counters.host_packets_malformed += 1
             return
-        self.response.note_heard()
+        self.response.note_packet()
         self._tell_silence(now)
         if self.codec.is_returned(packet):
             self._host_returned(self.codec.restore_returned(packet), now)
--- a/src/jasperwalk/agent/datagrams/host.py
+++ b/src/jasperwalk/agent/datagrams/host.py
@@ -34,7 +34,7 @@
     capacity: int = 1
     slow_until: float = 0.0
     call_number: int = -1
-    heard_at: float = 0.0
+    announced_at: float = 0.0
     _left: set[str] = field(default_factory=set)
 
     def announce(self, news: HostAnnouncement, now: float) -> bool:
@@ -53,7 +53,7 @@
         self.capacity = max(news.capacity, 1)
         self.slow_until = now + news.slow_start_seconds
         self.call_number = news.call_number
-        self.heard_at = now
+        self.announced_at = now
         return True
 
     def leave(self, host_id: str) -> bool:
@@ -70,13 +70,13 @@
         return self.host_id in self._left
 
     def is_leaving(self) -> bool:
-        """Tell whether the host drains and has not said goodbye yet."""
+        """Tell whether the host drains and has not deregistered yet."""
         return self.phase is HostPhase.DRAINING and not self.has_left()
 
     def describe(self, now: float) -> dict[str, object]:
         """Return what a log line tells of the host: who, its last call, and that call's age."""
-        heard_ms = round(1000 * (now - self.heard_at))
-        return {"host": self.host_id, "host_call": self.call_number, "host_heard_ms": heard_ms}
+        age_ms = round(1000 * (now - self.announced_at))
+        return {"host": self.host_id, "host_call": self.call_number, "host_announced_ms": age_ms}
 
     def slow_start_seconds(self, now: float) -> float:
         """Return how much longer the host is slow from its start."""
--- a/src/jasperwalk/agent/datagrams/host_response.py
+++ b/src/jasperwalk/agent/datagrams/host_response.py
@@ -3,7 +3,8 @@
 A host answers an opening packet at once, however busy it is: it takes the flow or hands the
 packet back. One that has been silent for a while after such a packet has crashed, stands still
 or is cut off, though its last announcement said that it is ready. It gets no new flows then but
-one now and then, until it is heard again; a host that still announces itself is tried more often.
+one now and then, until a packet of it comes; a host that still announces itself is tried more
+often.
 """
 
 from __future__ import annotations
@@ -17,7 +18,7 @@
 RARE_TRIAL_SECONDS = 2.0
 """Pace of trials of a host that has not."""
 SILENT_LOAD_FACTOR = 16
-"""Load that is told of a silent host, in multiples of its capacity: balancers choose others."""
+"""Load that is reported of a silent host, in multiples of its capacity: balancers choose others."""
 
 
 @dataclass(eq=False, repr=False)
@@ -34,7 +35,7 @@
             self._unanswered_since = now
         self._tried_at = now
 
-    def note_heard(self) -> bool:
+    def note_packet(self) -> bool:
         """Note a packet of the host; return True where it had not answered before."""
         was_waiting = self._unanswered_since is not None
         self._unanswered_since = None
--- a/src/jasperwalk/agent/datagrams/planned_stop.py
+++ b/src/jasperwalk/agent/datagrams/planned_stop.py
@@ -1,7 +1,7 @@
 """The planned stop of an agent whose host is still leaving.
 
-The host's flows pass through its agent, so an agent that is told to stop first would cut them.
-It serves on until the host has said goodbye, for as long as the grace of the stop allows.
+The host's flows pass through its agent, so an agent that stops first would cut them.
+It serves on until the host has deregistered, for as long as the grace of the stop allows.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 from jasperwalk.agent.datagrams.host import HostState
 
 POLL_SECONDS = 0.05
-FAREWELL_MARGIN_SECONDS = 1.0
+DEREGISTRATION_MARGIN_SECONDS = 1.0
 """Part of the grace that is kept for the agent's own end."""
 
 logger = structlog.get_logger(__name__)
@@ -24,7 +24,7 @@
     if not host.is_leaving():
         return
     logger.info("stop-waits-for-host", host=host.host_id, grace_seconds=grace_seconds)
-    polls = max(0, int((grace_seconds - FAREWELL_MARGIN_SECONDS) / POLL_SECONDS))
+    polls = max(0, int((grace_seconds - DEREGISTRATION_MARGIN_SECONDS) / POLL_SECONDS))
     for _ in range(polls):
         if not host.is_leaving():
             break
--- a/src/jasperwalk/agent/datagrams/process.py
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -41,7 +41,7 @@
 SWEEP_SECONDS = 1.0
 QUEUE_SECONDS = 0.1
 """Pace of looking at waiting flows while no packet of the host gives the occasion."""
-FAREWELL_SECONDS = 0.05
+DEREGISTRATION_SECONDS = 0.05
 """Time for the last announcement to leave before the process ends."""
 
 logger = structlog.get_logger(__name__)
@@ -72,7 +72,7 @@
         return taken
 
     def leave(self, host_id: str) -> bool:
-        """Take a host's goodbye."""
+        """Take a host's deregistration."""
         taken = self._host.leave(host_id)
         self._log("host-leaves", self._host.call_number)
         self._on_change()
@@ -194,20 +194,20 @@
         jobs = [asyncio.create_task(self._link.run()), asyncio.create_task(self._sweep())]
         await stop.wait()
         await outlast_leaving_host(self.host, self._settings.stop_grace_ms / 1000)
-        await self._say_goodbye()
+        await self._deregister()
         for job in jobs:
             job.cancel()
         await asyncio.gather(*jobs, return_exceptions=True)
         self._frames.close()
         self._host_packets.close()
 
-    async def _say_goodbye(self) -> None:
+    async def _deregister(self) -> None:
         """Tell the home where the host is gone, so that its flows are not waited for."""
         if not self.host.has_left():
             return
         self._gone = True
         self._link.announce()
-        await asyncio.sleep(FAREWELL_SECONDS)
+        await asyncio.sleep(DEREGISTRATION_SECONDS)
 
     def _host_changed(self) -> None:
         self.core.host_changed(time.monotonic())
@@ -247,7 +247,7 @@
         """Do nothing: the answers to the host hold without the link."""
 
     def _news(self, message: HomeMessage) -> None:
-        """Learn of other agents, and how long a flow may rest; the longest time heard counts."""
+        """Learn of other agents, and how long a flow may rest; the longest time received counts."""
         if isinstance(message, FleetUpdate):
             self.helper.fleet_changed(message, time.monotonic())
         if isinstance(message, HomeStatus) and message.flow_idle_ms:
--- a/src/jasperwalk/agent/datagrams/search_helper.py
+++ b/src/jasperwalk/agent/datagrams/search_helper.py
@@ -2,7 +2,7 @@
 
 An agent's link and processor carry the questions that a thin balancer's do not. The balancer
 sends one packet of the flow; the agent that holds the flow gets it from here, and the balancer
-is told who that is. Sans-IO: datagrams leave through `send`, times are seconds.
+is notified who that is. Sans-IO: datagrams leave through `send`, times are seconds.
 """
 
 from __future__ import annotations
--- a/src/jasperwalk/balancer/datagrams/bulk_admission.py
+++ b/src/jasperwalk/balancer/datagrams/bulk_admission.py
@@ -4,7 +4,7 @@
 link twice. A few of them together put a queue on the link that is longer than callers wait
 before they send everything again, which makes the queue longer still; every other flow waits
 behind it. So only as many uploads are opened as the link drains in a moment; further ones wait
-here, the oldest first, and are told to come back before their callers give up.
+here, the oldest first, and are reset before their callers give up.
 
 Sans-IO; times are seconds.
 """
--- a/src/jasperwalk/balancer/datagrams/delegated_searches.py
+++ b/src/jasperwalk/balancer/datagrams/delegated_searches.py
@@ -2,8 +2,8 @@
 
 A balancer's link and processor may be thin, and finding a flow may take questions to many
 agents. So it sends the packet, once, to one agent near by, which asks the others and passes the
-packet on; this balancer keeps what follows until it hears who holds the flow. What a lost flow
-costs a balancer does not grow with the number of agents.
+packet on; this balancer keeps what follows until it is notified who holds the flow. What a lost
+flow costs a balancer does not grow with the number of agents.
 """
 
 from __future__ import annotations
--- a/src/jasperwalk/balancer/datagrams/flow_opener.py
+++ b/src/jasperwalk/balancer/datagrams/flow_opener.py
@@ -130,7 +130,7 @@
         if len(opening.answers) < MAXIMUM_TRIES:
             target = self._choose(key, opening, tuple(opening.answers), now)
             if target is not None:
-                # Asking an agent only to hear that it is full, and then the next one, costs a
+                # Asking an agent that is known to be full, and then the next one, costs a
                 # balancer more than the flow itself.
                 opening.waits = target.relative_load(now) >= FULL_LOAD_PER_SLOT
                 return target
--- a/src/jasperwalk/consensus/config.py
+++ b/src/jasperwalk/consensus/config.py
@@ -29,8 +29,8 @@
     election_timeout_seconds: float = 1.0
     """A replica waits between one and two election timeouts before it campaigns."""
     first_election_seconds: float | None = None
-    """Longest wait of a process that has just started and heard no leader; None means the
-    ordinary wait. Pre-votes keep it from disturbing a leader that the others hear, so this
+    """Longest wait of a process that has just started and has no leader; None means the
+    ordinary wait. Pre-votes keep it from disturbing a leader that the others follow, so this
     may be short: after a loss of power nobody leads. It doubles with each campaign in vain."""
     founding_interval_seconds: float = 0.2
     max_batch_entries: int = 256
--- a/src/jasperwalk/consensus/election.py
+++ b/src/jasperwalk/consensus/election.py
@@ -16,7 +16,7 @@
         """When the current campaign began, seconds; votes prove contact since then."""
 
     def tick(self, now: float) -> bool:
-        """Campaign when no leader was heard; return True when the election is won at once."""
+        """Campaign without contact with a leader; return True when the election is won at once."""
         state = self._state
         if state.role is Role.LEADER or now < state.election_deadline:
             return False
@@ -76,7 +76,7 @@
         state = self._state
         if not state.may_grant_vote():
             return
-        # A replica that hears its leader refuses without taking the term over, so that a
+        # A replica in contact with its leader refuses without taking the term over, so that a
         # replica that was cut off or removed cannot depose a working leader.
         hears_leader = self._hears_leader(now) and not request.transferred
         if request.term < state.term or hears_leader:
--- a/src/jasperwalk/consensus/leadership.py
+++ b/src/jasperwalk/consensus/leadership.py
@@ -14,7 +14,7 @@
 
 QUORUM_CHECK_TIMEOUTS = 2
 """Election time-outs without contact with a quorum after which a leader steps down. Followers
-that hear nothing campaign within as many; a leader that gave up before would depose itself for
+without contact campaign within as many; a leader that gave up before would depose itself for
 a delay in the others' event loops, which ends by itself. Quorum ages tell the truth meanwhile."""
 
 
--- a/src/jasperwalk/consensus/stall_grace.py
+++ b/src/jasperwalk/consensus/stall_grace.py
@@ -18,7 +18,7 @@
 
     There is one grace for a run of late ticks, so that a host that is always late still
     notices that its leader or its quorum is gone. It touches no promise: quorum ages are
-    told as they are. Times are in seconds.
+    reported as they are. Times are in seconds.
     """
 
     def __init__(self, heartbeat_interval_seconds: float) -> None:
--- a/src/jasperwalk/consensus/state.py
+++ b/src/jasperwalk/consensus/state.py
@@ -117,7 +117,7 @@
         self.election_deadline = now + timeout * (1.0 + self.random.random())
 
     def plan_campaign(self, now: float) -> None:
-        """Draw the next election deadline of a replica that hears no leader.
+        """Draw the next election deadline of a replica without contact with a leader.
 
         Replicas that have just started come one after the other: the first ones campaign
         before a quorum is there, and try again soon. The pause doubles up to the ordinary
--- a/src/jasperwalk/consensus/transfer.py
+++ b/src/jasperwalk/consensus/transfer.py
@@ -1,7 +1,7 @@
 """Transfer of leadership to another voter, so that a planned stop costs no election timeout.
 
 The leader takes no proposals meanwhile. Once the most current voter holds its whole log, it is
-told to campaign at once, and the others vote although they hear a leader (Ongaro, 2014,
+asked to campaign at once, and the others vote although they have a leader (Ongaro, 2014,
 section 3.10). A transfer that does not come about in an election timeout is given up.
 """
 
@@ -37,7 +37,7 @@
         return self._target is not None
 
     def tick(self, now: float) -> None:
-        """Tell the chosen one again, in case it did not hear; give up after a while."""
+        """Tell the chosen one again, in case the message was lost; give up after a while."""
         if now >= self._deadline:
             self._target = None
         self.advance()
--- a/src/jasperwalk/control/fleet/applier.py
+++ b/src/jasperwalk/control/fleet/applier.py
@@ -18,7 +18,7 @@
 
 
 class VersionedApplier:
-    """The `EntryApplier` of the datagram plane; `on_change` is told of a new held version."""
+    """The `EntryApplier` of the datagram plane; `on_change` is called for a new held version."""
 
     def __init__(self, on_change: Callable[[], None]) -> None:
         self.state = VersionedState()
--- a/src/jasperwalk/control/fleet/autopilot.py
+++ b/src/jasperwalk/control/fleet/autopilot.py
@@ -25,14 +25,14 @@
 from jasperwalk.control.fleet.messages import JoinRequest
 
 REPLACE_AFTER_SECONDS = 4.0
-"""A voter that was not heard for this long may be replaced by a learner that stands by."""
+"""A voter without contact for this long may be replaced by a learner that stands by."""
 REQUEST_LIFETIME_SECONDS = 3.0
-"""A newcomer repeats its request; one that has not for this long is gone."""
+"""A joining replica repeats its request; one that has not for this long is gone."""
 ODD_DIVISOR = 2
 
 
 @dataclass
-class Newcomer:
+class JoiningReplica:
     """A replica that asked to join, and when it last did."""
 
     request: JoinRequest
@@ -43,18 +43,18 @@
 class Autopilot:
     """Decides the next change of the member list on the leader; sans-IO."""
 
-    newcomers: dict[int, Newcomer] = field(default_factory=dict)
+    joining: dict[int, JoiningReplica] = field(default_factory=dict)
 
     def note_request(self, request: JoinRequest, now: float) -> None:
-        """Remember a newcomer."""
-        self.newcomers[request.replica_id] = Newcomer(request, now)
+        """Remember a replica that joins."""
+        self.joining[request.replica_id] = JoiningReplica(request, now)
 
     def next_change(
         self, membership: Membership, contact_ages: Mapping[int, float], now: float
     ) -> MembershipChange | None:
         """Return the next change, None where the list is right.
 
-        `contact_ages` holds the seconds since each replica was heard.
+        `contact_ages` holds the seconds since the last contact with each replica.
         """
         self._forget_old_requests(now)
         return (
@@ -65,15 +65,15 @@
         )
 
     def _forget_old_requests(self, now: float) -> None:
-        for replica_id, newcomer in list(self.newcomers.items()):
-            if now - newcomer.asked_at > REQUEST_LIFETIME_SECONDS:
-                del self.newcomers[replica_id]
+        for replica_id, joining_replica in list(self.joining.items()):
+            if now - joining_replica.asked_at > REQUEST_LIFETIME_SECONDS:
+                del self.joining[replica_id]
 
     def _addition(self, membership: Membership) -> AddLearner | None:
-        for replica_id, newcomer in self.newcomers.items():
+        for replica_id, joining_replica in self.joining.items():
             known = membership.find(replica_id) is not None or replica_id in membership.removed
             if not known:
-                return AddLearner(replica_id, str(newcomer.request.address))
+                return AddLearner(replica_id, str(joining_replica.request.address))
         return None
 
     def _promotion(
@@ -81,10 +81,10 @@
     ) -> PromoteLearner | None:
         replaceable = self._replaceable(membership, contact_ages)
         for member in membership.members:
-            newcomer = self.newcomers.get(member.replica_id)
+            joining_replica = self.joining.get(member.replica_id)
             if member.voting or contact_ages.get(member.replica_id, 0.0) > REPLACE_AFTER_SECONDS:
                 continue
-            is_founding = newcomer is not None and newcomer.request.founding
+            is_founding = joining_replica is not None and joining_replica.request.founding
             if is_founding or replaceable:
                 return PromoteLearner(member.replica_id)
         return None
@@ -103,9 +103,9 @@
         return moved + silent
 
     def _has_new_replica_at(self, voter: Member, membership: Membership) -> bool:
-        """Tell whether a newcomer asks from the voter's address: the voter's disk is gone."""
-        for replica_id, newcomer in self.newcomers.items():
-            same_address = str(newcomer.request.address) == voter.address
+        """Tell whether a replica joins from the voter's address: the voter's disk is gone."""
+        for replica_id, joining_replica in self.joining.items():
+            same_address = str(joining_replica.request.address) == voter.address
             if replica_id != voter.replica_id and same_address:
                 return replica_id not in membership.removed
         return False
@@ -128,6 +128,6 @@
     ) -> RemoveReplica | None:
         for member in membership.members:
             silent = contact_ages.get(member.replica_id, 0.0) > REPLACE_AFTER_SECONDS
-            if not member.voting and silent and member.replica_id not in self.newcomers:
+            if not member.voting and silent and member.replica_id not in self.joining:
                 return RemoveReplica(member.replica_id)
         return None
--- a/src/jasperwalk/control/fleet/directory.py
+++ b/src/jasperwalk/control/fleet/directory.py
@@ -17,15 +17,15 @@
 CLAIM_LIFETIME_SECONDS = 6.0
 """A silent replica's claims are kept this long: its nodes find another home meanwhile."""
 LOST_MEMORY_SECONDS = 5.0
-"""An agent that left without a goodbye is still told to balancers that link up for this long: it
-may only be restarting, and its host holds flows meanwhile."""
+"""An agent that left without deregistering is still listed to balancers that link up for this
+long: it may only be restarting, and its host holds flows meanwhile."""
 OWN_ID = 0
 """Key of this replica's own claims; a replica ID is never 0, and may change in a life."""
 
 
 @dataclass(frozen=True)
 class LostNode:
-    """A node that left without a goodbye, and when."""
+    """A node that left without deregistering, and when."""
 
     record: NodeRecord
     at: float
@@ -37,7 +37,7 @@
 
     life: int
     sequence: int
-    heard_at: float
+    last_contact_at: float
     records: dict[Endpoint, NodeRecord] = field(default_factory=dict)
 
 
@@ -85,13 +85,13 @@
         claims = self._claims.get(sender)
         if claims is None:
             claims = self._claims[sender] = HomeClaims(0, 0, now)
-        claims.heard_at = now
+        claims.last_contact_at = now
         return (claims.life, claims.sequence) != (beat.life, beat.sequence)
 
     def take_nodes(self, sender: int, news: HomedNodes, now: float) -> bool:
         """Take another replica's news; return True if a change before it was missed."""
         claims = self._claims.setdefault(sender, HomeClaims(0, 0, now))
-        claims.heard_at = now
+        claims.last_contact_at = now
         if not news.whole:
             if news.life != claims.life or news.sequence != claims.sequence + 1:
                 return True
@@ -113,7 +113,7 @@
             if now - lost.at > LOST_MEMORY_SECONDS:
                 del self._lost[endpoint]
         for replica_id, claims in list(self._claims.items()):
-            silent = now - claims.heard_at > CLAIM_LIFETIME_SECONDS
+            silent = now - claims.last_contact_at > CLAIM_LIFETIME_SECONDS
             if replica_id != OWN_ID and silent:
                 del self._claims[replica_id]
                 self._release(claims, list(claims.records), now)
--- a/src/jasperwalk/control/fleet/home_links.py
+++ b/src/jasperwalk/control/fleet/home_links.py
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True)
 class HomeView:
-    """What a home tells its nodes of itself."""
+    """What a home publishes of itself."""
 
     current: bool
     routes: RouteSet
@@ -51,7 +51,7 @@
     flow_idle_ms: int = 0
 
     def status(self) -> HomeStatus:
-        """Return what nodes are told regularly."""
+        """Return what nodes are sent regularly."""
         return HomeStatus(self.current, self.routes.version, self.replicas, self.flow_idle_ms)
 
 
@@ -91,21 +91,21 @@
 
 
 class HomeLinks:
-    """Serves the nodes' links; `tell_replicas` passes news of them on."""
+    """Serves the nodes' links; `notify_replicas` passes news of them on."""
 
     def __init__(
         self,
         directory: NodeDirectory,
         view: Callable[[], HomeView],
-        tell_replicas: Callable[[HomedNodes], None],
+        notify_replicas: Callable[[HomedNodes], None],
         fleet_interval_seconds: float = FLEET_INTERVAL_SECONDS,
     ) -> None:
         self._directory = directory
         self._view = view
-        self._tell_replicas = tell_replicas
+        self._tell_replicas = notify_replicas
         self.counters = HomeCounters()
         self._links: set[NodeLink] = set()
-        self._told_current = False
+        self._published_current = False
         self._fleet_interval_seconds = fleet_interval_seconds
         self._fleet_published_at = float("-inf")
         self._fleet_publication: asyncio.TimerHandle | None = None
@@ -166,11 +166,11 @@
         self.publish_fleet()
 
     def publish_status(self) -> None:
-        """Tell every node at once when this home has become current, or no longer is."""
+        """Notify every node at once when this home has become current, or no longer is."""
         view = self._view()
-        if view.current == self._told_current:
+        if view.current == self._published_current:
             return
-        self._told_current = view.current
+        self._published_current = view.current
         status = view.status()
         self._to_links(list(self._links), lambda link: link.send(status))
 
--- a/src/jasperwalk/control/fleet/messages.py
+++ b/src/jasperwalk/control/fleet/messages.py
@@ -74,7 +74,7 @@
 class JoinReply(msgspec.Struct, frozen=True, array_like=True, tag=322):
     """The answer; `leader` is where to ask instead, where the asked replica knows it.
 
-    `replicas` are the members: a newcomer has to reach them before its log names them.
+    `replicas` are the members: a joining replica has to reach them before its log names them.
     """
 
     status: JoinStatus
--- a/src/jasperwalk/control/fleet/process.py
+++ b/src/jasperwalk/control/fleet/process.py
@@ -182,7 +182,7 @@
 
     def _tell_replicas(self, news: HomedNodes) -> None:
         if self._replica is not None:
-            self._replica.tell_replicas(news)
+            self._replica.notify_replicas(news)
 
     def _answer_join(self, request: JoinRequest) -> JoinReply:
         if self._replica is None:
--- a/src/jasperwalk/control/fleet/replica.py
+++ b/src/jasperwalk/control/fleet/replica.py
@@ -74,7 +74,7 @@
 
     replica_id: int = 0
     version: int = 0
-    heard_at: float = float("-inf")
+    received_at: float = float("-inf")
 
 
 class FleetReplica:
@@ -157,7 +157,7 @@
         if self.runner.is_leader:
             return self.runner.is_settled
         sign = self._leader_sign
-        is_fresh = time.monotonic() - sign.heard_at <= CURRENT_SECONDS
+        is_fresh = time.monotonic() - sign.received_at <= CURRENT_SECONDS
         is_leaders = sign.replica_id == self.runner.leader_id
         return is_fresh and is_leaders and self.applier.state.held.version >= sign.version
 
@@ -166,7 +166,7 @@
         leader_id = self.runner.leader_id
         return None if leader_id is None else self.runner.endpoints().get(leader_id)
 
-    def tell_replicas(self, news: HomedNodes) -> None:
+    def notify_replicas(self, news: HomedNodes) -> None:
         """Pass news of the linked nodes on."""
         for replica_id in self.network.connected_ids():
             self.network.send(replica_id, news)
--- a/src/jasperwalk/control/peer_links.py
+++ b/src/jasperwalk/control/peer_links.py
@@ -74,7 +74,7 @@
         self._queue: asyncio.Queue[bytes] = asyncio.Queue(maxsize=QUEUE_LIMIT_MESSAGES)
         self._heard = asyncio.Event()
 
-    def peer_heard(self) -> None:
+    def peer_connected(self) -> None:
         """Dial at once: the peer has just opened a link of its own, so it is there.
 
         An attempt that began while the peer's machine had no power hangs until its time-out,
@@ -243,7 +243,7 @@
     def _peer_heard(self, connection: FramedConnection) -> None:
         link = None if connection.peer is None else self._links.get(connection.peer.sender_id)
         if link is not None:
-            link.peer_heard()
+            link.peer_connected()
 
     def _take(self, connection: FramedConnection, payload: bytes) -> None:
         sender = connection.peer.sender_id if connection.peer is not None else 0
--- a/src/jasperwalk/control/raft_runner.py
+++ b/src/jasperwalk/control/raft_runner.py
@@ -190,7 +190,7 @@
         return self._node.quorum_age(time.monotonic())
 
     def contact_ages(self) -> dict[int, float]:
-        """On the leader: seconds since each replica was heard, inf for one that never was."""
+        """On the leader: seconds since the last contact with each replica, inf without any."""
         now = time.monotonic()
         ages: dict[int, float] = {}
         for replica_id in self.membership.replica_ids():
@@ -214,7 +214,7 @@
         return outcome
 
     def add_peers(self, peers: Mapping[int, Endpoint]) -> None:
-        """Learn of replicas that neither the settings nor the log of a newcomer name."""
+        """Learn of replicas that neither the settings nor the log of a joining replica name."""
         known = self._config.peers
         if any(known.get(replica_id) != address for replica_id, address in peers.items()):
             known.update(peers)
--- a/src/jasperwalk/control/subscriber_reports.py
+++ b/src/jasperwalk/control/subscriber_reports.py
@@ -105,7 +105,7 @@
 
 
 class SubscriberReporter:
-    """Keeps what the leader was told; `now` is in seconds of one monotonic clock.
+    """Keeps what was reported to the leader; `now` is in seconds of one monotonic clock.
 
     `first_sequence` differs between two starts of a process, so that a report of the former
     one is not taken for the next of this one.
@@ -220,18 +220,18 @@
 
 def _condition_holds(record: _Record) -> bool:
     """Tell whether what was last reported of a subscriber is still near enough."""
-    told, link = record.condition, record.link
+    reported, link = record.condition, record.link
     return (
-        told is not None
-        and told.incarnation == link.incarnation
-        and told.healthy == link.healthy
-        and told.connection_id_generation == link.connection_id_generation
-        and told.stateless_reset_generation == link.stateless_reset_generation
-        and _flows_hold(told.open_flows, link.open_flows)
+        reported is not None
+        and reported.incarnation == link.incarnation
+        and reported.healthy == link.healthy
+        and reported.connection_id_generation == link.connection_id_generation
+        and reported.stateless_reset_generation == link.stateless_reset_generation
+        and _flows_hold(reported.open_flows, link.open_flows)
     )
 
 
-def _flows_hold(told: int, open_flows: int) -> bool:
-    if not told or not open_flows:
-        return told == open_flows
-    return abs(open_flows - told) * FLOW_SHARE <= told
+def _flows_hold(reported: int, open_flows: int) -> bool:
+    if not reported or not open_flows:
+        return reported == open_flows
+    return abs(open_flows - reported) * FLOW_SHARE <= reported
--- a/src/jasperwalk/distribution/publisher.py
+++ b/src/jasperwalk/distribution/publisher.py
@@ -148,7 +148,7 @@
         return effects
 
     def note_quorum_age(self, now: float, quorum_age: float) -> None:
-        """Take in the seconds since contact with a quorum, by which newcomers are judged."""
+        """Take in the seconds since contact with a quorum, by which new subscribers are judged."""
         self._quorum_contact_at = now - quorum_age
 
     def tick(self, now: float, quorum_age: float) -> list[PublisherEffect]:
@@ -196,9 +196,9 @@
     def agent_registered(
         self, address: Endpoint, boot_id: str, incarnation: int, now: float
     ) -> list[PublisherEffect]:
-        """Take in a committed registration; every replica is told of every one.
+        """Take in a committed registration; every replica is notified of every one.
 
-        Its agent hears of it at once. An older process at the same address is refused.
+        Its agent is notified at once. An older process at the same address is refused.
         """
         self._registrations.register(address, boot_id, incarnation)
         effects: list[PublisherEffect] = []
@@ -208,7 +208,7 @@
             elif 0 < max(link.subscribe.incarnation, link.incarnation) <= incarnation:
                 effects.extend(self._close_replaced(link))
             else:
-                # This replica may only now hear of a former process: its log tells of it first.
+                # A former process may be reported only now: the log names it first.
                 effects.extend(self._check_registration(link, now))
         return effects
 
--- a/src/jasperwalk/fleet/flow_searches.py
+++ b/src/jasperwalk/fleet/flow_searches.py
@@ -43,7 +43,7 @@
 
 
 class SearchHandler(Protocol):
-    """What is told of searches that end."""
+    """What is called when searches end."""
 
     def search_found(self, search: Search, holder: Target, now: float) -> None:
         """Take the holder; the search's packets wait for it."""
--- a/src/jasperwalk/fleet/search.py
+++ b/src/jasperwalk/fleet/search.py
@@ -33,7 +33,7 @@
 ROUND_PAUSE_SECONDS = 0.04
 """Least pause between the first round and the second: late answers come meanwhile."""
 SETTLING_SECONDS = 0.3
-"""No second round begins earlier after the directory was heard first: agents may be missing."""
+"""No second round begins earlier after the directory was received first: agents may be missing."""
 ROUND_GRID_SECONDS = 0.02
 """Second rounds begin at multiples of this."""
 MAXIMUM_HELD_PACKETS = 16
@@ -220,8 +220,8 @@
         self._probing = None
         if self.rounds < ROUNDS:
             self._pausing = True
-            heard_at = pool.heard_first_at if len(pool) else now
-            earliest = max(now + ROUND_PAUSE_SECONDS, (heard_at or now) + SETTLING_SECONDS)
+            since = pool.directory_since if len(pool) else now
+            earliest = max(now + ROUND_PAUSE_SECONDS, (since or now) + SETTLING_SECONDS)
             self.deadline = math.ceil(earliest / ROUND_GRID_SECONDS) * ROUND_GRID_SECONDS
             return []
         doubtful = self._doubtful(now)
--- a/src/jasperwalk/fleet/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -2,7 +2,7 @@
 
 What the directory says decides who may be chosen. How busy each agent is comes with its
 answers on the data path, so it costs no control traffic; what this balancer sent since the
-last answer is added. An agent that leaves the directory without saying goodbye may only have
+last answer is added. An agent that leaves the directory without deregistering may only have
 lost its control link: it stays usable for a while, because an agent that is really gone does
 not answer and is passed over.
 """
@@ -38,9 +38,9 @@
 """How long an agent that left the directory may still be chosen for new flows."""
 LOST_AFTER_SECONDS = 2.0
 """An agent without a control link for this long that does not answer either is lost, or cut off
-from everybody: its callers are told to come back rather than held to their deadlines."""
+from everybody: its callers are reset, so that they try again while they still can."""
 LEAVING_LOST_AFTER_SECONDS = 10.0
-"""The same for an agent whose host was leaving and has not said goodbye: the host may serve its
+"""The same for an agent whose host was leaving and has not deregistered: the host may serve its
 last flows for many seconds yet, and they are not to be reset."""
 SILENT_SECONDS = 0.2
 """An agent that has answered no question for this long is silent; answers take 1 to 2 ms, also in
@@ -74,7 +74,7 @@
     service_tag: int
     hash_seed: int
     started_at: float
-    """When this balancer first heard of the agent's present process."""
+    """When this balancer first received a record of the agent's present process."""
     load: float = 0.0
     sent_since: int = 0
     suspect_until: float = float("-inf")
@@ -175,13 +175,13 @@
     _targets: dict[Endpoint, Target] = field(default_factory=dict)
     _by_service: dict[str, list[Target]] = field(default_factory=dict)
     _by_address: dict[SocketAddress, Target] = field(default_factory=dict)
-    heard_first_at: float | None = None
-    """When the directory was heard first, None before."""
+    directory_since: float | None = None
+    """When the first agents were received from a home, None before."""
 
     def update(self, update: FleetUpdate, now: float) -> None:
         """Take the directory's news in."""
-        if self.heard_first_at is None:
-            self.heard_first_at = now
+        if self.directory_since is None:
+            self.directory_since = now
         if update.whole:
             listed = {record.endpoint for record in update.records}
             for endpoint in [each for each in self._targets if each not in listed]:
@@ -266,7 +266,7 @@
         After a start of the whole fleet agents are known before their hosts have spoken, and a
         balancer that has just started does not know all agents yet.
         """
-        if self.heard_first_at is None or now - self.heard_first_at < EXPECTED_SECONDS:
+        if self.directory_since is None or now - self.directory_since < EXPECTED_SECONDS:
             return True
         return any(
             target.record.phase is HostPhase.UNKNOWN
--- a/tests/agent/datagrams/test_planned_stop.py
+++ b/tests/agent/datagrams/test_planned_stop.py
@@ -35,7 +35,7 @@
 
 def test_it_stops_within_its_grace_all_the_same(monkeypatch):
     pauses = outlast(monkeypatch, host(HostPhase.DRAINING))
-    assert 0 < sum(pauses) <= GRACE_SECONDS - planned_stop.FAREWELL_MARGIN_SECONDS
+    assert 0 < sum(pauses) <= GRACE_SECONDS - planned_stop.DEREGISTRATION_MARGIN_SECONDS
 
 
 def test_it_stops_at_once_beside_a_host_that_stays_or_has_left(monkeypatch):
--- a/tests/balancer/datagrams/test_flow_balancer.py
+++ b/tests/balancer/datagrams/test_flow_balancer.py
@@ -350,7 +350,7 @@
 @pytest.mark.parametrize("known", [[], [record(1, HostPhase.UNKNOWN)]])
 def test_a_new_flow_waits_for_a_host_that_is_expected_in_a_moment(known):
     bench = Bench(version=1)
-    bench.pool.heard_first_at = None
+    bench.pool.directory_since = None
     bench.learn(*known, now=0.9)
     bench.core.receive(SYN, 1.0)
     bench.core.receive(SYN, 1.2)
--- a/tests/balancer/datagrams/test_search.py
+++ b/tests/balancer/datagrams/test_search.py
@@ -310,7 +310,7 @@
 def test_a_balancer_that_has_just_heard_of_agents_resets_nothing_yet():
     """Others may be missing in what a home tells right after a start of its own."""
     bench = Bench(version=1)
-    bench.core.pool.heard_first_at = None
+    bench.core.pool.directory_since = None
     bench.learn(record(1), whole=True, now=0.95)
     bench.core.receive(DATA, 1.0)
     deny(bench, asked(bench), 1.01)
--- a/tests/control/test_peer_links.py
+++ b/tests/control/test_peer_links.py
@@ -88,7 +88,7 @@
         link = PeerLink(server.endpoint, "c1", 1, "zagreb", times=PEER_LINK_TIMES)
         task = asyncio.create_task(link.run())
         await until(lambda: link.connected)
-        link.peer_heard()
+        link.peer_connected()
         await asyncio.sleep(0.05)
         assert link.connected
         assert dialer.attempts == 1
