The Hello has a module of its own; framed and identity no longer import each other

transport/hello.py: the first message of a connection, its kind and their check. framed.py moves bytes. No behaviour changes; imports follow.

--- a/src/jasperwalk/agent/ports.py
+++ b/src/jasperwalk/agent/ports.py
@@ -10,7 +10,8 @@
 from jasperwalk.agent.endpoint import AgentEndpoint
 from jasperwalk.agent.lending import Lender, serve_lending
 from jasperwalk.agent.relay_server import RelayHandler, serve_relay
-from jasperwalk.transport.framed import ConnectionKind, FramedConnection, Hello
+from jasperwalk.transport.framed import FramedConnection
+from jasperwalk.transport.hello import ConnectionKind, Hello
 from jasperwalk.transport.server import FramedServer
 from jasperwalk.transport.tls import LinkTls
 
--- a/src/jasperwalk/agent/process.py
+++ b/src/jasperwalk/agent/process.py
@@ -49,7 +49,7 @@
 from jasperwalk.observability.metrics import MetricsRegistry
 from jasperwalk.runtime import stop_event
 from jasperwalk.settings import AgentSettings
-from jasperwalk.transport.framed import ConnectionKind, make_hello
+from jasperwalk.transport.hello import ConnectionKind, make_hello
 from jasperwalk.transport.identity import ProcessRole
 from jasperwalk.transport.tls import describe_links, link_tls_of
 
--- a/src/jasperwalk/agent/relay.py
+++ b/src/jasperwalk/agent/relay.py
@@ -35,7 +35,8 @@
 from jasperwalk.errors import JasperwalkError
 from jasperwalk.messages.codec import encode
 from jasperwalk.transport.client import connect, port_accepts
-from jasperwalk.transport.framed import ConnectionKind, FramedConnection, make_hello
+from jasperwalk.transport.framed import FramedConnection
+from jasperwalk.transport.hello import ConnectionKind, make_hello
 from jasperwalk.transport.tls import LinkTls
 
 CONNECT_TIMEOUT_SECONDS = 1.0
--- a/src/jasperwalk/agent/slot_asker.py
+++ b/src/jasperwalk/agent/slot_asker.py
@@ -30,7 +30,8 @@
 )
 from jasperwalk.errors import JasperwalkError
 from jasperwalk.messages.codec import encode
-from jasperwalk.transport.framed import ConnectionKind, FramedConnection
+from jasperwalk.transport.framed import FramedConnection
+from jasperwalk.transport.hello import ConnectionKind
 
 CONNECT_TIMEOUT_SECONDS = 0.25
 ANSWER_TIMEOUT_SECONDS = 0.25
--- a/src/jasperwalk/control/fleet/joining.py
+++ b/src/jasperwalk/control/fleet/joining.py
@@ -10,7 +10,8 @@
 from jasperwalk.errors import JasperwalkError, MalformedMessage
 from jasperwalk.messages import codec
 from jasperwalk.transport.client import connect
-from jasperwalk.transport.framed import ConnectionKind, FramedConnection, make_hello
+from jasperwalk.transport.framed import FramedConnection
+from jasperwalk.transport.hello import ConnectionKind, make_hello
 
 ANSWER_TIMEOUT_SECONDS = 0.6
 
--- a/src/jasperwalk/control/fleet/process.py
+++ b/src/jasperwalk/control/fleet/process.py
@@ -25,7 +25,8 @@
 from jasperwalk.fleet.figures import ProcessFigures, metrics_server
 from jasperwalk.fleet.messages import CLUSTER_ID
 from jasperwalk.flows.routes import RouteSet
-from jasperwalk.transport.framed import ConnectionKind, FramedConnection, make_hello
+from jasperwalk.transport.framed import FramedConnection
+from jasperwalk.transport.hello import ConnectionKind, make_hello
 from jasperwalk.transport.http_messages import HttpHandler
 from jasperwalk.transport.http_server import HttpServer, serving
 from jasperwalk.transport.server import FramedServer
--- a/src/jasperwalk/control/peer_links.py
+++ b/src/jasperwalk/control/peer_links.py
@@ -20,7 +20,8 @@
 from jasperwalk.messages import codec
 from jasperwalk.transport.client import CONNECT_TIMEOUT_SECONDS, connect
 from jasperwalk.transport.errors import TlsError
-from jasperwalk.transport.framed import ConnectionKind, FramedConnection, make_hello
+from jasperwalk.transport.framed import FramedConnection
+from jasperwalk.transport.hello import ConnectionKind, make_hello
 
 if TYPE_CHECKING:
     import msgspec
--- a/src/jasperwalk/control/replica.py
+++ b/src/jasperwalk/control/replica.py
@@ -49,7 +49,7 @@
 from jasperwalk.control.subscriber_reports import SubscriberReport
 from jasperwalk.distribution.publisher_events import PublisherConfig
 from jasperwalk.observability.metrics import MetricsRegistry
-from jasperwalk.transport.framed import ConnectionKind, make_hello
+from jasperwalk.transport.hello import ConnectionKind, make_hello
 from jasperwalk.transport.server import FramedServer
 from jasperwalk.transport.tls import LinkTls
 
--- a/src/jasperwalk/distribution/runner.py
+++ b/src/jasperwalk/distribution/runner.py
@@ -29,7 +29,8 @@
 )
 from jasperwalk.transport.client import connect
 from jasperwalk.transport.errors import TlsError
-from jasperwalk.transport.framed import ConnectionKind, FramedConnection, Hello, make_hello
+from jasperwalk.transport.framed import FramedConnection
+from jasperwalk.transport.hello import ConnectionKind, Hello, make_hello
 from jasperwalk.transport.tls import LinkTls
 
 EVENT_QUEUE_LENGTH = 64
--- a/src/jasperwalk/fleet/home_link.py
+++ b/src/jasperwalk/fleet/home_link.py
@@ -28,7 +28,8 @@
 )
 from jasperwalk.messages import codec
 from jasperwalk.transport.client import connect
-from jasperwalk.transport.framed import ConnectionKind, FramedConnection, make_hello
+from jasperwalk.transport.framed import FramedConnection
+from jasperwalk.transport.hello import ConnectionKind, make_hello
 
 CONNECT_TIMEOUT_SECONDS = 0.4
 """Longest time for a TCP connection to stand, and for the replica's Hello after that."""
--- a/src/jasperwalk/transport/client.py
+++ b/src/jasperwalk/transport/client.py
@@ -10,12 +10,8 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.errors import JasperwalkError
 from jasperwalk.transport.errors import ConnectFailed, ConnectionLost
-from jasperwalk.transport.framed import (
-    HELLO_TIMEOUT_SECONDS,
-    FramedConnection,
-    Hello,
-    explain_tls,
-)
+from jasperwalk.transport.framed import HELLO_TIMEOUT_SECONDS, FramedConnection, explain_tls
+from jasperwalk.transport.hello import Hello
 
 if TYPE_CHECKING:
     from jasperwalk.transport.tls import LinkTls
--- a/src/jasperwalk/transport/framed.py
+++ b/src/jasperwalk/transport/framed.py
@@ -1,21 +1,16 @@
 """Framed TCP: a four-byte big-endian length, then that many bytes of payload.
 
-The first frame each way is a `Hello`. Its shape never changes between versions, so that both
-sides can name the version that the other one speaks.
+The first frame each way is a `Hello` (see `hello`).
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import enum
 import ssl
 import struct
 from typing import TYPE_CHECKING
 
-import msgspec
-
-from jasperwalk.errors import UnsupportedVersion
 from jasperwalk.messages import codec
 from jasperwalk.transport.errors import (
     CertificateRefused,
@@ -25,8 +20,8 @@
     SendBufferFull,
     TlsFailed,
     TruncatedFrame,
-    WrongCluster,
 )
+from jasperwalk.transport.hello import HELLO_DECODER, Hello, check_hello
 
 if TYPE_CHECKING:
     from jasperwalk.transport.identity import Identity
@@ -52,29 +47,6 @@
 CERTIFICATE_ALERTS = ("CERTIFICATE", "UNKNOWN_CA")
 
 
-class ConnectionKind(enum.StrEnum):
-    """What a connection is for."""
-
-    PEER = "peer"
-    SUBSCRIBER = "subscriber"
-    REPORTER = "reporter"
-    RELAY = "relay"
-    LENDING = "lending"
-
-
-class Hello(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """First message each way. `sender_id` is the replica's identity, 0 for other processes."""
-
-    version: int
-    kind: ConnectionKind
-    name: str
-    sender_id: int
-    cluster_id: str
-
-
-HELLO_DECODER: codec.Decoder[Hello] = codec.Decoder(Hello)
-
-
 class FramedConnection:
     """One connection that carries frames; `peer` is the other side's Hello once exchanged.
 
@@ -179,26 +151,6 @@
                 self._writer.transport.abort()
 
 
-def check_hello(hello: Hello, cluster_id: str) -> Hello:
-    """Return the Hello of a fitting peer; raise `UnsupportedVersion` or `WrongCluster`."""
-    if hello.version != codec.PROTOCOL_VERSION:
-        raise UnsupportedVersion(version=hello.version, supported=codec.PROTOCOL_VERSION)
-    if hello.cluster_id != cluster_id:
-        raise WrongCluster(cluster_id=hello.cluster_id, expected=cluster_id)
-    return hello
-
-
-def make_hello(kind: ConnectionKind, name: str, cluster_id: str, sender_id: int = 0) -> Hello:
-    """Build the Hello of this process in the version that it speaks."""
-    return Hello(
-        version=codec.PROTOCOL_VERSION,
-        kind=kind,
-        name=name,
-        sender_id=sender_id,
-        cluster_id=cluster_id,
-    )
-
-
 def explain_tls(error: ssl.SSLError) -> CertificateRefused | TlsFailed:
     """Turn a failure of OpenSSL into a typed one."""
     if isinstance(error, ssl.SSLCertVerificationError):
--- a/src/jasperwalk/transport/identity.py
+++ b/src/jasperwalk/transport/identity.py
@@ -13,7 +13,7 @@
 from urllib.parse import urlsplit
 
 from jasperwalk.transport.errors import CertificateWithoutIdentity, IdentityMismatch
-from jasperwalk.transport.framed import ConnectionKind, Hello
+from jasperwalk.transport.hello import ConnectionKind, Hello
 
 URI_SCHEME = "jasperwalk"
 PATH_PARTS = 2
--- a/src/jasperwalk/transport/server.py
+++ b/src/jasperwalk/transport/server.py
@@ -12,12 +12,8 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.errors import JasperwalkError
 from jasperwalk.transport.errors import TlsError, TransportError, UnhandledKind
-from jasperwalk.transport.framed import (
-    HELLO_TIMEOUT_SECONDS,
-    ConnectionKind,
-    FramedConnection,
-    Hello,
-)
+from jasperwalk.transport.framed import HELLO_TIMEOUT_SECONDS, FramedConnection
+from jasperwalk.transport.hello import ConnectionKind, Hello
 
 if TYPE_CHECKING:
     from jasperwalk.transport.tls import LinkTls
--- a/src/jasperwalk_lab/simulator/network.py
+++ b/src/jasperwalk_lab/simulator/network.py
@@ -12,7 +12,7 @@
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.transport.errors import ConnectFailed, ConnectionLost
-from jasperwalk.transport.framed import Hello
+from jasperwalk.transport.hello import Hello
 from jasperwalk_lab.simulator.clock import SimulatedProcess
 
 RETRANSMISSION_SECONDS = 0.2
--- a/src/jasperwalk_lab/simulator/seams.py
+++ b/src/jasperwalk_lab/simulator/seams.py
@@ -39,7 +39,7 @@
 from jasperwalk.membership.platform import PlatformList
 from jasperwalk.observability.admin import AdminServer
 from jasperwalk.transport import client as transport_client
-from jasperwalk.transport.framed import ConnectionKind, Hello
+from jasperwalk.transport.hello import ConnectionKind, Hello
 from jasperwalk.transport.server import FramedServer
 from jasperwalk_lab.simulator.backend import ModelBackend
 from jasperwalk_lab.simulator.clock import ProcessClock, current_process
--- a/tests/agent/test_lending.py
+++ b/tests/agent/test_lending.py
@@ -40,7 +40,7 @@
 from jasperwalk.config.table import AdminState, Objective, OperatingStatus
 from jasperwalk.errors import JasperwalkError
 from jasperwalk.messages.codec import encode
-from jasperwalk.transport.framed import ConnectionKind, make_hello
+from jasperwalk.transport.hello import ConnectionKind, make_hello
 from jasperwalk.transport.server import FramedServer
 
 ANY_PORT = Endpoint("127.0.0.1", 0)
--- a/tests/agent/test_process.py
+++ b/tests/agent/test_process.py
@@ -19,7 +19,7 @@
 from jasperwalk.messages.distribution import FromSubscriber, Heartbeat, Snapshot
 from jasperwalk.routing.connection_ids import ConnectionIdCodec
 from jasperwalk.settings import AgentSettings
-from jasperwalk.transport.framed import ConnectionKind, make_hello
+from jasperwalk.transport.hello import ConnectionKind, make_hello
 from jasperwalk.transport.server import FramedServer
 
 ANY_PORT = Endpoint("127.0.0.1", 0)
--- a/tests/balancer/test_process.py
+++ b/tests/balancer/test_process.py
@@ -30,7 +30,7 @@
 )
 from jasperwalk.messages.proxy_protocol import HEADER_PREFIX
 from jasperwalk.settings.models import BalancerSettings
-from jasperwalk.transport.framed import ConnectionKind, make_hello
+from jasperwalk.transport.hello import ConnectionKind, make_hello
 from jasperwalk.transport.server import FramedServer
 
 CLUSTER = "zagreb"
--- a/tests/control/test_keys.py
+++ b/tests/control/test_keys.py
@@ -20,7 +20,7 @@
 from jasperwalk.distribution.runner import FollowerRunner
 from jasperwalk.messages.distribution import SubscriberRole
 from jasperwalk.transport.certificates import CONTROL_HOST_NAME
-from jasperwalk.transport.framed import ConnectionKind, make_hello
+from jasperwalk.transport.hello import ConnectionKind, make_hello
 from jasperwalk.transport.server import FramedServer
 
 ANY_PORT = Endpoint("127.0.0.1", 0)
--- a/tests/control/test_peer_links.py
+++ b/tests/control/test_peer_links.py
@@ -9,7 +9,7 @@
 from jasperwalk.control.fleet.replica import PEER_LINK_TIMES
 from jasperwalk.control.peer_links import PeerLink, PeerNetwork
 from jasperwalk.transport.errors import ConnectFailed
-from jasperwalk.transport.framed import ConnectionKind, make_hello
+from jasperwalk.transport.hello import ConnectionKind, make_hello
 from jasperwalk.transport.server import FramedServer
 
 ANY_PORT = Endpoint("127.0.0.1", 0)
--- a/tests/control/test_peer_port.py
+++ b/tests/control/test_peer_port.py
@@ -17,7 +17,7 @@
 from jasperwalk.messages import codec
 from jasperwalk.messages.distribution import Acknowledge
 from jasperwalk.transport.client import connect
-from jasperwalk.transport.framed import ConnectionKind, make_hello
+from jasperwalk.transport.hello import ConnectionKind, make_hello
 
 QUICK = {"heartbeat_interval_seconds": 0.02, "election_timeout_seconds": 0.1}
 
--- a/tests/distribution/test_runner.py
+++ b/tests/distribution/test_runner.py
@@ -28,7 +28,8 @@
     Subscribe,
     SubscriberRole,
 )
-from jasperwalk.transport.framed import ConnectionKind, FramedConnection, make_hello
+from jasperwalk.transport.framed import FramedConnection
+from jasperwalk.transport.hello import ConnectionKind, make_hello
 from jasperwalk.transport.server import FramedServer
 
 CLUSTER = "zagreb"
--- a/tests/fleet/test_home_link.py
+++ b/tests/fleet/test_home_link.py
@@ -23,7 +23,7 @@
 from jasperwalk.fleet.settings import InvalidSettings
 from jasperwalk.flows.routes import FlowRoute, RouteBackend, RouteSet
 from jasperwalk.transport.errors import ConnectFailed
-from jasperwalk.transport.framed import ConnectionKind, make_hello
+from jasperwalk.transport.hello import ConnectionKind, make_hello
 from jasperwalk.transport.server import FramedServer
 from tests.control.fleet.support import until
 
--- a/tests/transport/test_framed.py
+++ b/tests/transport/test_framed.py
@@ -12,13 +12,8 @@
 from jasperwalk.messages import codec
 from jasperwalk.transport.client import connect
 from jasperwalk.transport.errors import ConnectFailed, OversizedFrame, WrongCluster
-from jasperwalk.transport.framed import (
-    MAXIMUM_FRAME_BYTES,
-    ConnectionKind,
-    FramedConnection,
-    Hello,
-    make_hello,
-)
+from jasperwalk.transport.framed import MAXIMUM_FRAME_BYTES, FramedConnection
+from jasperwalk.transport.hello import ConnectionKind, Hello, make_hello
 from jasperwalk.transport.server import FramedServer
 
 ANY_PORT = Endpoint(host="127.0.0.1", port=0)
--- a/tests/transport/test_server_backlog.py
+++ b/tests/transport/test_server_backlog.py
@@ -7,7 +7,7 @@
 import socket
 
 from jasperwalk.addresses import Endpoint
-from jasperwalk.transport.framed import ConnectionKind, make_hello
+from jasperwalk.transport.hello import ConnectionKind, make_hello
 from jasperwalk.transport.server import ACCEPTED_PER_TURN, FramedServer
 
 AT_ONCE = 300
--- a/tests/transport/test_tls.py
+++ b/tests/transport/test_tls.py
@@ -19,7 +19,7 @@
     TransportError,
     UnusableCertificate,
 )
-from jasperwalk.transport.framed import ConnectionKind, make_hello
+from jasperwalk.transport.hello import ConnectionKind, make_hello
 from jasperwalk.transport.identity import (
     CLIENT_ROLES,
     SERVER_ROLES,
