--- a/bench/agent_servers.py
+++ b/bench/agent_servers.py
@@ -44,7 +44,8 @@
 )
 from jasperwalk.messages.proxy_protocol import ADDRESS_BLOCK_START, HEADER_LENGTH, destination_of
 from jasperwalk.settings import AgentSettings
-from jasperwalk.transport.framed import ConnectionKind, FramedConnection, make_hello
+from jasperwalk.transport.framed import FramedConnection
+from jasperwalk.transport.hello import ConnectionKind, make_hello
 from jasperwalk.transport.server import FramedServer
 from jasperwalk_lab.certificates import CertificateFiles
 
