A flow that its host hands back goes to another host; such hosts get few flows

Some hosts handed every opening packet back. Their agents had accepted each flow before the host could say so, and a balancer ignored a refusal after an acceptance as the answer to a copy. So the flow stayed there, the copies of its opening went there too, and its caller gave up after 1.4 s. Such a host is idle and its agent says so: it drew new flows from all others.

Change: a refusal because the host handed the packet back takes the acceptance back, and the next agent is asked; with none left the caller is reset at once. After three openings in a row handed back an agent refuses new flows but for one each half second, and reports the load of a silent host, until the host takes one. A copy that comes back after the host's answer changes nothing.

--- a/src/jasperwalk/agent/datagrams/admission.py
+++ b/src/jasperwalk/agent/datagrams/admission.py
@@ -9,6 +9,9 @@
 from jasperwalk.fleet.messages import HostPhase
 from jasperwalk.flows.frames import FULL_LOAD_PER_SLOT, RefusalReason
 
+COPIES_PASS = frozenset((RefusalReason.FULL, RefusalReason.RETURNED))
+"""Refusals that keep new flows from a host, but not copies of the opening of one that it has."""
+
 
 def most_requests(capacity: int) -> int:
     """Return how many requests may be under way at a host with this many slots."""
@@ -25,6 +28,8 @@
         return RefusalReason.NOT_READY
     if response.refuses(host.announced_at, now):
         return RefusalReason.SILENT
+    if response.refuses_after_returns(now):
+        return RefusalReason.RETURNED
     if busy >= most_requests(host.capacity):
         return RefusalReason.FULL
     return None
--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -11,14 +11,15 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from jasperwalk.agent.datagrams.admission import refusal_of
+from jasperwalk.agent.datagrams.admission import COPIES_PASS, refusal_of
 from jasperwalk.agent.datagrams.admission_queue import AdmissionQueue, WaitingFlow
 from jasperwalk.agent.datagrams.balancer_answers import BalancerAnswers
 from jasperwalk.agent.datagrams.counters import AgentCounters
 from jasperwalk.agent.datagrams.half_open import HalfOpenFlows
 from jasperwalk.agent.datagrams.held_flow import NO_BALANCER, HeldFlow
 from jasperwalk.agent.datagrams.host import HostState
-from jasperwalk.agent.datagrams.host_response import SILENT_LOAD_FACTOR, HostResponse
+from jasperwalk.agent.datagrams.host_response import SILENT_LOAD_FACTOR
+from jasperwalk.agent.datagrams.host_watch import HostWatch
 from jasperwalk.agent.datagrams.load import LoadMeter
 from jasperwalk.fleet.messages import HostPhase
 from jasperwalk.flows.codec import DatagramSender, PacketCodec, SocketAddress
@@ -71,7 +72,7 @@
         self.answers = BalancerAnswers(self._tag, self.host, self._load, self.to_balancer)
         self.meter = LoadMeter(self.started_at)
         self.queue = AdmissionQueue(self.started_at)
-        self.response = HostResponse()
+        self.watch = HostWatch(self.host, self.log)
 
     def __len__(self) -> int:
         """Return the number of flows in the table."""
@@ -139,6 +140,7 @@
         began while this process watched.
         """
         self._host_started_here = True
+        self.watch.note_replaced()
         for flow in self._flows.values():
             self._set_busy(flow, False, now)
             flow.confirmed = False
@@ -200,6 +202,9 @@
     def _let_go(self, key: bytes, flow: HeldFlow, now: float) -> None:
         """Forget a half-open flow whose caller chose another host."""
         self.counters.flows_opened_elsewhere += 1
+        self._drop(key, flow, now)
+
+    def _drop(self, key: bytes, flow: HeldFlow, now: float) -> None:
         self._set_busy(flow, False, now)
         self._half_open.discard(key)
         del self._flows[key]
@@ -227,11 +232,10 @@
     def _open(self, packet: bytes, flags: int, tag: int, sender: SocketAddress, now: float) -> None:
         key = self.codec.flow_key(packet)
         self._expire_half_open(now)
-        reason = self._refusal(tag, now)
         flow = self._flows.get(key)
         is_copy = flow is not None and not flow.has_ended()
-        if reason is RefusalReason.FULL and is_copy:
-            reason = None
+        reason = self._refusal(tag, now)
+        reason = None if is_copy and reason in COPIES_PASS else reason
         if reason is RefusalReason.FULL and self._lets_wait(key, packet, flags, now):
             self.answers.reply(FrameKind.ACCEPTED, 0, key, sender, now)
             return
@@ -286,7 +290,7 @@
         """Return why a new flow is refused now, None where it is taken."""
         if tag != self._tag:
             return RefusalReason.OTHER_SERVICE
-        return refusal_of(self.host, self.response, self.meter.busy, now)
+        return refusal_of(self.host, self.watch.response, self.meter.busy, now)
 
     def _admit(
         self, key: bytes, sender: SocketAddress, now: float, waited_seconds: float = 0.0
@@ -299,7 +303,7 @@
         # Its first request is on the way.
         self._set_busy(flow, True, now)
         self._half_open.add(key, flow)
-        self.response.note_asked(now)
+        self.watch.response.note_asked(now)
         self.counters.flows_accepted += 1
         self.log.note(
             "flow-admitted",
@@ -311,16 +315,10 @@
         )
 
     def _load(self, now: float) -> float:
-        if self.response.is_silent(now):
+        if self.watch.response.is_unable(now):
             return float(SILENT_LOAD_FACTOR * self.host.capacity)
         return self.meter.load(now) + len(self.queue)
 
-    def _tell_silence(self, now: float) -> None:
-        """Log that the host no longer answers, or does again."""
-        if self.response.has_turned(now):
-            event = "host-silent" if self.response.is_silent(now) else "host-answers-again"
-            self.log.note(event, **self.host.describe(now))
-
     # From the host
 
     def receive_host_packet(self, packet: bytes, now: float) -> None:
@@ -328,8 +326,7 @@
         if not self.codec.is_whole(packet):
             self.counters.host_packets_malformed += 1
             return
-        self.response.note_packet()
-        self._tell_silence(now)
+        self.watch.note_packet(now)
         if self.codec.is_returned(packet):
             self._host_returned(self.codec.restore_returned(packet), now)
             return
@@ -344,7 +341,10 @@
     def _note_host_packet(self, key: bytes, flow: HeldFlow, packet: bytes, now: float) -> None:
         flow.seen_at = now
         if not flow.followed_up:
-            flow.note_answer(self.codec.opening_answer_number(packet))
+            number = self.codec.opening_answer_number(packet)
+            flow.note_answer(number)
+            if number is not None:
+                self.watch.note_opening_taken(now)
         if not flow.confirmed and flow.followed_up:
             flow.confirmed = True
             self.answers.reply(FrameKind.HELD, 0, key, flow.balancer, now)
@@ -362,13 +362,15 @@
     def _host_returned(self, packet: bytes, now: float) -> None:
         """Give a packet that the host does not hold back to the balancer."""
         key = self.codec.flow_key(packet)
-        flow = self._flows.pop(key, None)
-        if flow is None:
+        flow = self._flows.get(key)
+        is_opening = self.codec.is_opening(packet)
+        # A copy of an opening that the host has answered: it holds the flow half open.
+        if flow is None or (is_opening and flow.answer_numbers):
             return
-        self._half_open.discard(key)
-        self._set_busy(flow, False, now)
+        self._drop(key, flow, now)
+        if is_opening:
+            self.watch.note_opening_returned(now)
         self.counters.packets_returned += 1
-        is_opening = self.codec.is_opening(packet)
         self.log.note(
             "packet-returned",
             flow=self.codec.describe(key),
@@ -387,7 +389,7 @@
 
     def sweep(self, now: float) -> None:
         """Forget flows that ended or cannot be alive any longer; call every second."""
-        self._tell_silence(now)
+        self.watch.check(now)
         self.admit_waiting(now)
         longest = self.flow_lifetime_seconds + LIFETIME_SLACK_SECONDS
         for key, flow in list(self._flows.items()):
--- a/src/jasperwalk/agent/datagrams/host_response.py
+++ b/src/jasperwalk/agent/datagrams/host_response.py
@@ -5,6 +5,10 @@
 or is cut off, though its last announcement said that it is ready. It gets no new flows then but
 one now and then, until a packet of it comes; a host that still announces itself is tried more
 often.
+
+A host that hands every opening packet back takes no flows either, though it answers at once and so
+looks idle: new flows would go to it rather than to others, and none would open. After a few in a
+row it is treated in the same way, until it takes one.
 """
 
 from __future__ import annotations
@@ -17,6 +21,9 @@
 """Pace of trials of a host that has announced itself since it fell silent."""
 RARE_TRIAL_SECONDS = 2.0
 """Pace of trials of a host that has not."""
+RETURNS_IN_A_ROW = 3
+"""Opening packets handed back one after the other from which a host takes no flows. A host that is
+full for a moment hands one or two back between those that it takes."""
 SILENT_LOAD_FACTOR = 16
 """Load that is reported of a silent host, in multiples of its capacity: balancers choose others."""
 
@@ -28,6 +35,7 @@
     _unanswered_since: float | None = None
     _tried_at: float = 0.0
     _was_silent: bool = False
+    _returned_in_a_row: int = 0
 
     def note_asked(self, now: float) -> None:
         """Note that the host got an opening packet."""
@@ -41,6 +49,25 @@
         self._unanswered_since = None
         return was_waiting
 
+    def note_returned(self) -> bool:
+        """Note an opening packet handed back; return True if the host now counts as unable."""
+        self._returned_in_a_row += 1
+        return self._returned_in_a_row == RETURNS_IN_A_ROW
+
+    def note_taken(self) -> bool:
+        """Note that the host took a new flow; return True where it counted as unable before."""
+        was_unable = self.returns_openings()
+        self._returned_in_a_row = 0
+        return was_unable
+
+    def returns_openings(self) -> bool:
+        """Tell whether the host has handed the last opening packets back."""
+        return self._returned_in_a_row >= RETURNS_IN_A_ROW
+
+    def is_unable(self, now: float) -> bool:
+        """Tell whether the host takes no new flows, by what it did with the last ones."""
+        return self.returns_openings() or self.is_silent(now)
+
     def is_silent(self, now: float) -> bool:
         """Tell whether the host does not answer."""
         since = self._unanswered_since
@@ -51,6 +78,10 @@
         was_silent, self._was_silent = self._was_silent, self.is_silent(now)
         return was_silent != self._was_silent
 
+    def refuses_after_returns(self, now: float) -> bool:
+        """Tell whether a new flow is kept from a host that hands them back."""
+        return self.returns_openings() and now - self._tried_at < TRIAL_SECONDS
+
     def refuses(self, announced_at: float, now: float) -> bool:
         """Tell whether a new flow is kept from the host, which last announced itself then."""
         since = self._unanswered_since
--- a/src/jasperwalk/balancer/datagrams/flow_opener.py
+++ b/src/jasperwalk/balancer/datagrams/flow_opener.py
@@ -168,6 +168,9 @@
         opening = None if flow is None else flow.opening
         if flow is None or opening is None:
             return
+        if _takes_acceptance_back(opening.answers.get(target), reply):
+            self._host_returned(key, flow, opening, target, reply, now)
+            return
         if opening.answers.get(target) is not OpeningAnswer.MISSING:
             # Not asked, or an answer to a copy: the first one counts.
             return
@@ -183,6 +186,22 @@
         if flow.target is target and not was_accepted:
             self._try_next(key, opening, now)
 
+    def _host_returned(
+        self,
+        key: bytes,
+        flow: Flow,
+        opening: Opening,
+        target: Target,
+        reply: AgentReply,
+        now: float,
+    ) -> None:
+        """Try the next agent: this one took the flow, but its host handed the packet back."""
+        opening.answers[target] = OpeningAnswer.REFUSED
+        self.counters.openings_returned += 1
+        self._note_refusal(key, target, reply)
+        if flow.target is target:
+            self._try_next(key, opening, now)
+
     def _note_refusal(self, key: bytes, target: Target, reply: AgentReply) -> None:
         self.counters.open_retries += 1
         self.log.note(
@@ -241,6 +260,16 @@
                 self._try_next(key, opening, now)
 
 
+def _takes_acceptance_back(answer: OpeningAnswer | None, reply: AgentReply) -> bool:
+    """Tell whether an agent that accepted a flow now says that its host handed the packet back.
+
+    An agent answers before its host does. Other refusals after an acceptance are answers to
+    copies of the packet and change nothing.
+    """
+    is_returned = reply.kind is FrameKind.REFUSED and reply.flags == RefusalReason.RETURNED
+    return is_returned and answer is OpeningAnswer.ACCEPTED
+
+
 def _tried(opening: Opening) -> dict[str, object]:
     """Return what a log line tells of the agents that were asked."""
     unanswered = [
--- a/tests/agent/datagrams/test_flow_admission.py
+++ b/tests/agent/datagrams/test_flow_admission.py
@@ -6,7 +6,12 @@
 from jasperwalk.agent.datagrams.admission import most_requests
 from jasperwalk.agent.datagrams.admission_queue import LONGEST_WAIT_SECONDS
 from jasperwalk.agent.datagrams.half_open import ANSWER_EXPECTED_SECONDS
-from jasperwalk.agent.datagrams.host_response import HOST_SILENCE_SECONDS, SILENT_LOAD_FACTOR
+from jasperwalk.agent.datagrams.host_response import (
+    HOST_SILENCE_SECONDS,
+    RETURNS_IN_A_ROW,
+    SILENT_LOAD_FACTOR,
+    TRIAL_SECONDS,
+)
 from jasperwalk.fleet.messages import HostPhase
 from jasperwalk.flows.frames import (
     FrameKind,
@@ -15,7 +20,9 @@
 )
 from tests.agent.datagrams.support import BALANCER, Bench
 from tests.flows.support import (
+    CALLER,
     ENDING,
+    GREETING,
     OPENING,
     RESET,
     RETURNED,
@@ -216,3 +223,58 @@
 @pytest.mark.parametrize(("slots", "requests"), [(1, 2), (2, 3), (3, 5), (4, 6), (10, 14)])
 def test_a_host_has_its_next_requests_at_hand_and_no_more(slots, requests):
     assert most_requests(slots) == requests
+
+
+def greeting(caller=CALLER):
+    """Return the host's answer to an opening packet."""
+    return from_host(0, GREETING + b"h1", caller=caller)
+
+
+def hand_back(bench, count, now=1.0):
+    """Let the host hand back the openings of this many callers."""
+    for port in range(1, count + 1):
+        caller = Endpoint("100.64.0.8", port)
+        bench.open(now, caller)
+        bench.agent.receive_host_packet(from_caller(OPENING | RETURNED, caller=caller), now)
+
+
+def test_a_host_that_hands_every_opening_back_gets_no_more_but_now_and_then():
+    """It answers at once and looks idle: without this it would draw all new flows."""
+    bench = Bench()
+    hand_back(bench, RETURNS_IN_A_ROW)
+    assert bench.agent.log.names()[-2] == "host-returns-openings"
+    answer = bench.open(1.1, Endpoint("100.64.0.9", 1))
+    assert (answer.kind, answer.flags) == (FrameKind.REFUSED, RefusalReason.RETURNED)
+    assert answer.load == SILENT_LOAD_FACTOR * 2
+    trial = Endpoint("100.64.0.9", 2)
+    assert bench.open(1.0 + TRIAL_SECONDS, trial).kind is FrameKind.ACCEPTED
+    bench.agent.receive_host_packet(greeting(trial), 1.6)
+    assert bench.agent.log.names()[-1] == "host-takes-openings"
+    assert bench.open(1.61, Endpoint("100.64.0.9", 3)).kind is FrameKind.ACCEPTED
+
+
+def test_a_host_that_hands_some_openings_back_goes_on_getting_flows():
+    bench = Bench()
+    hand_back(bench, RETURNS_IN_A_ROW - 1)
+    taken = Endpoint("100.64.0.9", 1)
+    bench.open(1.1, taken)
+    bench.agent.receive_host_packet(greeting(taken), 1.1)
+    hand_back(bench, RETURNS_IN_A_ROW - 1, 1.2)
+    assert bench.open(1.3, Endpoint("100.64.0.9", 2)).kind is FrameKind.ACCEPTED
+
+
+def test_a_copy_that_comes_back_after_the_hosts_answer_changes_nothing():
+    bench = Bench()
+    bench.open()
+    bench.agent.receive_host_packet(greeting(), 1.1)
+    before = len(bench.replies)
+    bench.agent.receive_host_packet(from_caller(OPENING | RETURNED), 1.2)
+    assert len(bench.replies) == before
+    assert len(bench.agent) == 1
+
+
+def test_another_host_beside_the_agent_begins_with_a_clean_record():
+    bench = Bench()
+    hand_back(bench, RETURNS_IN_A_ROW)
+    bench.agent.host_changed(1.1)
+    assert bench.open(1.2, Endpoint("100.64.0.9", 1)).kind is FrameKind.ACCEPTED
--- a/tests/balancer/datagrams/test_flow_balancer.py
+++ b/tests/balancer/datagrams/test_flow_balancer.py
@@ -384,3 +384,38 @@
     bench = Bench(record(1, HostPhase.UNKNOWN))
     bench.core.receive(SYN, 1.0)
     assert bench.resets == [RESET_TO_CALLER]
+
+
+def test_a_flow_that_its_host_hands_back_after_the_agent_accepted_it_goes_to_another():
+    """Seen on lsl-hanoi-edge-large, fresh-8c70: such hosts drew new flows, and none opened."""
+    bench = Bench(record(1), record(2))
+    first = opened(bench)
+    bench.refuse(first, 1.01, RefusalReason.RETURNED)
+    ((kind, second, body),) = bench.take_sent()
+    assert (kind, body) == (FrameKind.OPEN, SYN)
+    assert second != first
+    bench.answer(second, FrameKind.ACCEPTED, 1.02)
+    bench.core.receive(DATA, 1.1)
+    assert bench.take_sent() == [(FrameKind.CARRY, second, DATA)]
+    assert bench.core.counters.openings_returned == 1
+
+
+def test_a_flow_that_the_only_host_hands_back_is_reset_at_once():
+    bench = Bench(record(1))
+    opened(bench)
+    bench.refuse(1, 1.01, RefusalReason.RETURNED)
+    assert bench.take_opening() == (1, True)
+    bench.refuse(1, 1.02, RefusalReason.RETURNED)
+    assert len(bench.resets) == 1
+    assert not bench.core.has_pending()
+
+
+def test_a_flow_that_its_caller_has_followed_up_is_not_taken_back():
+    bench = Bench(record(1), record(2))
+    number = opened(bench)
+    bench.core.receive(DATA, 1.1)
+    bench.take_sent()
+    bench.refuse(number, 1.2, RefusalReason.RETURNED)
+    assert bench.take_sent() == []
+    bench.core.receive(DATA, 1.3)
+    assert bench.take_sent() == [(FrameKind.CARRY, number, DATA)]
