--- a/src/jasperwalk/control/fleet/home_links.py
+++ b/src/jasperwalk/control/fleet/home_links.py
@@ -102,7 +102,7 @@
     ) -> None:
         self._directory = directory
         self._view = view
-        self._tell_replicas = notify_replicas
+        self._notify_replicas = notify_replicas
         self.counters = HomeCounters()
         self._links: set[NodeLink] = set()
         self._published_current = False
@@ -149,7 +149,7 @@
             new_link=is_new,
         )
         news = self._directory.announce(record)
-        self._tell_replicas(news)
+        self._notify_replicas(news)
         if is_new and record.role is NodeRole.BALANCER:
             link.send_routes(self._view().routes)
         if is_new:
@@ -162,7 +162,7 @@
         logger.info("node-lost", node=link.record.name, reason=reason)
         news = self._directory.unlink(link.record, time.monotonic())
         if news is not None:
-            self._tell_replicas(news)
+            self._notify_replicas(news)
         self.publish_fleet()
 
     def publish_status(self) -> None:
--- a/src/jasperwalk/fleet/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -44,9 +44,10 @@
 last flows for many seconds yet, and they are not to be reset."""
 SILENT_SECONDS = 0.2
 """An agent that has answered no question for this long is silent; answers take 1 to 2 ms, also in
-the second after a loss of all power (lsl-hanoi-edge-large trouble-2)."""
+the second after a loss of all power (docs/POLICY.md, round L3)."""
 SILENT_QUESTIONS = 3
-"""Questions in a row that have to be unanswered as well: one in a hundred datagrams may be lost."""
+"""Questions in a row that have to be unanswered as well: were one in a hundred datagrams lost, three
+in a row would be one in a million."""
 SUSPECT_SECONDS = 1.0
 """How long an agent that did not answer is chosen only if no other is left."""
 SUSPECT_COST = 1000.0
