--- a/src/jasperwalk/control/fleet/process.py
+++ b/src/jasperwalk/control/fleet/process.py
@@ -53,7 +53,7 @@
         self._replica: FleetReplica | None = None
         self._renew = False
         self.directory = NodeDirectory(self._life)
-        self._homes = HomeLinks(self.directory, self._home_view, self._tell_replicas)
+        self._homes = HomeLinks(self.directory, self._home_view, self._notify_replicas)
         operators = settings.operators_endpoint()
         service = ConfigurationService(lambda: self._replica)
         self._http = HttpServer(operators, interface(service, operators.port))
@@ -181,7 +181,7 @@
         replica = self._replica
         return 0 if replica is None else len(replica.runner.membership.voter_ids())
 
-    def _tell_replicas(self, news: HomedNodes) -> None:
+    def _notify_replicas(self, news: HomedNodes) -> None:
         if self._replica is not None:
             self._replica.notify_replicas(news)
 
--- a/src/jasperwalk/fleet/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -46,8 +46,8 @@
 """An agent that has answered no question for this long is silent; answers take 1 to 2 ms, also in
 the second after a loss of all power (docs/POLICY.md, round L3)."""
 SILENT_QUESTIONS = 3
-"""Questions in a row that have to be unanswered as well: were one in a hundred datagrams lost, three
-in a row would be one in a million."""
+"""Questions in a row that have to be unanswered as well: were one in a hundred datagrams lost,
+three in a row would be one in a million."""
 SUSPECT_SECONDS = 1.0
 """How long an agent that did not answer is chosen only if no other is left."""
 SUSPECT_COST = 1000.0
