An address with thousands of digits is an invalid address again

The port had the same fault before.

Change: a part has three digits at most, a port's text a hundred (leading zeros were and are taken). The test failed on both texts before and passes now.

--- a/src/jasperwalk/addresses.py
+++ b/src/jasperwalk/addresses.py
@@ -15,7 +15,11 @@
 
 
 IPV4_PARTS = 4
+LONGEST_PART = 3
+"""Digits of a part."""
 HIGHEST_PART = 255
+LONGEST_NUMBER = 100
+"""Digits of a port, leading zeros included; Python refuses to read numbers of some thousands."""
 
 
 def _is_ipv4(host: str) -> bool:
@@ -25,8 +29,13 @@
     """
     parts = host.split(".")
     return len(parts) == IPV4_PARTS and all(
-        part.isascii() and part.isdecimal() and part == str(int(part)) and int(part) <= HIGHEST_PART
-        for part in parts
+        part.isascii() and part.isdecimal() and _is_part(part) for part in parts
+    )
+
+
+def _is_part(digits: str) -> bool:
+    return (
+        len(digits) <= LONGEST_PART and digits == str(int(digits)) and int(digits) <= HIGHEST_PART
     )
 
 
@@ -40,7 +49,7 @@
     def parse(cls, text: str) -> Endpoint:
         """Parse `IPV4:PORT`; raise `InvalidAddress` for anything else."""
         host, separator, port_text = text.rpartition(":")
-        if not separator or not port_text.isdecimal():
+        if not separator or not port_text.isdecimal() or len(port_text) > LONGEST_NUMBER:
             raise InvalidAddress(text=text)
         port = int(port_text)
         if port > HIGHEST_PORT:
--- a/tests/messages/test_addresses.py
+++ b/tests/messages/test_addresses.py
@@ -46,3 +46,9 @@
     else:
         with pytest.raises(InvalidAddress):
             Endpoint.parse(f"{text}:7000")
+
+
+@pytest.mark.parametrize("text", ["1.2.3." + "4" * 5000 + ":7000", "1.2.3.4:" + "7" * 5000])
+def test_numbers_too_long_for_python_are_invalid_addresses(text):
+    with pytest.raises(InvalidAddress):
+        Endpoint.parse(text)
