One copy of what the change wrote twice

Found by reading the change once more; behaviour stays as it is, no test was touched.

- A message that goes to many links is encoded once by one method, for the status as for the fleet; publish_fleet looks for changes first.
- Agents' frames are read and counted as malformed in FlowSearches, for balancers and for agents.
- A refusal that takes an acceptance back ends as any other refusal does, in one place.
- The time after which flows and agents are forgotten stood as two constants of 70 s.
- deploy/bundle.py names the modules that roles share once.

--- a/deploy/bundle.py
+++ b/deploy/bundle.py
@@ -15,28 +15,18 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 TARGET = ROOT / "target"
+DAEMON_MODULES = (
+    "run",
+    "jasperwalk.fleet.daemon",
+    "jasperwalk.transport.http_connection",
+)
+NODE_MODULES = (*DAEMON_MODULES, "datagram_codec", "node_calls")
 ENTRY_MODULES = {
-    "balancer": (
-        "run",
-        "datagram_codec",
-        "node_calls",
-        "jasperwalk.balancer.datagrams.process",
-        "jasperwalk.fleet.daemon",
-        "jasperwalk.transport.http_connection",
-    ),
-    "agent": (
-        "run",
-        "datagram_codec",
-        "node_calls",
-        "jasperwalk.agent.datagrams.process",
-        "jasperwalk.fleet.daemon",
-        "jasperwalk.transport.http_connection",
-    ),
+    "balancer": (*NODE_MODULES, "jasperwalk.balancer.datagrams.process"),
+    "agent": (*NODE_MODULES, "jasperwalk.agent.datagrams.process"),
     "control": (
-        "run",
+        *DAEMON_MODULES,
         "operator_calls",
-        "jasperwalk.fleet.daemon",
-        "jasperwalk.transport.http_connection",
         "jasperwalk.control.fleet.process",
         "jasperwalk.control.fleet.settings",
     ),
--- a/src/jasperwalk/addresses.py
+++ b/src/jasperwalk/addresses.py
@@ -18,7 +18,7 @@
 LONGEST_PART = 3
 """Digits of a part."""
 HIGHEST_PART = 255
-LONGEST_NUMBER = 100
+LONGEST_PORT = 100
 """Digits of a port, leading zeros included; Python refuses to read numbers of some thousands."""
 
 
@@ -28,15 +28,13 @@
     The standard library's `ipaddress` says the same; loading it takes 1% of a balancer's start.
     """
     parts = host.split(".")
-    return len(parts) == IPV4_PARTS and all(
-        part.isascii() and part.isdecimal() and _is_part(part) for part in parts
-    )
+    return len(parts) == IPV4_PARTS and all(_is_part(part) for part in parts)
 
 
-def _is_part(digits: str) -> bool:
-    return (
-        len(digits) <= LONGEST_PART and digits == str(int(digits)) and int(digits) <= HIGHEST_PART
-    )
+def _is_part(text: str) -> bool:
+    if not (text.isascii() and text.isdecimal()) or len(text) > LONGEST_PART:
+        return False
+    return text == str(int(text)) and int(text) <= HIGHEST_PART
 
 
 class Endpoint(msgspec.Struct, frozen=True, gc=False, array_like=True, order=True):
@@ -49,7 +47,7 @@
     def parse(cls, text: str) -> Endpoint:
         """Parse `IPV4:PORT`; raise `InvalidAddress` for anything else."""
         host, separator, port_text = text.rpartition(":")
-        if not separator or not port_text.isdecimal() or len(port_text) > LONGEST_NUMBER:
+        if not separator or not port_text.isdecimal() or len(port_text) > LONGEST_PORT:
             raise InvalidAddress(text=text)
         port = int(port_text)
         if port > HIGHEST_PORT:
--- a/src/jasperwalk/agent/datagrams/search_helper.py
+++ b/src/jasperwalk/agent/datagrams/search_helper.py
@@ -13,7 +13,7 @@
 from jasperwalk.fleet.flow_searches import FlowSearches, SearchCounters
 from jasperwalk.fleet.messages import FleetUpdate
 from jasperwalk.fleet.search import Search
-from jasperwalk.fleet.targets import Target, TargetPool
+from jasperwalk.fleet.targets import FLOW_LIFETIME_SECONDS, Target, TargetPool
 from jasperwalk.flows.codec import DatagramSender, PacketCodec, SocketAddress
 from jasperwalk.flows.frames import (
     AgentReply,
@@ -21,14 +21,10 @@
     LocateRequest,
     LocateVerdict,
     decode_locate,
-    decode_replies,
     encode_reply,
 )
 from jasperwalk.observability.decisions import DecisionLog
 
-FORGET_AGENTS_SECONDS = 70.0
-"""Agents that left are forgotten once no flow can be as old as that."""
-
 
 @dataclass(eq=False, repr=False)
 class HelperCounters(SearchCounters):
@@ -38,7 +34,6 @@
     locate_frames_malformed: int = 0
     locate_frames_refused: int = 0
     """Asked before the directory had come."""
-    replies_malformed: int = 0
     replies_unexpected: int = 0
 
 
@@ -105,12 +100,7 @@
     def receive_reply(self, data: bytes, sender: SocketAddress, now: float) -> None:
         """Take another agent's answer."""
         target = self.pool.at(sender)
-        try:
-            replies = decode_replies(data, self.codec.flow_key_bytes)
-        except MalformedMessage:
-            self.counters.replies_malformed += 1
-            return
-        for reply in replies:
+        for reply in self.searches.read_replies(data):
             key, kind = reply.flow_key, reply.kind
             if target is None or not self.searches.note_answer(key, target, kind, now):
                 self.counters.replies_unexpected += 1
@@ -124,7 +114,7 @@
     def sweep(self, now: float) -> None:
         """Forget agents that left long ago; call every second."""
         self.searches.sweep(now)
-        self.pool.forget_old(now, FORGET_AGENTS_SECONDS)
+        self.pool.forget_old(now, FLOW_LIFETIME_SECONDS)
 
     # Verdicts
 
--- a/src/jasperwalk/balancer/datagrams/counters.py
+++ b/src/jasperwalk/balancer/datagrams/counters.py
@@ -13,7 +13,6 @@
 
     packets_carried: int = 0
     packets_malformed: int = 0
-    replies_malformed: int = 0
     flows_opened: int = 0
     flows_not_opened: int = 0
     open_retries: int = 0
--- a/src/jasperwalk/balancer/datagrams/delegated_searches.py
+++ b/src/jasperwalk/balancer/datagrams/delegated_searches.py
@@ -20,7 +20,7 @@
 from jasperwalk.observability.latency import LatencyCounts
 
 ANSWER_SECONDS = 0.8
-"""An agent has its verdict after two rounds and the pause between them, or not at all."""
+"""An agent has its verdict after its rounds and the pause between them, or not at all."""
 MAXIMUM_DELEGATIONS = 4096
 
 
--- a/src/jasperwalk/balancer/datagrams/flow_balancer.py
+++ b/src/jasperwalk/balancer/datagrams/flow_balancer.py
@@ -17,20 +17,16 @@
 from jasperwalk.balancer.datagrams.early_packets import EarlyPackets
 from jasperwalk.balancer.datagrams.flow_opener import FlowOpener
 from jasperwalk.balancer.datagrams.openings import Flow
-from jasperwalk.errors import MalformedMessage
 from jasperwalk.fleet.flow_searches import FlowSearches
 from jasperwalk.fleet.messages import FleetUpdate
 from jasperwalk.fleet.search import Search
-from jasperwalk.fleet.targets import Target, TargetPool
+from jasperwalk.fleet.targets import FLOW_LIFETIME_SECONDS, Target, TargetPool
 from jasperwalk.flows.codec import DatagramSender, PacketCodec, SocketAddress
-from jasperwalk.flows.frames import AgentReply, FrameKind, LocateVerdict, decode_replies
+from jasperwalk.flows.frames import AgentReply, FrameKind, LocateVerdict
 from jasperwalk.flows.routes import RouteEntry, RouteTable
 from jasperwalk.observability.decisions import DecisionLog
 from jasperwalk.observability.latency import LatencyCounts
 
-FLOW_LIFETIME_SECONDS = 70.0
-"""A cached flow without a packet for this long is forgotten."""
-
 
 @dataclass(eq=False, repr=False)
 class FlowBalancer:
@@ -293,11 +289,7 @@
     def receive_reply(self, data: bytes, sender: SocketAddress, now: float) -> None:
         """Take a frame of an agent."""
         target = self.pool.at(sender)
-        try:
-            replies = decode_replies(data, self.codec.flow_key_bytes)
-        except MalformedMessage:
-            self.counters.replies_malformed += 1
-            return
+        replies = self.searches.read_replies(data)
         if target is None:
             return
         for reply in replies:
--- a/src/jasperwalk/balancer/datagrams/flow_opener.py
+++ b/src/jasperwalk/balancer/datagrams/flow_opener.py
@@ -168,10 +168,9 @@
         opening = None if flow is None else flow.opening
         if flow is None or opening is None:
             return
-        if _takes_acceptance_back(opening.answers.get(target), reply):
-            self._host_returned(key, flow, opening, target, reply, now)
-            return
-        if opening.answers.get(target) is not OpeningAnswer.MISSING:
+        answer = opening.answers.get(target)
+        is_taken_back = _takes_acceptance_back(answer, reply)
+        if answer is not OpeningAnswer.MISSING and not is_taken_back:
             # Not asked, or an answer to a copy: the first one counts.
             return
         was_accepted = opening.is_accepted()
@@ -182,24 +181,9 @@
                 self._opened(key, flow, opening, now)
             return
         opening.answers[target] = OpeningAnswer.REFUSED
+        self.counters.openings_returned += is_taken_back
         self._note_refusal(key, target, reply)
-        if flow.target is target and not was_accepted:
-            self._try_next(key, opening, now)
-
-    def _host_returned(
-        self,
-        key: bytes,
-        flow: Flow,
-        opening: Opening,
-        target: Target,
-        reply: AgentReply,
-        now: float,
-    ) -> None:
-        """Try the next agent: this one took the flow, but its host handed the packet back."""
-        opening.answers[target] = OpeningAnswer.REFUSED
-        self.counters.openings_returned += 1
-        self._note_refusal(key, target, reply)
-        if flow.target is target:
+        if flow.target is target and (is_taken_back or not was_accepted):
             self._try_next(key, opening, now)
 
     def _note_refusal(self, key: bytes, target: Target, reply: AgentReply) -> None:
--- a/src/jasperwalk/control/fleet/home_links.py
+++ b/src/jasperwalk/control/fleet/home_links.py
@@ -171,8 +171,7 @@
         if view.current == self._published_current:
             return
         self._published_current = view.current
-        status = view.status()
-        self._to_links(list(self._links), lambda link: link.send(status))
+        self._send_to_all(list(self._links), view.status())
 
     def publish_fleet(self) -> None:
         """Send the linked nodes what changed in the directory: all of them look for flows.
@@ -180,12 +179,12 @@
         At once where nothing was sent lately; otherwise together with what changes until the
         interval has passed.
         """
-        if self._fleet_publication is not None:
+        if self._fleet_publication is not None or not self._directory.has_changes():
             return
         wait_seconds = self._fleet_published_at + self._fleet_interval_seconds - time.monotonic()
         if wait_seconds <= 0:
             self._publish_fleet_now()
-        elif self._directory.has_changes():
+        else:
             loop = asyncio.get_running_loop()
             self._fleet_publication = loop.call_later(wait_seconds, self._publish_fleet_now)
 
@@ -198,8 +197,7 @@
         self.counters.fleet_updates += 1
         self.counters.fleet_records += len(changes.records) + len(changes.removed)
         announced = [link for link in self._links if link.record is not None]
-        payload = codec.encode(changes)
-        self._to_links(announced, lambda link: link.connection.write(payload))
+        self._send_to_all(announced, changes)
 
     def publish_routes(self) -> None:
         """Send the linked balancers the routes in force."""
@@ -214,6 +212,11 @@
         ]
         self._to_links(balancers, send)
 
+    def _send_to_all(self, links: Iterable[NodeLink], message: HomeStatus | FleetUpdate) -> None:
+        """Send one message to several links, encoded once."""
+        payload = codec.encode(message)
+        self._to_links(links, lambda link: link.connection.write(payload))
+
     def _to_links(self, links: Iterable[NodeLink], send: Callable[[NodeLink], None]) -> None:
         for link in links:
             try:
--- a/src/jasperwalk/fleet/flow_searches.py
+++ b/src/jasperwalk/fleet/flow_searches.py
@@ -12,11 +12,12 @@
 
 import msgspec
 
+from jasperwalk.errors import MalformedMessage
 from jasperwalk.fleet.question_batch import KEYS_PER_FRAME, QuestionBatch
 from jasperwalk.fleet.search import Confirm, Question, Search, SearchStep, SearchVerdict
 from jasperwalk.fleet.targets import Target, TargetPool
 from jasperwalk.flows.codec import DatagramSender, PacketCodec
-from jasperwalk.flows.frames import FrameKind
+from jasperwalk.flows.frames import AgentReply, FrameKind, decode_replies
 from jasperwalk.observability.decisions import DecisionLog
 from jasperwalk.observability.latency import LatencyCounts
 from jasperwalk.token_bucket import TokenBucket
@@ -40,6 +41,7 @@
     searches_given_up: int = 0
     search_questions: int = 0
     """Agents asked, the keys of one frame counted one by one; probes of hosts included."""
+    replies_malformed: int = 0
 
 
 class SearchHandler(Protocol):
@@ -119,6 +121,14 @@
         self._advance(search, now)
         return search
 
+    def read_replies(self, data: bytes) -> list[AgentReply]:
+        """Return what an agent's frame holds, nothing where it is malformed, which is counted."""
+        try:
+            return decode_replies(data, self.codec.flow_key_bytes)
+        except MalformedMessage:
+            self.counters.replies_malformed += 1
+            return []
+
     def note_answer(self, key: bytes, target: Target, kind: FrameKind, now: float) -> bool:
         """Take an agent's answer; False where the flow is not being searched."""
         search = self._searches.get(key)
--- a/src/jasperwalk/fleet/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -32,6 +32,8 @@
 SEARCHED_CANDIDATES = 12
 """Agents of a service that may hold a flow by its key: the candidates when it was opened, and
 room for agents that came since."""
+FLOW_LIFETIME_SECONDS = 70.0
+"""A flow without a packet for this long is forgotten, and an agent that left longer ago."""
 EXPECTED_SECONDS = 2.0
 """A host is expected to speak to its agent within this time of the agent's start."""
 UNLISTED_USABLE_SECONDS = 8.0
