--- a/src/jasperwalk/agent/datagrams/admission.py
+++ b/src/jasperwalk/agent/datagrams/admission.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass, field
 
 from jasperwalk.agent.datagrams.host import HostState
 from jasperwalk.agent.datagrams.host_response import HostResponse
-from jasperwalk.fleet.messages import HostPhase
+from jasperwalk.agent.datagrams.warm_up import WarmUpLimit
+from jasperwalk.fleet.messages import DrainedZones, HostPhase
 from jasperwalk.flows.frames import FULL_LOAD_PER_SLOT, RefusalReason
 
 COPIES_PASS = frozenset((RefusalReason.FULL, RefusalReason.RETURNED))
 """Refusals that keep new flows from a host, but not copies of the opening of one that it has."""
+MAY_WAIT = frozenset((RefusalReason.FULL, RefusalReason.WARMING_UP))
+"""Refusals that pass by themselves: the host ends a request, or a second ends."""
+NO_ZONES = DrainedZones()
 
 
 def most_requests(capacity: int) -> int:
@@ -18,18 +23,58 @@
     return math.ceil(FULL_LOAD_PER_SLOT * capacity)
 
 
-def refusal_of(
-    host: HostState, response: HostResponse, busy: int, now: float
-) -> RefusalReason | None:
-    """Return why a host takes no new flow, None where it does; `busy` counts its requests."""
-    if host.phase is HostPhase.DRAINING:
-        return RefusalReason.DRAINING
-    if host.phase is not HostPhase.READY:
-        return RefusalReason.NOT_READY
-    if response.refuses(host.announced_at, now):
-        return RefusalReason.SILENT
-    if response.refuses_after_returns(now):
-        return RefusalReason.RETURNED
-    if busy >= most_requests(host.capacity):
-        return RefusalReason.FULL
-    return None
+@dataclass(eq=False, repr=False)
+class HostAdmission:
+    """What decides about new flows of one host; sans-IO, times are seconds.
+
+    `own_zone` is the agent's zone, which is its host's unless the host says otherwise.
+    """
+
+    host: HostState
+    response: HostResponse
+    warm_up: WarmUpLimit
+    own_zone: str
+    _drained: DrainedZones = field(default=NO_ZONES)
+
+    def take_zones(self, zones: DrainedZones, now: float) -> bool:
+        """Take the drained zones; return False for what newer knowledge has overtaken.
+
+        The hosts of a zone that is restored may have gone cold meanwhile, and not have said so.
+        """
+        if zones.revision <= self._drained.revision:
+            return False
+        was_drained = self.is_zone_drained()
+        self._drained = zones
+        if was_drained and not self.is_zone_drained():
+            self.warm_up.note_zone_restored(now)
+        return True
+
+    def is_zone_drained(self) -> bool:
+        """Tell whether the host's zone takes no new flows."""
+        return (self.host.zone or self.own_zone) in self._drained.zones
+
+    def refusal(self, busy: int, now: float) -> RefusalReason | None:
+        """Return why the host takes no new flow, None where it does; `busy` counts requests."""
+        host = self.host
+        if host.phase is HostPhase.DRAINING:
+            return RefusalReason.DRAINING
+        if host.phase is not HostPhase.READY:
+            return RefusalReason.NOT_READY
+        if self.is_zone_drained():
+            return RefusalReason.ZONE_DRAINED
+        return self._refusal_of_ready_host(busy, now)
+
+    def _refusal_of_ready_host(self, busy: int, now: float) -> RefusalReason | None:
+        host = self.host
+        if self.response.refuses(host.announced_at, now):
+            return RefusalReason.SILENT
+        if self.response.refuses_after_returns(now):
+            return RefusalReason.RETURNED
+        if busy >= most_requests(host.capacity):
+            return RefusalReason.FULL
+        is_reached = self.warm_up.is_reached(host.slow_until, now)
+        return RefusalReason.WARMING_UP if is_reached else None
+
+    def takes_none(self) -> bool:
+        """Tell whether flows that wait have no hope: the host or its zone takes no more."""
+        return self.host.phase is not HostPhase.READY or self.is_zone_drained()
--- a/src/jasperwalk/agent/datagrams/admission_queue.py
+++ b/src/jasperwalk/agent/datagrams/admission_queue.py
@@ -80,9 +80,14 @@
         """Tell whether a flow waits."""
         return key in self._waiting
 
-    def has_room(self, capacity: int, now: float) -> bool:
-        """Tell whether one more flow would be reached in time."""
+    def has_room(self, capacity: int, now: float, most_per_second: float | None = None) -> bool:
+        """Tell whether one more flow would be reached in time.
+
+        `most_per_second` bounds what the host takes while it is cold, None where nothing does.
+        """
         rate = max(self.completions.per_second(now), LEAST_RATE_PER_SLOT * capacity)
+        if most_per_second is not None:
+            rate = min(rate, most_per_second)
         return len(self._waiting) < rate * PLANNED_WAIT_SECONDS
 
     def add(self, key: bytes, packet: bytes, began_at: float, now: float) -> None:
--- a/src/jasperwalk/agent/datagrams/counters.py
+++ b/src/jasperwalk/agent/datagrams/counters.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from jasperwalk.flows.frames import RefusalReason
+
 
 @dataclass(eq=False, repr=False)
 class AgentCounters:
@@ -15,9 +17,17 @@
     host_packets_malformed: int = 0
     flows_accepted: int = 0
     flows_refused: int = 0
+    flows_refused_zone_drained: int = 0
+    flows_refused_warming_up: int = 0
     flows_waited: int = 0
     flows_waited_in_vain: int = 0
     flows_opened_elsewhere: int = 0
     """Flows that several hosts had answered, whose callers chose another one."""
     packets_returned: int = 0
     other_service_drops: int = 0
+
+    def note_refusal(self, reason: RefusalReason) -> None:
+        """Count a refused flow."""
+        self.flows_refused += 1
+        self.flows_refused_zone_drained += reason is RefusalReason.ZONE_DRAINED
+        self.flows_refused_warming_up += reason is RefusalReason.WARMING_UP
--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from jasperwalk.agent.datagrams.admission import COPIES_PASS, refusal_of
-from jasperwalk.agent.datagrams.admission_queue import AdmissionQueue, WaitingFlow
+from jasperwalk.agent.datagrams.admission import COPIES_PASS, MAY_WAIT, HostAdmission
+from jasperwalk.agent.datagrams.admission_queue import AdmissionQueue
 from jasperwalk.agent.datagrams.balancer_answers import BalancerAnswers
 from jasperwalk.agent.datagrams.counters import AgentCounters
 from jasperwalk.agent.datagrams.half_open import HalfOpenFlows
@@ -21,14 +21,14 @@
 from jasperwalk.agent.datagrams.host_response import SILENT_LOAD_FACTOR
 from jasperwalk.agent.datagrams.host_watch import HostWatch
 from jasperwalk.agent.datagrams.load import LoadMeter
-from jasperwalk.fleet.messages import HostPhase
+from jasperwalk.agent.datagrams.waiting_flows import WaitingFlows
+from jasperwalk.agent.datagrams.warm_up import WarmUpLimit
+from jasperwalk.fleet.messages import DrainedZones, HostPhase
 from jasperwalk.flows.codec import DatagramSender, PacketCodec, SocketAddress
 from jasperwalk.flows.frames import (
-    FLAG_WAIT,
     REQUEST_HEAD,
     FrameKind,
     RefusalReason,
-    opening_age_seconds,
     service_tag,
     split_keys,
 )
@@ -55,13 +55,16 @@
     log: DecisionLog
     started_at: float
     flow_lifetime_seconds: float
+    zone: str = ""
+    warm_up_floor: float | None = None
+    """New flows a second that any cold host bears, None where the settings name none."""
     counters: AgentCounters = field(default_factory=AgentCounters)
     host_latency: LatencyCounts = field(default_factory=LatencyCounts)
     """From a request's last packet to the first packet of its answer."""
     wait_latency: LatencyCounts = field(default_factory=LatencyCounts)
     """How long flows waited for room."""
     flow_idle_seconds: float = float("inf")
-    """Longest rest of a flow that is kept, as the newest configuration known has it."""
+    """Longest rest of a flow that is kept."""
     _flows: dict[bytes, HeldFlow] = field(default_factory=dict)
     _host_started_here: bool = False
     _half_open: HalfOpenFlows = field(default_factory=HalfOpenFlows)
@@ -73,13 +76,22 @@
         self.meter = LoadMeter(self.started_at)
         self.queue = AdmissionQueue(self.started_at)
         self.watch = HostWatch(self.host, self.log)
+        self.warm_up = WarmUpLimit(self.warm_up_floor, self.started_at)
+        self.admission = HostAdmission(self.host, self.watch.response, self.warm_up, self.zone)
+        self.waiting = WaitingFlows(
+            codec=self.codec,
+            queue=self.queue,
+            admission=self.admission,
+            meter=self.meter,
+            counters=self.counters,
+            to_caller=self.to_caller,
+            log=self.log,
+        )
 
     def __len__(self) -> int:
         """Return the number of flows in the table."""
         return len(self._flows)
 
-    # From balancers
-
     def receive_frame(self, data: bytes, sender: SocketAddress, now: float) -> None:
         """Take a balancer's frame."""
         if len(data) < REQUEST_HEAD.size:
@@ -236,61 +248,48 @@
         is_copy = flow is not None and not flow.has_ended()
         reason = self._refusal(tag, now)
         reason = None if is_copy and reason in COPIES_PASS else reason
-        if reason is RefusalReason.FULL and self._lets_wait(key, packet, flags, now):
+        if reason in MAY_WAIT and not is_copy and self.waiting.lets_wait(key, packet, flags, now):
             self.answers.reply(FrameKind.ACCEPTED, 0, key, sender, now)
             return
         if reason is not None:
-            self.counters.flows_refused += 1
+            self.counters.note_refusal(reason)
             self.answers.reply(FrameKind.REFUSED, reason, key, sender, now)
             return
         if not is_copy:
             self._admit(key, sender, now)
         self.answers.reply(FrameKind.ACCEPTED, 0, key, sender, now)
+        self.warm_up.note_passed(now)
         self.to_host(packet)
 
-    def _lets_wait(self, key: bytes, packet: bytes, flags: int, now: float) -> bool:
-        """Put a flow that found no free host into the queue; a full one lets its oldest go."""
-        if key in self.queue:
-            return True
-        if not flags & FLAG_WAIT:
-            return False
-        if self.queue and not self.queue.has_room(self.host.capacity, now):
-            self._refuse_waiting([self.queue.pop_oldest()], now)
-        self.counters.flows_waited += 1
-        self.queue.add(key, packet, now - opening_age_seconds(flags), now)
-        return True
-
     def admit_waiting(self, now: float) -> None:
         """Admit waiting flows while the host has room; refuse those that waited too long."""
         self._expire_half_open(now)
         if not self.queue:
             return
-        if self.host.phase is not HostPhase.READY:
-            self._refuse_waiting(self.queue.take_all(), now)
-        self._refuse_waiting(self.queue.take_expired(now), now)
+        self.waiting.refuse_hopeless(now)
         while self.queue and self._refusal(self._tag, now) is None:
             key, waiting = self.queue.pop_newest()
             self.wait_latency.observe(now - waiting.arrived_at)
             self._admit(key, NO_BALANCER, now, now - waiting.arrived_at)
+            self.warm_up.note_passed(now)
             self.to_host(waiting.packet)
 
-    def _refuse_waiting(self, refused: list[tuple[bytes, WaitingFlow]], now: float) -> None:
-        for key, waiting in refused:
-            self.counters.flows_waited_in_vain += 1
-            self.log.note(
-                "flow-waited-in-vain",
-                flow=self.codec.describe(key),
-                waited_ms=round(1000 * (now - waiting.arrived_at)),
-                busy=self.meter.busy,
-                phase=self.host.phase.value,
-            )
-            self.to_caller(self.codec.reset_for(waiting.packet), self.codec.caller_of(key))
-
     def _refusal(self, tag: int, now: float) -> RefusalReason | None:
         """Return why a new flow is refused now, None where it is taken."""
         if tag != self._tag:
             return RefusalReason.OTHER_SERVICE
-        return refusal_of(self.host, self.watch.response, self.meter.busy, now)
+        return self.admission.refusal(self.meter.busy, now)
+
+    def zones_changed(self, zones: DrainedZones, now: float) -> None:
+        """Take the drained zones; flows that wait for a host in one of them are reset at once."""
+        was_drained = self.admission.is_zone_drained()
+        if not self.admission.take_zones(zones, now):
+            return
+        is_drained = self.admission.is_zone_drained()
+        if is_drained != was_drained:
+            event = "zone-drained" if is_drained else "zone-restored"
+            self.log.note(event, revision=zones.revision, waiting=len(self.queue))
+        self.admit_waiting(now)
 
     def _admit(
         self, key: bytes, sender: SocketAddress, now: float, waited_seconds: float = 0.0
--- a/src/jasperwalk/agent/datagrams/process.py
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -20,12 +20,14 @@
 from jasperwalk.fleet.figures import ProcessFigures, metrics_server
 from jasperwalk.fleet.home_link import HomeLink
 from jasperwalk.fleet.messages import (
+    DrainedZones,
     FleetUpdate,
     HomeMessage,
     HomeStatus,
     HostPhase,
     NodeRecord,
     NodeRole,
+    WarmUpUpdate,
 )
 from jasperwalk.fleet.node import ReadinessInterface, draw_incarnation
 from jasperwalk.fleet.search_ticks import SearchTicks
@@ -60,11 +62,12 @@
 
     def announce(self, news: HostAnnouncement) -> bool:
         """Take an announcement; return False for one that was overtaken."""
-        before = (self._host.host_id, self._host.phase)
-        taken = self._host.announce(news, time.monotonic())
-        if before[0] not in ("", self._host.host_id):
+        now = time.monotonic()
+        before = self._host.summary(now)
+        taken = self._host.announce(news, now)
+        if before.host_id not in ("", self._host.host_id):
             self._on_new_host()
-        if before != (self._host.host_id, self._host.phase):
+        if before != self._host.summary(now):
             self._log("host-announced", news.call_number)
             self._on_change()
         elif not taken:
@@ -123,6 +126,8 @@
             log=decisions,
             started_at=time.monotonic(),
             flow_lifetime_seconds=settings.flow_lifetime_ms / 1000,
+            zone=settings.zone,
+            warm_up_floor=settings.warm_up_floor,
         )
         self.helper = SearchHelper(
             codec=codec,
@@ -149,6 +154,7 @@
                 "flows": lambda: len(self.core),
                 "requests_under_way": lambda: self.core.meter.busy,
                 "flows_waiting": lambda: len(self.core.queue),
+                "zone_drained": self.core.admission.is_zone_drained,
                 "host_ready": lambda: self.host.phase is HostPhase.READY,
                 "agents": lambda: len(self.helper.pool),
                 "searches": lambda: len(self.helper.searches),
@@ -174,6 +180,7 @@
             phase=HostPhase.GONE if self._gone else self.host.phase,
             capacity=self.host.capacity,
             slow_start_seconds=self.host.slow_start_seconds(now),
+            host_zone="" if self.host.zone == self._settings.zone else self.host.zone,
         )
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -247,10 +254,20 @@
         """Do nothing: the answers to the host hold without the link."""
 
     def _news(self, message: HomeMessage) -> None:
-        """Learn of other agents, and how long a flow may rest; the longest time received counts."""
+        """Learn of other agents, of drained zones, of what the service's hosts bear."""
+        now = time.monotonic()
         if isinstance(message, FleetUpdate):
-            self.helper.fleet_changed(message, time.monotonic())
-        if isinstance(message, HomeStatus) and message.flow_idle_ms:
+            self.helper.fleet_changed(message, now)
+        elif isinstance(message, DrainedZones):
+            self.core.zones_changed(message, now)
+        elif isinstance(message, WarmUpUpdate):
+            self.core.warm_up.configure(message.version, message.warm_up)
+        elif isinstance(message, HomeStatus):
+            self._take_status(message)
+
+    def _take_status(self, message: HomeStatus) -> None:
+        """Learn how long a flow may rest; the longest time received counts."""
+        if message.flow_idle_ms:
             idle_seconds = message.flow_idle_ms / 1000
             known = self.core.flow_idle_seconds
             is_longer = math.isinf(known) or idle_seconds > known
--- /dev/null
+++ b/src/jasperwalk/agent/datagrams/warm_up.py
@@ -0,0 +1,79 @@
+"""How many new flows a cold host gets: an exact bound for every second.
+
+A host is cold after its start, and so are the hosts of a zone that was drained for a while. Every
+opening packet to the host passes its agent, so the times of the last ones keep the bound for all
+balancers together. A token bucket would not: a full bucket and its refill fall into one second.
+
+Sans-IO; times are seconds.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from jasperwalk.fleet.messages import WarmUp
+
+WINDOW_SECONDS = 1.05
+"""The bound holds for a second; the rest is for packets that the host gets unevenly late."""
+
+
+@dataclass(eq=False, repr=False)
+class WarmUpLimit:
+    """Bounds the new flows of one host while it is cold.
+
+    `floor` is how many flows a second any cold host bears, None where the settings do not say.
+    An agent that has just started does not know what its predecessor passed on, so its first
+    second counts as spent.
+    """
+
+    floor: float | None
+    started_at: float
+    _warm_up: WarmUp | None = None
+    """What the configuration says of the service, None before it has come."""
+    _version: int = 0
+    _zone_restored_at: float = float("-inf")
+    _passed_at: deque[float] = field(default_factory=deque)
+
+    def configure(self, version: int, warm_up: WarmUp) -> None:
+        """Take what a version of the configuration says; an older version changes nothing."""
+        if version >= self._version:
+            self._version = version
+            self._warm_up = warm_up
+
+    def note_zone_restored(self, now: float) -> None:
+        """Count the host as cold from now on, though it may not have said so yet."""
+        self._zone_restored_at = now
+
+    def note_passed(self, now: float) -> None:
+        """Count an opening packet that goes to the host; a copy reaches it as well."""
+        self._passed_at.append(now)
+        self._forget_old(now)
+
+    def is_reached(self, slow_until: float, now: float) -> bool:
+        """Tell whether the host bears no more now; it says that it is cold until `slow_until`."""
+        most = self.bound(slow_until, now)
+        if most is None:
+            return False
+        if now - self.started_at < WINDOW_SECONDS:
+            return True
+        self._forget_old(now)
+        return len(self._passed_at) + 1 > most
+
+    def bound(self, slow_until: float, now: float) -> float | None:
+        """Return how many new flows the host gets in a second now, None where nothing limits it."""
+        if not self._is_cold(slow_until, now):
+            return None
+        if self._warm_up is None:
+            return self.floor
+        if self._warm_up.flows_per_second <= 0:
+            return None
+        return max(self._warm_up.flows_per_second, self.floor or 0.0)
+
+    def _is_cold(self, slow_until: float, now: float) -> bool:
+        seconds = 0.0 if self._warm_up is None else self._warm_up.seconds
+        return now < max(slow_until, self._zone_restored_at + seconds)
+
+    def _forget_old(self, now: float) -> None:
+        while self._passed_at and now - self._passed_at[0] >= WINDOW_SECONDS:
+            self._passed_at.popleft()
--- a/src/jasperwalk/balancer/datagrams/flow_balancer.py
+++ b/src/jasperwalk/balancer/datagrams/flow_balancer.py
@@ -18,7 +18,7 @@
 from jasperwalk.balancer.datagrams.flow_opener import FlowOpener
 from jasperwalk.balancer.datagrams.openings import Flow
 from jasperwalk.fleet.flow_searches import FlowSearches
-from jasperwalk.fleet.messages import FleetUpdate
+from jasperwalk.fleet.messages import DrainedZones, FleetUpdate
 from jasperwalk.fleet.search import Search
 from jasperwalk.fleet.targets import FLOW_LIFETIME_SECONDS, Target, TargetPool
 from jasperwalk.flows.codec import DatagramSender, PacketCodec, SocketAddress
@@ -216,6 +216,13 @@
         self.pool.update(update, now)
         self.opener.retry_parked(now)
 
+    def zones_changed(self, zones: DrainedZones, now: float) -> bool:
+        """Take the drained zones, and try the flows that wait; False for what is out of date."""
+        if not self.pool.drain_zones(zones):
+            return False
+        self.opener.retry_parked(now)
+        return True
+
     # Flows that are not in the table
 
     def _search(
@@ -231,8 +238,11 @@
             self.searches.hold(key, packet)
         elif not self.delegated.hold(key, packet):
             services = sorted(route.past_services)
-            if possible or not self.delegated.start(key, packet, services, now):
-                self.searches.start(key, packet, services, now, possible)
+            regions = route.allowed_regions
+            # A helper shows the packet to hosts wherever they are.
+            is_delegated = not possible and not regions
+            if not is_delegated or not self.delegated.start(key, packet, services, now):
+                self.searches.start(key, packet, services, now, possible, regions)
 
     def search_found(self, search: Search, holder: Target, now: float) -> None:
         """Carry the packets that waited."""
--- a/src/jasperwalk/balancer/datagrams/flow_opener.py
+++ b/src/jasperwalk/balancer/datagrams/flow_opener.py
@@ -14,6 +14,7 @@
 from jasperwalk.balancer.datagrams.counters import FlowCounters
 from jasperwalk.balancer.datagrams.openings import Flow, Opening, OpeningAnswer
 from jasperwalk.fleet.targets import (
+    REFUSING_SECONDS,
     SUSPECT_SECONDS,
     Target,
     TargetPool,
@@ -33,6 +34,9 @@
 waits 1.4 s for an answer."""
 MAXIMUM_PARKED = 4096
 
+REFUSES_FOR_A_WHILE = frozenset((RefusalReason.ZONE_DRAINED, RefusalReason.WARMING_UP))
+"""Refusals that say nothing of the host's load and hold for other flows too."""
+
 FlowRejecter = Callable[[bytes, bytes, str], None]
 """Resets a flow: its key, a packet of it, and the reason."""
 
@@ -145,7 +149,8 @@
         """Return the best agent of the chosen service, or else of the route's others."""
         for service in dict.fromkeys([opening.service, *opening.route.route.services()]):
             is_bulk = opening.route.route.is_bulk
-            target = self.pool.choose(service, key, excluded, now, is_bulk)
+            regions = opening.route.allowed_regions
+            target = self.pool.choose(service, key, excluded, now, is_bulk, regions)
             if target is not None:
                 return target
         return None
@@ -182,11 +187,13 @@
             return
         opening.answers[target] = OpeningAnswer.REFUSED
         self.counters.openings_returned += is_taken_back
-        self._note_refusal(key, target, reply)
+        self._note_refusal(key, target, reply, now)
         if flow.target is target and (is_taken_back or not was_accepted):
             self._try_next(key, opening, now)
 
-    def _note_refusal(self, key: bytes, target: Target, reply: AgentReply) -> None:
+    def _note_refusal(self, key: bytes, target: Target, reply: AgentReply, now: float) -> None:
+        if reply.flags in REFUSES_FOR_A_WHILE:
+            target.refuses_until = now + REFUSING_SECONDS
         self.counters.open_retries += 1
         self.log.note(
             "flow-refused",
@@ -221,7 +228,10 @@
 
     def _may_wait_for_host(self, opening: Opening, now: float) -> bool:
         is_late = now - opening.arrived_at >= LONGEST_PARKING_SECONDS
-        return not is_late and self.pool.expects_hosts(opening.route.route.services(), now)
+        route = opening.route
+        return not is_late and self.pool.expects_hosts(
+            route.route.services(), now, route.allowed_regions
+        )
 
     def retry_parked(self, now: float) -> None:
         """Try the flows that wait for a host, the newest first; call when the agents change."""
--- a/src/jasperwalk/balancer/datagrams/process.py
+++ b/src/jasperwalk/balancer/datagrams/process.py
@@ -19,6 +19,7 @@
 from jasperwalk.fleet.figures import ProcessFigures, metrics_server
 from jasperwalk.fleet.home_link import HomeLink
 from jasperwalk.fleet.messages import (
+    DrainedZones,
     FleetUpdate,
     HomeMessage,
     HomeStatus,
@@ -72,7 +73,7 @@
         self._link_routes: dict[Endpoint, FlowRoute] = {}
         self._link_version = 0
         self.routes = RouteTable()
-        self.pool = TargetPool(settings.zone, self._random)
+        self.pool = TargetPool(settings.zone, self._random, settings.zone_regions)
         bound = sockets or bind_balancer(settings)
         self._callers = DatagramSocket(bound.callers, self._packet, self._take_in)
         self._frames = DatagramSocket(bound.frames, self._frame)
@@ -104,6 +105,8 @@
             gauges={
                 "flows": lambda: len(self.core),
                 "agents": lambda: len(self.pool),
+                "zones_revision": lambda: self.pool.drained.revision,
+                "drained_zones": lambda: len(self.pool.drained.zones),
                 "routes_version": lambda: self.routes.version,
                 "log_lines_dropped": lambda: self._decisions.dropped,
             },
@@ -193,6 +196,8 @@
             self._fleet_changed(message)
         elif isinstance(message, RoutesUpdate):
             self._routes_changed(message)
+        elif isinstance(message, DrainedZones):
+            self._zones_changed(message)
         elif isinstance(message, HomeStatus) and message.current:
             self._home_is_current(message)
 
@@ -239,9 +244,23 @@
         if self.routes.version:
             self._put_in_force()
 
+    def _zones_changed(self, zones: DrainedZones) -> None:
+        if self.core.zones_changed(zones, time.monotonic()):
+            logger.info(
+                "zones-drained",
+                revision=zones.revision,
+                zones=",".join(zones.zones),
+                home=str(self._link.home),
+            )
+
     def _home_is_current(self, status: HomeStatus) -> None:
-        """Put the first routes of this life in force, from a home that is surely current."""
-        if not self.routes.version and self._link_version >= status.version:
+        """Put the first routes of this life in force, from a home that is surely current.
+
+        Not before the drained zones have come too: what was acknowledged before a loss of all
+        power holds for the first flow after it.
+        """
+        has_zones = self.pool.drained.revision >= status.zones_revision
+        if not self.routes.version and has_zones and self._link_version >= status.version:
             self._put_in_force()
 
     def _put_in_force(self) -> None:
--- a/src/jasperwalk/control/fleet/applier.py
+++ b/src/jasperwalk/control/fleet/applier.py
@@ -11,18 +11,18 @@
 from jasperwalk.consensus.durable import SnapshotData
 from jasperwalk.consensus.entries import EntryKind, LogEntry
 from jasperwalk.control.applied import AppliedEntries, AppliedEntry
-from jasperwalk.control.fleet.versioned_state import PutOutcome, VersionedState
+from jasperwalk.control.fleet.versioned_state import Outcome, VersionedState
 
 SNAPSHOT_INTERVAL_ENTRIES = 128
 """Applied entries after which the state is written as a snapshot."""
 
 
 class VersionedApplier:
-    """The `EntryApplier` of the datagram plane; `on_change` is called for a new held version."""
+    """The `EntryApplier` of the datagram plane; `on_change` is called when its state changed."""
 
     def __init__(self, on_change: Callable[[], None]) -> None:
         self.state = VersionedState()
-        self.applied: AppliedEntries[PutOutcome] = AppliedEntries()
+        self.applied: AppliedEntries[Outcome] = AppliedEntries()
         self._on_change = on_change
         self._take_snapshot: Callable[[int, bytes], None] | None = None
         self._snapshot_index = 0
@@ -44,12 +44,12 @@
 
     def submit(self, entries: Sequence[LogEntry]) -> None:
         """Apply committed entries and answer those who wait for them."""
-        version = self.state.held.version
+        position = self.state.position()
         for entry in entries:
             is_command = entry.kind is EntryKind.COMMAND
             outcome = self.state.apply(entry.data) if is_command else None
             self.applied.record(AppliedEntry(entry.index, entry.term, outcome))
-        if self.state.held.version != version:
+        if self.state.position() != position:
             self._on_change()
         self._snapshot_when_due()
 
--- a/src/jasperwalk/control/fleet/configurations.py
+++ b/src/jasperwalk/control/fleet/configurations.py
@@ -9,20 +9,15 @@
 
 import structlog
 
-from jasperwalk.addresses import Endpoint
-from jasperwalk.consensus.outcomes import Proposed
+from jasperwalk.control.fleet.committing import AskLeader, Unavailable, commit, refer
 from jasperwalk.control.fleet.replica import FleetReplica
 from jasperwalk.control.fleet.versioned_state import (
     HeldConfiguration,
     PutConfiguration,
     PutOutcome,
-    encode_command,
 )
-from jasperwalk.control.proposal_errors import ProposalError
 from jasperwalk.observability.latency import LatencyCounts
 
-COMMIT_TIMEOUT_SECONDS = 0.85
-"""Operators move on to another replica after a second of silence."""
 READ_QUORUM_SECONDS = 0.5
 """Oldest quorum contact of a leader that answers reads; less than an election timeout, so
 that no other leader can have acknowledged anything since."""
@@ -39,22 +34,6 @@
     held_version: int
 
 
-@dataclass(frozen=True)
-class AskLeader:
-    """Another replica leads; `replica` is its replica end point."""
-
-    kind: ClassVar[str] = "ask-leader"
-    replica: Endpoint
-
-
-@dataclass(frozen=True)
-class Unavailable:
-    """No answer can be given for sure now; nothing is promised about the change."""
-
-    kind: ClassVar[str] = "unavailable"
-    reason: str
-
-
 PutResult = Acknowledged | AskLeader | Unavailable
 ReadResult = HeldConfiguration | AskLeader | Unavailable
 
@@ -104,19 +83,11 @@
         if replica is None:
             return Unavailable("replica is starting")
         if not replica.runner.is_leader:
-            return _refer(replica)
-        proposed = replica.runner.propose(encode_command(command))
-        if not isinstance(proposed, Proposed):
-            return Unavailable(proposed.kind)
-        try:
-            entry = await replica.applier.applied.wait(
-                proposed.index, proposed.term, COMMIT_TIMEOUT_SECONDS
-            )
-        except ProposalError as error:
-            return Unavailable(error.kind)
-        if not isinstance(entry.outcome, PutOutcome):
-            return Unavailable("malformed command")
-        return Acknowledged(command.version, entry.outcome.held_version)
+            return refer(replica)
+        outcome = await commit(replica, command)
+        if isinstance(outcome, PutOutcome):
+            return Acknowledged(command.version, outcome.held_version)
+        return outcome if isinstance(outcome, Unavailable) else Unavailable("malformed command")
 
     def read(self) -> ReadResult:
         """Return the newest configuration, if this replica can be sure of it."""
@@ -124,13 +95,8 @@
         if replica is None:
             return Unavailable("replica is starting")
         if not replica.runner.is_leader:
-            return _refer(replica)
+            return refer(replica)
         if not replica.runner.is_settled or replica.runner.quorum_age() > READ_QUORUM_SECONDS:
             return Unavailable("no quorum")
         held = replica.applier.state.held
         return held if held.version else Unavailable("no configuration yet")
-
-
-def _refer(replica: FleetReplica) -> AskLeader | Unavailable:
-    address = replica.leader_address()
-    return Unavailable("no leader") if address is None else AskLeader(address)
--- a/src/jasperwalk/control/fleet/directory.py
+++ b/src/jasperwalk/control/fleet/directory.py
@@ -170,6 +170,11 @@
             return None
         return FleetUpdate(whole=False, records=records, removed=removed)
 
+    def zones(self) -> set[str]:
+        """Return the zones that nodes and hosts are in."""
+        records = self._merged.values()
+        return {zone for record in records for zone in (record.zone, record.zone_of_host())}
+
     def counts(self) -> dict[str, int]:
         """Return how many nodes of each role are known, for logs."""
         counts = {role.value: 0 for role in NodeRole}
--- a/src/jasperwalk/control/fleet/home_links.py
+++ b/src/jasperwalk/control/fleet/home_links.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 import structlog
@@ -19,11 +19,15 @@
 from jasperwalk.fleet.messages import (
     NODE_DECODER,
     Announce,
+    DrainedZones,
     FleetUpdate,
+    HomeMessage,
     HomeStatus,
     NodeRecord,
     NodeRole,
     RoutesUpdate,
+    WarmUp,
+    WarmUpUpdate,
 )
 from jasperwalk.flows.routes import FlowRoute, RouteSet
 from jasperwalk.messages import codec
@@ -38,6 +42,9 @@
 processor its cost comes before callers' packets. A flow's opening that goes to an agent which has
 just left costs 0.1 s, so half of that is no loss."""
 
+NO_DRAINED_ZONES = DrainedZones()
+NO_WARM_UP = WarmUp()
+
 logger = structlog.get_logger(__name__)
 
 
@@ -49,10 +56,18 @@
     routes: RouteSet
     replicas: list[Endpoint]
     flow_idle_ms: int = 0
+    zones: DrainedZones = NO_DRAINED_ZONES
+    warm_ups: Mapping[str, WarmUp] = field(default_factory=dict)
 
     def status(self) -> HomeStatus:
         """Return what nodes are sent regularly."""
-        return HomeStatus(self.current, self.routes.version, self.replicas, self.flow_idle_ms)
+        return HomeStatus(
+            self.current,
+            self.routes.version,
+            self.replicas,
+            self.flow_idle_ms,
+            self.zones.revision,
+        )
 
 
 @dataclass(eq=False)
@@ -63,8 +78,10 @@
     record: NodeRecord | None = None
     sent_version: int = 0
     sent_routes: dict[Endpoint, FlowRoute] = field(default_factory=dict)
+    sent_zones_revision: int = 0
+    sent_warm_up: WarmUp | None = None
 
-    def send(self, message: HomeStatus | FleetUpdate | RoutesUpdate) -> None:
+    def send(self, message: HomeMessage) -> None:
         """Queue a message; raises as `FramedConnection.write` does."""
         self.connection.write(codec.encode(message))
 
@@ -79,6 +96,21 @@
         self.sent_version = routes.version
         self.sent_routes = listed
 
+    def send_zones(self, zones: DrainedZones) -> None:
+        """Send the drained zones where they are newer than what was sent."""
+        if zones.revision > self.sent_zones_revision:
+            self.send(zones)
+            self.sent_zones_revision = zones.revision
+
+    def send_warm_up(self, version: int, warm_ups: Mapping[str, WarmUp]) -> None:
+        """Send an agent what its own service's hosts bear while they are cold."""
+        if self.record is None or self.record.role is not NodeRole.AGENT or not version:
+            return
+        warm_up = warm_ups.get(self.record.service, NO_WARM_UP)
+        if warm_up != self.sent_warm_up:
+            self.send(WarmUpUpdate(version, warm_up))
+            self.sent_warm_up = warm_up
+
 
 @dataclass
 class HomeCounters:
@@ -106,6 +138,7 @@
         self.counters = HomeCounters()
         self._links: set[NodeLink] = set()
         self._published_current = False
+        self._published_position = (0, 0)
         self._fleet_interval_seconds = fleet_interval_seconds
         self._fleet_published_at = float("-inf")
         self._fleet_publication: asyncio.TimerHandle | None = None
@@ -150,12 +183,18 @@
         )
         news = self._directory.announce(record)
         self._notify_replicas(news)
-        if is_new and record.role is NodeRole.BALANCER:
-            link.send_routes(self._view().routes)
         if is_new:
-            link.send(self._directory.agents(time.monotonic()))
+            self._send_first(link, record, self._view())
         self.publish_fleet()
 
+    def _send_first(self, link: NodeLink, record: NodeRecord, view: HomeView) -> None:
+        """Send a node that links up what it goes by: the zones come before what they restrict."""
+        link.send_zones(view.zones)
+        link.send_warm_up(view.routes.version, view.warm_ups)
+        if record.role is NodeRole.BALANCER:
+            link.send_routes(view.routes)
+        link.send(self._directory.agents(time.monotonic()))
+
     def _forget(self, link: NodeLink, reason: str) -> None:
         if link.record is None:
             return
@@ -204,6 +243,19 @@
         routes = self._view().routes
         self._to_balancers(lambda link: link.send_routes(routes))
 
+    def publish_restrictions(self) -> None:
+        """Send every linked node the drained zones, and agents what cold hosts bear."""
+        view = self._view()
+        position = (view.routes.version, view.zones.revision)
+        if position == self._published_position:
+            return
+        self._published_position = position
+        announced = [link for link in self._links if link.record is not None]
+        self._to_links(announced, lambda link: link.send_zones(view.zones))
+        self._to_links(
+            announced, lambda link: link.send_warm_up(view.routes.version, view.warm_ups)
+        )
+
     def _to_balancers(self, send: Callable[[NodeLink], None]) -> None:
         balancers = [
             link
--- a/src/jasperwalk/control/fleet/messages.py
+++ b/src/jasperwalk/control/fleet/messages.py
@@ -16,14 +16,15 @@
     """A replica to all others, at a steady pace.
 
     `life` names the sender's process. `leading` tells that it leads and has committed an
-    entry of its own term; `version` is the configuration it holds. `sequence` numbers the
-    changes of the nodes that are linked to it.
+    entry of its own term; `version` is the configuration it holds, `zones_revision` the drained
+    zones. `sequence` numbers the changes of the nodes that are linked to it.
     """
 
     life: int
     leading: bool
     version: int
     sequence: int
+    zones_revision: int = 0
 
 
 class HomedNodes(msgspec.Struct, frozen=True, array_like=True, tag=312):
--- a/src/jasperwalk/control/fleet/process.py
+++ b/src/jasperwalk/control/fleet/process.py
@@ -21,6 +21,7 @@
 from jasperwalk.control.fleet.messages import HomedNodes, JoinReply, JoinRequest, JoinStatus
 from jasperwalk.control.fleet.replica import FleetReplica, ReplicaRemoved
 from jasperwalk.control.fleet.settings import FleetControlSettings
+from jasperwalk.control.fleet.zone_orders import ZoneOrders
 from jasperwalk.errors import JasperwalkError
 from jasperwalk.fleet.figures import ProcessFigures, metrics_server
 from jasperwalk.fleet.messages import CLUSTER_ID
@@ -36,7 +37,7 @@
 LIFE_BITS = 62
 TRANSFER_TIMEOUT_SECONDS = 1.0
 
-OperatorsInterface = Callable[[ConfigurationService, int], HttpHandler]
+OperatorsInterface = Callable[[ConfigurationService, ZoneOrders, int], HttpHandler]
 """Makes the handler of operators' calls; the number is the port at which all replicas listen."""
 
 logger = structlog.get_logger(__name__)
@@ -56,19 +57,31 @@
         self._homes = HomeLinks(self.directory, self._home_view, self._notify_replicas)
         operators = settings.operators_endpoint()
         service = ConfigurationService(lambda: self._replica)
-        self._http = HttpServer(operators, interface(service, operators.port))
+        zone_orders = ZoneOrders(
+            lambda: self._replica, self._known_zones, settings.orders_repeat_ms / 1000
+        )
+        self._http = HttpServer(operators, interface(service, zone_orders, operators.port))
         figures = ProcessFigures(
             process="control",
-            counters=lambda: {**vars(service.counters), **vars(self._homes.counters)},
+            counters=lambda: {
+                **vars(service.counters),
+                **vars(zone_orders.counters),
+                **vars(self._homes.counters),
+            },
             gauges={
                 "configuration_version": lambda: self._home_view().routes.version,
+                "zones_revision": lambda: self._home_view().zones.revision,
+                "drained_zones": lambda: len(self._home_view().zones.zones),
                 "leader": lambda: self._replica is not None and self._replica.runner.is_leader,
                 "current": lambda: self._home_view().current,
                 "voters": self._voter_count,
                 "agents_known": lambda: self.directory.counts()["agent"],
                 "balancers_known": lambda: self.directory.counts()["balancer"],
             },
-            latencies={"configuration_put": service.put_latency},
+            latencies={
+                "configuration_put": service.put_latency,
+                "zone_order": zone_orders.latency,
+            },
         )
         self._metrics = metrics_server(settings.metrics_listen, settings.metrics_path, figures)
         hello = make_hello(ConnectionKind.PEER, settings.name, CLUSTER_ID)
@@ -164,6 +177,7 @@
         )
 
     def _publish(self) -> None:
+        self._homes.publish_restrictions()
         self._homes.publish_fleet()
         self._homes.publish_routes()
         self._homes.publish_status()
@@ -174,8 +188,18 @@
             return HomeView(current=False, routes=RouteSet(0, []), replicas=[])
         replicas: list[Endpoint] = list(replica.runner.endpoints().values())
         state = replica.applier.state
-        idle_ms = state.held.flow_idle_ms
-        return HomeView(replica.is_current(), state.route_set(), replicas, idle_ms)
+        return HomeView(
+            current=replica.is_current(),
+            routes=state.route_set(),
+            replicas=replicas,
+            flow_idle_ms=state.held.flow_idle_ms,
+            zones=state.zones.drained_zones(),
+            warm_ups=state.held.warm_ups,
+        )
+
+    def _known_zones(self) -> set[str]:
+        """Return the zones that the settings or any node names."""
+        return {*self._settings.zones, *self.directory.zones()}
 
     def _voter_count(self) -> float:
         replica = self._replica
--- a/src/jasperwalk/control/fleet/replica.py
+++ b/src/jasperwalk/control/fleet/replica.py
@@ -51,7 +51,7 @@
 """Pace of the replicas' signs of life to each other."""
 CURRENT_SECONDS = 1.0
 """Age of the leader's sign of life, and of its quorum contact, up to which a replica counts
-as holding the newest configuration."""
+as holding all that was acknowledged."""
 WATCH_SECONDS = 0.05
 """Pace of looking whether leadership or being current has changed."""
 JOIN_SECONDS = (0.1, 0.15, 0.15, 0.15, 0.3)
@@ -74,6 +74,7 @@
 
     replica_id: int = 0
     version: int = 0
+    zones_revision: int = 0
     received_at: float = float("-inf")
 
 
@@ -104,6 +105,8 @@
         self._leader_sign = LeaderSign()
         self._on_change = on_change
         self._leading = False
+        self._led_term = 0
+        self._leads_since = 0.0
         self._current = False
         self.applier = VersionedApplier(on_change)
         self.network = PeerNetwork(
@@ -151,7 +154,7 @@
         self.runner.close()
 
     def is_current(self) -> bool:
-        """Tell whether this replica surely holds the newest acknowledged configuration."""
+        """Tell whether this replica surely holds all that was acknowledged."""
         if self.runner.quorum_age() > CURRENT_SECONDS:
             return False
         if self.runner.is_leader:
@@ -159,13 +162,20 @@
         sign = self._leader_sign
         is_fresh = time.monotonic() - sign.received_at <= CURRENT_SECONDS
         is_leaders = sign.replica_id == self.runner.leader_id
-        return is_fresh and is_leaders and self.applier.state.held.version >= sign.version
+        version, zones_revision = self.applier.state.position()
+        is_caught_up = version >= sign.version and zones_revision >= sign.zones_revision
+        return is_fresh and is_leaders and is_caught_up
 
     def leader_address(self) -> Endpoint | None:
         """Return the leader's replica end point, None where it is not known."""
         leader_id = self.runner.leader_id
         return None if leader_id is None else self.runner.endpoints().get(leader_id)
 
+    def leads_since(self) -> float:
+        """Return when this leader's term began as far as is known, now where it only begins."""
+        is_noted = self._led_term == self.runner.term
+        return self._leads_since if is_noted else time.monotonic()
+
     def notify_replicas(self, news: HomedNodes) -> None:
         """Pass news of the linked nodes on."""
         for replica_id in self.network.connected_ids():
@@ -189,7 +199,7 @@
 
     def _take_beat(self, sender: int, beat: ReplicaBeat, now: float) -> None:
         if beat.leading:
-            self._leader_sign = LeaderSign(sender, beat.version, now)
+            self._leader_sign = LeaderSign(sender, beat.version, beat.zones_revision, now)
         if self._directory.take_beat(sender, beat, now):
             self.network.send(sender, HomedNodesWanted())
 
@@ -201,11 +211,13 @@
             await asyncio.sleep(BEAT_SECONDS)
 
     def _send_beat(self) -> None:
+        version, zones_revision = self.applier.state.position()
         beat = ReplicaBeat(
             life=self._life,
             leading=self.runner.is_settled,
-            version=self.applier.state.held.version,
+            version=version,
             sequence=self._directory.sequence,
+            zones_revision=zones_revision,
         )
         for replica_id in self.network.connected_ids():
             self.network.send(replica_id, beat)
@@ -214,6 +226,9 @@
         """Tell the others at once of a change that nodes may be waiting for."""
         while True:
             await asyncio.sleep(WATCH_SECONDS)
+            if self.runner.is_settled and self.runner.term != self._led_term:
+                self._led_term = self.runner.term
+                self._leads_since = time.monotonic()
             if self.runner.is_settled != self._leading:
                 self._leading = self.runner.is_settled
                 event = "leadership-won" if self._leading else "leadership-lost"
@@ -226,8 +241,10 @@
 
     def _position(self) -> dict[str, int | float]:
         """Return what being current rests on, for the log."""
+        version, zones_revision = self.applier.state.position()
         return {
-            "version": self.applier.state.held.version,
+            "version": version,
+            "zones_revision": zones_revision,
             "term": self.runner.term,
             "commit_index": self.runner.commit_index,
             "quorum_age_ms": min(int(1000 * min(self.runner.quorum_age(), 60.0)), 60_000),
--- a/src/jasperwalk/control/fleet/settings.py
+++ b/src/jasperwalk/control/fleet/settings.py
@@ -22,6 +22,10 @@
     replica_listen: str
     seeds: list[str] = []
     founding: bool = False
+    zones: list[str] = []
+    """Every zone of the installation; more are known from the nodes that announce themselves."""
+    orders_repeat_ms: float = 6_000.0
+    """How long an operator repeats an order that had no answer, milliseconds."""
     metrics_listen: str = ""
     metrics_path: str = "/metrics"
     log_level: str = "info"
--- /dev/null
+++ b/src/jasperwalk/control/fleet/zone_orders.py
@@ -0,0 +1,178 @@
+"""Operators' orders to drain and restore zones, on any replica."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+from typing import ClassVar
+
+import structlog
+
+from jasperwalk.control.fleet.committing import AskLeader, Unavailable, commit, refer
+from jasperwalk.control.fleet.late_orders import (
+    LateOrderGuard,
+    Leadership,
+    OrderRefusal,
+    ZoneOrder,
+)
+from jasperwalk.control.fleet.replica import FleetReplica
+from jasperwalk.control.fleet.versioned_state import OrderZone, ZoneOutcome
+from jasperwalk.observability.latency import LatencyCounts
+
+LONGEST_NAME_CHARACTERS = 200
+"""A longer name is no zone's; it is cut in logs and answers."""
+
+logger = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True)
+class ZoneAcknowledged:
+    """The order is committed, or the zone was in that state already."""
+
+    kind: ClassVar[str] = "zone-acknowledged"
+    zone: str
+    drained: bool
+    revision: int
+
+
+@dataclass(frozen=True)
+class UnknownZone:
+    """No node, no setting and no earlier order names this zone; nothing was changed."""
+
+    kind: ClassVar[str] = "unknown-zone"
+    zone: str
+
+
+@dataclass(frozen=True)
+class ZoneListed:
+    """A zone that is known, and whether it is drained."""
+
+    zone: str
+    drained: bool
+
+
+@dataclass(frozen=True)
+class ZonesListed:
+    """Every known zone, by name; `revision` counts the orders that changed something."""
+
+    kind: ClassVar[str] = "zones-listed"
+    revision: int
+    zones: tuple[ZoneListed, ...]
+
+
+ZoneResult = ZoneAcknowledged | UnknownZone | AskLeader | Unavailable
+ZoneListResult = ZonesListed | AskLeader | Unavailable
+
+
+@dataclass
+class ZoneCounters:
+    """Orders for zones on this replica since it started, by outcome."""
+
+    zone_orders_acknowledged: int = 0
+    zone_orders_unknown: int = 0
+    zone_orders_abandoned: int = 0
+    """Orders whose callers had left before they could be taken."""
+    zone_orders_paused: int = 0
+    """Orders that reversed a new one and paused to see whether their callers still wait."""
+
+
+class ZoneOrders:
+    """Takes orders; `replica` gives the replica's current life, `known_zones` names zones.
+
+    `repeat_seconds` is how long operators repeat an order that had no answer.
+    """
+
+    def __init__(
+        self,
+        replica: Callable[[], FleetReplica | None],
+        known_zones: Callable[[], Collection[str]],
+        repeat_seconds: float,
+    ) -> None:
+        self._replica = replica
+        self._known_zones = known_zones
+        self._guard = LateOrderGuard(repeat_seconds)
+        self.counters = ZoneCounters()
+        self.latency = LatencyCounts()
+
+    async def order(
+        self, zone: str, drained: bool, caller_waits: Callable[[], bool] = lambda: True
+    ) -> ZoneResult:
+        """Drain or restore a zone; acknowledged only once a quorum has the order on disk.
+
+        `caller_waits` tells whether the operator's connection still stands.
+        """
+        started_at = time.monotonic()
+        result = await self._order(zone, drained, caller_waits)
+        if isinstance(result, ZoneAcknowledged):
+            self.counters.zone_orders_acknowledged += 1
+            self.latency.observe(time.monotonic() - started_at)
+        logger.info(
+            "zone-order",
+            zone=zone[:LONGEST_NAME_CHARACTERS],
+            drained=drained,
+            outcome=result.kind,
+            detail=getattr(result, "reason", ""),
+            revision=getattr(result, "revision", 0),
+        )
+        return result
+
+    async def _order(
+        self, zone: str, drained: bool, caller_waits: Callable[[], bool]
+    ) -> ZoneResult:
+        replica = self._replica()
+        if replica is None:
+            return Unavailable("replica is starting")
+        if not replica.runner.is_leader:
+            return refer(replica)
+        if zone not in replica.applier.state.zones.drained and zone not in self._known_zones():
+            self.counters.zone_orders_unknown += 1
+            return UnknownZone(zone[:LONGEST_NAME_CHARACTERS])
+        await self._pause(replica, zone, drained)
+        refusal = self._guard.take(
+            _order_of(replica, zone, drained),
+            _leadership_of(replica),
+            caller_waits(),
+            time.monotonic(),
+        )
+        if refusal is not None:
+            self.counters.zone_orders_abandoned += refusal is OrderRefusal.CALLER_LEFT
+            return Unavailable(refusal.value)
+        return await self._commit(replica, OrderZone(zone, drained))
+
+    async def _pause(self, replica: FleetReplica, zone: str, drained: bool) -> None:
+        order = _order_of(replica, zone, drained)
+        seconds = self._guard.pause_seconds(order, _leadership_of(replica), time.monotonic())
+        if seconds:
+            self.counters.zone_orders_paused += 1
+            await asyncio.sleep(seconds)
+
+    async def _commit(self, replica: FleetReplica, command: OrderZone) -> ZoneResult:
+        outcome = await commit(replica, command)
+        if isinstance(outcome, Unavailable):
+            return outcome
+        if not isinstance(outcome, ZoneOutcome):
+            return Unavailable("malformed command")
+        return ZoneAcknowledged(outcome.zone, outcome.drained, outcome.revision)
+
+    def list(self) -> ZoneListResult:
+        """Return every known zone, if this replica is sure to hold the newest orders."""
+        replica = self._replica()
+        if replica is None:
+            return Unavailable("replica is starting")
+        if not replica.is_current():
+            return refer(replica)
+        states = replica.applier.state.zones
+        names = sorted({*self._known_zones(), *states.drained})
+        listed = tuple(ZoneListed(name, states.drained.get(name, False)) for name in names)
+        return ZonesListed(states.revision, listed)
+
+
+def _order_of(replica: FleetReplica, zone: str, drained: bool) -> ZoneOrder:
+    return ZoneOrder(zone, drained, replica.applier.state.zones.drained.get(zone))
+
+
+def _leadership_of(replica: FleetReplica) -> Leadership:
+    runner = replica.runner
+    return Leadership(runner.term, runner.is_settled, replica.leads_since())
--- a/src/jasperwalk/fleet/flow_searches.py
+++ b/src/jasperwalk/fleet/flow_searches.py
@@ -108,15 +108,19 @@
         services: list[str],
         now: float,
         possible: Sequence[Target] = (),
+        regions: frozenset[str] = frozenset(),
     ) -> Search | None:
-        """Begin a search among the agents of these services; None where too many are open."""
+        """Begin a search among the agents of these services; None where too many are open.
+
+        `regions` are those that the flow's hosts may be in, empty where every region may.
+        """
         if len(self._searches) >= MAXIMUM_SEARCHES:
             return None
         self.counters.searches += 1
         self.counters.searches_confirming += bool(possible)
         known = self._returned_by.get(key)
         returned = frozenset[Target]() if known is None else known.targets
-        search = Search(key, packet, services, now, returned, possible)
+        search = Search(key, packet, services, now, returned, possible, regions)
         self._searches[key] = search
         self._advance(search, now)
         return search
--- a/src/jasperwalk/fleet/messages.py
+++ b/src/jasperwalk/fleet/messages.py
@@ -51,6 +51,12 @@
     phase: HostPhase = HostPhase.UNKNOWN
     capacity: int = 0
     slow_start_seconds: float = 0.0
+    host_zone: str = ""
+    """The host's zone as it announces itself, empty where that is the agent's own."""
+
+    def zone_of_host(self) -> str:
+        """Return the zone whose draining concerns the host."""
+        return self.host_zone or self.zone
 
 
 class Announce(msgspec.Struct, frozen=True, array_like=True, tag=301):
@@ -67,12 +73,14 @@
     """The home's answer. `current` tells that it holds the newest configuration for sure.
 
     `flow_idle_ms` is the longest rest of a flow by that configuration, 0 where none is known.
+    `zones_revision` numbers the drained zones that the home holds.
     """
 
     current: bool
     version: int
     replicas: list[Endpoint]
     flow_idle_ms: int = 0
+    zones_revision: int = 0
 
 
 class FleetUpdate(msgspec.Struct, frozen=True, array_like=True, tag=304):
@@ -106,8 +114,36 @@
     removed: list[Endpoint]
 
 
+class DrainedZones(msgspec.Struct, frozen=True, array_like=True, tag=306):
+    """The home to every node: the zones whose hosts get no new flows, all of them.
+
+    `revision` rises with each change; what has a lower one is older.
+    """
+
+    revision: int = 0
+    zones: list[str] = []
+
+
+class WarmUp(msgspec.Struct, frozen=True, array_like=True):
+    """What a host of a service bears while it warms up.
+
+    `seconds` is how long a host is cold after its start, `flows_per_second` how many new flows it
+    bears then; 0 where the configuration names no figure.
+    """
+
+    seconds: float = 0.0
+    flows_per_second: float = 0.0
+
+
+class WarmUpUpdate(msgspec.Struct, frozen=True, array_like=True, tag=307):
+    """The home to an agent: what this version of the configuration says of its service."""
+
+    version: int
+    warm_up: WarmUp
+
+
 NodeMessage = Announce | NodePing
 NODE_DECODER: Decoder[NodeMessage] = Decoder(NodeMessage)
 
-HomeMessage = HomeStatus | FleetUpdate | RoutesUpdate
+HomeMessage = HomeStatus | FleetUpdate | RoutesUpdate | DrainedZones | WarmUpUpdate
 HOME_DECODER: Decoder[HomeMessage] = Decoder(HomeMessage)
--- a/src/jasperwalk/fleet/search.py
+++ b/src/jasperwalk/fleet/search.py
@@ -89,11 +89,13 @@
         now: float,
         returned: frozenset[Target] = frozenset(),
         possible: Sequence[Target] = (),
+        regions: frozenset[str] = frozenset(),
     ) -> None:
         """Begin with one packet; `returned` are agents whose hosts handed one back before.
 
         `possible` are the agents that may have taken the flow when it was opened: they are given
-        the packet first, and the one whose host the caller has chosen passes it on.
+        the packet first, and the one whose host the caller has chosen passes it on. Packets are
+        shown to hosts in `regions` only, where any are named; questions hold no packet.
         """
         self.key = key
         self.packets = [packet]
@@ -104,6 +106,7 @@
         self.holder: Target | None = None
         self.asked: dict[Target, FrameKind | None] = {}
         self._services = services
+        self._regions = regions
         self._probed: set[Target] = set(returned)
         self._returned: set[Target] = set(returned)
         self._probing: Target | None = None
@@ -175,7 +178,7 @@
         """
         self._pausing = False
         self._asked_all = asks_everyone
-        self._candidates |= dict.fromkeys(pool.candidates(self._services, self.key))
+        self._candidates |= dict.fromkeys(self._find_candidates(pool))
         asked = [each for each in self._candidates if not each.departed]
         if asks_everyone:
             asked += [each for each in pool.all_targets() if each not in self._candidates]
@@ -189,10 +192,13 @@
         return [Confirm(target, self.packets[0]) for target in possible]
 
     def _ask_candidates(self, pool: TargetPool, now: float) -> list[SearchStep]:
-        candidates = pool.candidates(self._services, self.key)
+        candidates = self._find_candidates(pool)
         self._candidates = dict.fromkeys(candidates)
         return self._begin_round(candidates, now)
 
+    def _find_candidates(self, pool: TargetPool) -> list[Target]:
+        return pool.candidates(self._services, self.key, self._regions)
+
     def _begin_round(self, targets: list[Target], now: float) -> list[SearchStep]:
         self.rounds += 1
         self.deadline = now + ANSWER_SECONDS
--- a/src/jasperwalk/fleet/settings.py
+++ b/src/jasperwalk/fleet/settings.py
@@ -76,6 +76,8 @@
     frames_listen: str
     replica_port: int
     seeds: list[str]
+    zone_regions: dict[str, str] = {}
+    """The region of each zone; a route that allows some regions needs it."""
 
     def replicas(self) -> list[Endpoint]:
         """Return the control replicas that the settings name."""
@@ -101,6 +103,11 @@
     replica_port: int
     seeds: list[str]
     callers_port: int = 0
+    warm_up_floor: float | None = None
+    """New flows a second that any cold host bears, whatever its service's configuration says.
+
+    It holds until the configuration has come; without it nothing limits a cold host until then.
+    """
 
     def replicas(self) -> list[Endpoint]:
         """Return the control replicas that the settings name."""
--- a/src/jasperwalk/fleet/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -10,13 +10,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import msgspec
 
 from jasperwalk.addresses import Endpoint
-from jasperwalk.fleet.messages import FleetUpdate, HostPhase, NodeRecord
+from jasperwalk.fleet.messages import DrainedZones, FleetUpdate, HostPhase, NodeRecord
 from jasperwalk.flows.codec import SocketAddress
 from jasperwalk.flows.frames import (
     FrameKind,
@@ -54,6 +54,10 @@
 """How long an agent that did not answer is chosen only if no other is left."""
 SUSPECT_COST = 1000.0
 """More than any load: a suspect is chosen only if no other is left."""
+REFUSING_SECONDS = 0.2
+"""How long an agent is passed over that refused a new flow for its host's sake: because the host
+warms up, or because its zone is drained and this balancer has not learned of that yet. Without it
+such a host looks idle and is asked first for every flow."""
 OTHER_ZONE_COST = 0.12
 """What crossing zones adds to an agent's relative load: bytes between zones are paid for."""
 BULK_OTHER_ZONE_COST = 1.0
@@ -81,6 +85,9 @@
     load: float = 0.0
     sent_since: int = 0
     suspect_until: float = float("-inf")
+    refuses_until: float = float("-inf")
+    zone_drained: bool = False
+    """True while the host's zone takes no new flows."""
     slow_until: float = float("-inf")
     unlisted_since: float | None = None
     silent_since: float | None = None
@@ -149,7 +156,7 @@
 
     def is_usable(self, now: float) -> bool:
         """Tell whether new flows may be sent there."""
-        if self.departed or self.record.phase is not HostPhase.READY:
+        if self.departed or self.zone_drained or self.record.phase is not HostPhase.READY:
             return False
         return self.unlisted_since is None or now - self.unlisted_since < UNLISTED_USABLE_SECONDS
 
@@ -175,6 +182,9 @@
 
     zone: str
     source: random.Random
+    zone_regions: Mapping[str, str] = field(default_factory=dict)
+    """The region of each zone, as far as the settings name it."""
+    drained: DrainedZones = field(default_factory=DrainedZones)
     _targets: dict[Endpoint, Target] = field(default_factory=dict)
     _by_service: dict[str, list[Target]] = field(default_factory=dict)
     _by_address: dict[SocketAddress, Target] = field(default_factory=dict)
@@ -195,6 +205,15 @@
             self._unlist(endpoint, now - seconds_ago)
         self._index()
 
+    def drain_zones(self, zones: DrainedZones) -> bool:
+        """Take the drained zones; return False for what newer knowledge has overtaken."""
+        if zones.revision <= self.drained.revision:
+            return False
+        self.drained = zones
+        for target in self._targets.values():
+            target.zone_drained = target.record.zone_of_host() in zones.zones
+        return True
+
     def _unlist(self, endpoint: Endpoint, since: float) -> None:
         target = self._targets.get(endpoint)
         if target is not None and target.unlisted_since is None:
@@ -214,6 +233,7 @@
         held.unlisted_since = None
         held.slow_until = now + record.slow_start_seconds
         held.departed = record.phase is HostPhase.GONE
+        held.zone_drained = record.zone_of_host() in self.drained.zones
 
     def _index(self) -> None:
         self._by_service = {}
@@ -246,9 +266,17 @@
         excluded: Collection[Target],
         now: float,
         is_bulk: bool = False,
+        regions: Collection[str] = (),
     ) -> Target | None:
-        """Return the least loaded usable candidate for a flow key, None where there is none."""
-        usable = [each for each in self._by_service.get(service, ()) if each.is_usable(now)]
+        """Return the least loaded usable candidate for a flow key, None where there is none.
+
+        `regions` are those that the flow's hosts may be in, empty where every region may.
+        """
+        usable = [
+            each
+            for each in self._by_service.get(service, ())
+            if each.is_usable(now) and self._is_in(each, regions)
+        ]
         candidates = [each for each in _ranked(usable, key, CANDIDATES) if each not in excluded]
         other_zone_cost = BULK_OTHER_ZONE_COST if is_bulk else OTHER_ZONE_COST
         return min(
@@ -259,11 +287,17 @@
         cost = target.relative_load(now) + self.source.random() * JITTER
         if target.record.zone != self.zone:
             cost += other_zone_cost
-        if now < target.suspect_until:
+        if now < max(target.suspect_until, target.refuses_until):
             cost += SUSPECT_COST
         return cost
 
-    def expects_hosts(self, services: Collection[str], now: float) -> bool:
+    def _is_in(self, target: Target, regions: Collection[str]) -> bool:
+        """Tell whether a host is in one of the regions; a zone of no known region is in none."""
+        return not regions or self.zone_regions.get(target.record.zone_of_host()) in regions
+
+    def expects_hosts(
+        self, services: Collection[str], now: float, regions: Collection[str] = ()
+    ) -> bool:
         """Tell whether hosts of these services may be ready in a moment.
 
         After a start of the whole fleet agents are known before their hosts have spoken, and a
@@ -274,16 +308,24 @@
         return any(
             target.record.phase is HostPhase.UNKNOWN
             and target.unlisted_since is None
+            and not target.zone_drained
+            and self._is_in(target, regions)
             and now - target.started_at < EXPECTED_SECONDS
             for service in services
             for target in self._by_service.get(service, ())
         )
 
-    def candidates(self, services: Collection[str], key: bytes) -> list[Target]:
+    def candidates(
+        self, services: Collection[str], key: bytes, regions: Collection[str] = ()
+    ) -> list[Target]:
         """Return the agents of these services that may hold a flow, leaving ones too."""
         found: list[Target] = []
         for service in services:
-            alive = [each for each in self._by_service.get(service, ()) if not each.departed]
+            alive = [
+                each
+                for each in self._by_service.get(service, ())
+                if not each.departed and self._is_in(each, regions)
+            ]
             found += _ranked(alive, key, SEARCHED_CANDIDATES)
         return found
 
--- a/src/jasperwalk/flows/frames.py
+++ b/src/jasperwalk/flows/frames.py
@@ -62,6 +62,9 @@
     RETURNED = 5
     SILENT = 6
     """The host does not answer opening packets."""
+    ZONE_DRAINED = 7
+    WARMING_UP = 8
+    """The host is cold and has had as many new flows as it bears for now."""
 
 
 class LocateVerdict(enum.IntEnum):
--- a/src/jasperwalk/flows/routes.py
+++ b/src/jasperwalk/flows/routes.py
@@ -22,6 +22,8 @@
     backends: list[RouteBackend]
     is_bulk: bool = False
     """True where callers send far more than they are answered: uploads."""
+    allowed_regions: list[str] = []
+    """Regions whose hosts may get the flows; empty where every region may."""
 
     def services(self) -> list[str]:
         """Return the names of the services."""
@@ -68,12 +70,19 @@
     longer names, so that service is still asked for them.
     """
 
-    __slots__ = ("past_services", "route", "turns")
+    __slots__ = ("allowed_regions", "past_services", "route", "turns")
 
     def __init__(self, route: FlowRoute, past_services: frozenset[str]) -> None:
         self.route = route
         self.turns = WeightedTurns(route.backends)
         self.past_services = past_services | frozenset(route.services())
+        self.allowed_regions = frozenset(route.allowed_regions)
+
+
+def _leads_alike(one: FlowRoute, other: FlowRoute) -> bool:
+    """Tell whether two routes send flows to the same places."""
+    is_same = one.backends == other.backends and one.allowed_regions == other.allowed_regions
+    return is_same and one.is_bulk == other.is_bulk
 
 
 class RouteTable:
@@ -99,8 +108,7 @@
         current = self._entries.get(listener)
         if current is None:
             return RouteEntry(route, frozenset())
-        is_same = current.route.backends == route.backends
-        if is_same and current.route.is_bulk == route.is_bulk:
+        if _leads_alike(current.route, route):
             return current
         return RouteEntry(route, current.past_services)
 
--- a/src/jasperwalk/transport/http_connection.py
+++ b/src/jasperwalk/transport/http_connection.py
@@ -29,6 +29,8 @@
         self._task: asyncio.Task[None] | None = None
         self._transport: asyncio.Transport | None = None
         self._idle: asyncio.TimerHandle | None = None
+        self._has_ended = False
+        """True once the caller has closed its side."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take a new connection."""
@@ -44,6 +46,9 @@
         if self._idle is not None:
             self._idle.cancel()
 
+    def _caller_waits(self) -> bool:
+        return self._transport is not None and not self._has_ended
+
     def abort(self) -> None:
         """Drop the connection."""
         if self._transport is not None:
@@ -62,6 +67,7 @@
 
     def eof_received(self) -> bool:
         """Note that the caller sends no more."""
+        self._has_ended = True
         self._parser.receive_data(b"")
         self._advance()
         return self._task is not None
@@ -91,7 +97,7 @@
         elif isinstance(event, h11.EndOfMessage) and self._request is not None:
             path = self._request.target.decode("ascii").partition("?")[0]
             method = self._request.method.decode("ascii")
-            request = HttpRequest(method, path, bytes(self._body))
+            request = HttpRequest(method, path, bytes(self._body), self._caller_waits)
             self._task = asyncio.ensure_future(self._answer(request))
 
     async def _answer(self, request: HttpRequest) -> None:
--- a/src/jasperwalk/transport/http_messages.py
+++ b/src/jasperwalk/transport/http_messages.py
@@ -8,11 +8,15 @@
 
 
 class HttpRequest(msgspec.Struct, frozen=True):
-    """One request; `path` is the target without its query."""
+    """One request; `path` is the target without its query.
+
+    `caller_waits` tells whether the connection on which it came still stands.
+    """
 
     method: str
     path: str
     body: bytes
+    caller_waits: Callable[[], bool] = lambda: True
 
 
 class HttpResponse(msgspec.Struct, frozen=True):
--- a/tests/agent/datagrams/support.py
+++ b/tests/agent/datagrams/support.py
@@ -24,6 +24,7 @@
 BALANCER = ("10.0.0.1", 7601)
 OTHER_BALANCER = ("10.0.0.2", 7601)
 LIFETIME = 60.0
+ZONE = "a"
 CAPACITY = 2
 """Slots of the host."""
 
@@ -31,7 +32,7 @@
 class Bench:
     """An agent, its host's state, and what left it."""
 
-    def __init__(self, phase=HostPhase.READY, started_at=0.0):
+    def __init__(self, phase=HostPhase.READY, started_at=0.0, warm_up_floor=None):
         self.host_packets, self.replies, self.caller_packets = [], [], []
         self.host = HostState()
         self.agent = FlowAgent(
@@ -46,6 +47,8 @@
             log=SilentLog(),
             started_at=started_at,
             flow_lifetime_seconds=LIFETIME,
+            zone=ZONE,
+            warm_up_floor=warm_up_floor,
         )
         if phase is not HostPhase.UNKNOWN:
             self.say(phase, 1)
--- a/tests/agent/datagrams/test_host.py
+++ b/tests/agent/datagrams/test_host.py
@@ -1,6 +1,6 @@
 import pytest
 
-from jasperwalk.agent.datagrams.host import HostAnnouncement, HostState
+from jasperwalk.agent.datagrams.host import RETURN_SECONDS, HostAnnouncement, HostState
 from jasperwalk.fleet.messages import HostPhase
 
 READY, DRAINING = HostPhase.READY, HostPhase.DRAINING
@@ -65,3 +65,28 @@
 def test_a_host_that_said_goodbye_has_left():
     assert state_after(call(1), "h1").has_left()
     assert not state_after(call(1)).has_left()
+
+
+def test_a_late_announcement_of_an_earlier_start_changes_nothing():
+    state = HostState()
+    state.announce(call(7, host="old"), 0.0)
+    state.announce(call(1, host="new"), 1.0)
+    assert not state.announce(call(8, host="old"), 1.5)
+    assert state.host_id == "new"
+
+
+def test_a_host_that_an_earlier_start_seemed_to_replace_counts_again():
+    """The agent was restarted: it saw the present host first, then a late announcement."""
+    state = HostState()
+    state.announce(call(3, host="new"), 0.0)
+    assert state.announce(call(8, host="old"), 0.2)
+    assert not state.announce(call(4, host="new"), 0.8)
+    assert state.announce(call(7, host="new"), 0.3 + RETURN_SECONDS)
+    assert (state.host_id, state.phase) == ("new", READY)
+
+
+def test_a_host_that_left_does_not_count_again_however_late_it_speaks():
+    state = HostState()
+    state.announce(call(7, DRAINING, "old"), 0.0)
+    state.announce(call(1, host="new"), 1.0)
+    assert not state.announce(call(8, host="old"), 100.0)
--- /dev/null
+++ b/tests/agent/datagrams/test_warm_up.py
@@ -0,0 +1,151 @@
+"""A cold host gets no more new flows in any second than it bears."""
+
+import itertools
+
+import pytest
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.agent.datagrams.host import HostAnnouncement
+from jasperwalk.agent.datagrams.warm_up import WINDOW_SECONDS, WarmUpLimit
+from jasperwalk.fleet.messages import DrainedZones, HostPhase, WarmUp
+from jasperwalk.flows.frames import FLAG_WAIT, FrameKind, RefusalReason
+from tests.agent.datagrams.support import CAPACITY, ZONE, Bench
+from tests.flows.support import OPENING, from_caller, from_host
+
+FLOOR = 5
+COLD_SECONDS = 10.0
+PER_SECOND = 8
+STARTED = -100.0
+
+
+def cold_bench(seconds=COLD_SECONDS, floor=FLOOR, started_at=STARTED):
+    bench = Bench(started_at=started_at, warm_up_floor=floor)
+    bench.host.announce(HostAnnouncement("h1", HostPhase.READY, 1000, seconds, 2), 0.0)
+    return bench
+
+
+def configure(bench, per_second=PER_SECOND, version=1):
+    bench.agent.warm_up.configure(version, WarmUp(2.0, per_second))
+
+
+def offer(bench, times):
+    """Offer a new flow at each time; return the times at which one reached the host.
+
+    The host answers at once.
+    """
+    reached = []
+    for port, now in enumerate(times, start=1):
+        before = len(bench.host_packets)
+        caller = Endpoint("100.64.0.9", port)
+        bench.open(now, caller)
+        if len(bench.host_packets) > before:
+            reached.append(now)
+            bench.agent.receive_host_packet(from_host(0, b"hello h1", caller=caller), now)
+    return reached
+
+
+def most_in_a_second(times):
+    return max((sum(start <= one < start + 1.0 for one in times) for start in times), default=0)
+
+
+@pytest.mark.parametrize("pause", [0.001, 0.03, 0.11, 0.124])
+def test_no_second_has_more_flows_than_the_host_bears(pause):
+    bench = cold_bench()
+    configure(bench)
+    reached = offer(bench, [1.0 + pause * number for number in range(int(6 / pause))])
+    assert most_in_a_second(reached) == PER_SECOND
+    assert bench.agent.counters.flows_refused_warming_up > 0
+
+
+def test_a_refusal_names_its_reason():
+    bench = cold_bench()
+    configure(bench, per_second=1, version=1)
+    offer(bench, [1.0] * FLOOR)
+    assert bench.open(1.1).flags == RefusalReason.WARMING_UP
+
+
+def test_copies_of_an_opening_packet_count_and_stop_at_the_bound():
+    bench = cold_bench()
+    configure(bench, per_second=1)
+    for number in range(FLOOR):
+        assert bench.open(1.0 + number / 100).kind is FrameKind.ACCEPTED
+    assert bench.open(1.3).flags == RefusalReason.WARMING_UP
+    assert len(bench.host_packets) == FLOOR
+
+
+def test_a_warm_host_gets_as_many_as_come():
+    bench = cold_bench(seconds=0.0)
+    configure(bench)
+    assert len(offer(bench, [1.0] * 50)) == 50
+
+
+def test_a_service_without_a_figure_has_no_bound():
+    bench = cold_bench()
+    bench.agent.warm_up.configure(1, WarmUp())
+    assert len(offer(bench, [1.0] * 50)) == 50
+
+
+def test_before_the_configuration_has_come_the_floor_holds():
+    assert len(offer(cold_bench(), [1.0] * 50)) == FLOOR
+
+
+def test_without_a_floor_nothing_holds_before_the_configuration_has_come():
+    assert len(offer(cold_bench(floor=None), [1.0] * 50)) == 50
+
+
+def test_an_agent_that_has_just_started_counts_its_first_second_as_spent():
+    bench = cold_bench(started_at=1.0)
+    configure(bench)
+    assert offer(bench, [1.1, 1.5, 1.9]) == []
+    assert offer(bench, [1.1 + WINDOW_SECONDS]) != []
+
+
+def test_a_restored_zone_counts_as_cold_before_its_hosts_say_so():
+    bench = cold_bench(seconds=0.0)
+    configure(bench)
+    bench.agent.zones_changed(DrainedZones(1, [ZONE]), 1.0)
+    bench.agent.zones_changed(DrainedZones(2, []), 5.0)
+    assert len(offer(bench, [5.1] * 50)) == PER_SECOND
+    assert len(offer(bench, [5.1 + 2.0] * 50)) == 50
+
+
+def test_an_older_configuration_changes_nothing():
+    bench = cold_bench()
+    configure(bench, per_second=20, version=5)
+    configure(bench, per_second=6, version=4)
+    assert len(offer(bench, [1.0] * 50)) == 20
+
+
+def test_a_flow_that_may_wait_is_admitted_when_the_second_is_over():
+    bench = cold_bench()
+    configure(bench, per_second=1)
+    offer(bench, [1.0] * FLOOR)
+    waiting = Endpoint("100.64.0.10", 1)
+    assert bench.open(1.2, waiting, flags=FLAG_WAIT).kind is FrameKind.ACCEPTED
+    bench.agent.admit_waiting(1.9)
+    assert bench.host_packets[-1] != from_caller(OPENING, caller=waiting)
+    bench.agent.admit_waiting(1.001 + WINDOW_SECONDS)
+    assert bench.host_packets[-1] == from_caller(OPENING, caller=waiting)
+
+
+def test_flows_from_the_queue_count_as_well():
+    bench = Bench(started_at=STARTED, warm_up_floor=FLOOR)
+    bench.host.announce(HostAnnouncement("h1", HostPhase.READY, CAPACITY, COLD_SECONDS, 2), 0.0)
+    configure(bench, per_second=1)
+    callers = bench.fill()
+    for port in range(1, 9):
+        bench.open(1.0, Endpoint("100.64.0.10", port), flags=FLAG_WAIT)
+    for caller in callers:
+        bench.agent.receive_host_packet(from_host(0, b"answer", caller=caller), 1.1)
+    assert len(bench.host_packets) <= FLOOR - len(callers)
+
+
+def test_the_bound_holds_however_the_offers_fall():
+    limit = WarmUpLimit(floor=None, started_at=STARTED)
+    limit.configure(1, WarmUp(2.0, PER_SECOND))
+    passed = []
+    for step in itertools.accumulate([0.003, 0.4, 0.01, 0.002, 0.3, 0.05] * 200):
+        if not limit.is_reached(slow_until=1e9, now=step):
+            limit.note_passed(step)
+            passed.append(step)
+    assert most_in_a_second(passed) <= PER_SECOND
--- a/tests/control/fleet/support.py
+++ b/tests/control/fleet/support.py
@@ -14,6 +14,7 @@
 from jasperwalk.flows.routes import FlowRoute, RouteBackend
 from jasperwalk.transport.http_messages import HttpResponse
 
+ZONES = ("a", "b")
 PATIENCE_SECONDS = 30.0
 """Bound of every wait; nothing is asserted about how long things take."""
 
@@ -65,10 +66,12 @@
             replica_listen=f"{self.host}:{self.cluster.replica_port}",
             seeds=[f"{host}:{self.cluster.operators_port}" for host in self.cluster.seeds],
             founding=founding,
+            zones=list(ZONES),
         )
 
-    def _interface(self, service, _port):
+    def _interface(self, service, zone_orders, _port):
         self.service = service
+        self.zone_orders = zone_orders
 
         async def handle(_request):
             return HttpResponse(404)
--- a/tests/control/fleet/test_home_links.py
+++ b/tests/control/fleet/test_home_links.py
@@ -13,12 +13,15 @@
 from jasperwalk.fleet.messages import (
     HOME_DECODER,
     Announce,
+    DrainedZones,
     FleetUpdate,
     HomeStatus,
     HostPhase,
     NodeRecord,
     NodeRole,
     RoutesUpdate,
+    WarmUp,
+    WarmUpUpdate,
 )
 from jasperwalk.flows.routes import FlowRoute, RouteBackend, RouteSet
 from jasperwalk.messages import codec
@@ -77,9 +80,10 @@
 
     def __init__(self, interval_seconds):
         self.directory = NodeDirectory(1)
+        self.zones, self.warm_ups = DrainedZones(), {}
         self.links = HomeLinks(
             self.directory,
-            lambda: HomeView(True, ROUTES, []),
+            lambda: HomeView(True, ROUTES, [], 0, self.zones, self.warm_ups),
             lambda news: None,
             interval_seconds,
         )
@@ -176,3 +180,38 @@
         assert kinds == [RoutesUpdate, FleetUpdate, HomeStatus]
 
     run(scenario, SHORT_SECONDS)
+
+
+def test_a_node_gets_the_drained_zones_before_routes_and_agents():
+    async def scenario(home):
+        home.zones = DrainedZones(4, ["a"])
+        balancer = home.link(node(0, NodeRole.BALANCER))
+        await until(lambda: len(balancer.written) >= 4)
+        kinds = [type(each) for each in balancer.written[:4]]
+        assert kinds == [DrainedZones, RoutesUpdate, FleetUpdate, HomeStatus]
+        assert balancer.written[3].zones_revision == 4
+
+    run(scenario, SHORT_SECONDS)
+
+
+def test_an_agent_gets_what_its_own_service_says_of_cold_hosts():
+    async def scenario(home):
+        home.warm_ups = {"web": WarmUp(2.0, 20.0), "export": WarmUp(1.0, 5.0)}
+        agent = home.link(node(1))
+        await until(lambda: len(agent.written) >= 3)
+        assert WarmUpUpdate(3, WarmUp(2.0, 20.0)) in agent.written
+
+    run(scenario, SHORT_SECONDS)
+
+
+def test_an_order_is_sent_once_to_every_linked_node():
+    async def scenario(home):
+        balancer, agents = await linked_fleet(home)
+        home.zones = DrainedZones(1, ["a"])
+        for _ in range(3):
+            home.links.publish_restrictions()
+        for connection in (balancer, *agents):
+            orders = [each for each in connection.written if isinstance(each, DrainedZones)]
+            assert orders == [home.zones]
+
+    run(scenario, SHORT_SECONDS)
--- /dev/null
+++ b/tests/control/fleet/test_late_orders.py
@@ -0,0 +1,84 @@
+"""An order that arrives after the opposite one was acknowledged."""
+
+import pytest
+
+from jasperwalk.control.fleet.late_orders import (
+    CONFIRMATION_SECONDS,
+    LateOrderGuard,
+    Leadership,
+    OrderRefusal,
+    ZoneOrder,
+)
+
+REPEAT = 6.0
+LEADING = Leadership(term=3, is_settled=True, leads_since=0.0)
+
+
+def guard():
+    return LateOrderGuard(REPEAT)
+
+
+def take(one, drained, held, now, leadership=LEADING, waits=True):
+    return one.take(ZoneOrder("a", drained, held), leadership, waits, now)
+
+
+def pause(one, drained, held, now, leadership=LEADING):
+    return one.pause_seconds(ZoneOrder("a", drained, held), leadership, now)
+
+
+def test_a_zones_first_order_and_its_copies_count_at_once():
+    one = guard()
+    assert pause(one, True, None, 1.0) == 0.0
+    assert take(one, True, None, 1.0) is None
+    assert pause(one, True, True, 1.5) == 0.0
+    assert take(one, True, True, 1.5) is None
+
+
+def test_a_drain_that_comes_after_the_restore_pauses_and_counts_only_while_its_caller_waits():
+    one = guard()
+    take(one, True, None, 1.0)
+    take(one, False, True, 2.0)
+    assert pause(one, True, False, 2.1) == CONFIRMATION_SECONDS
+    assert take(one, True, False, 2.4, waits=False) is OrderRefusal.CALLER_LEFT
+    assert take(one, True, False, 2.4) is None
+
+
+def test_a_restore_that_comes_after_the_drain_pauses_as_well():
+    one = guard()
+    take(one, False, True, 10.0)
+    take(one, True, False, 11.0)
+    assert pause(one, False, True, 11.2) == CONFIRMATION_SECONDS
+
+
+def test_a_copy_pauses_while_the_opposite_order_is_not_committed_yet():
+    one = guard()
+    take(one, True, None, 1.0)
+    take(one, False, True, 9.0)
+    assert pause(one, True, True, 9.01) == CONFIRMATION_SECONDS
+
+
+def test_an_old_order_is_reversed_at_once():
+    one = guard()
+    take(one, True, None, 1.0)
+    assert pause(one, False, True, 1.0 + REPEAT) == 0.0
+
+
+@pytest.mark.parametrize(("led_for", "pauses"), [(1.0, True), (REPEAT, False)])
+def test_a_new_leader_counts_from_the_beginning_of_its_term(led_for, pauses):
+    one = guard()
+    take(one, True, None, 1.0)
+    newer = Leadership(term=4, is_settled=True, leads_since=100.0)
+    assert bool(pause(one, False, True, 100.0 + led_for, newer)) is pauses
+
+
+def test_a_leader_that_is_not_settled_takes_no_order():
+    one = guard()
+    unsettled = Leadership(term=4, is_settled=False, leads_since=1.0)
+    assert take(one, True, None, 1.0, unsettled) is OrderRefusal.NOT_SETTLED
+    assert pause(one, True, False, 1.0, LEADING) == CONFIRMATION_SECONDS
+
+
+def test_zones_are_ordered_apart():
+    one = guard()
+    take(one, True, None, 1.0)
+    assert one.pause_seconds(ZoneOrder("b", False, None), LEADING, 1.1) == 0.0
--- a/tests/control/fleet/test_versioned_state.py
+++ b/tests/control/fleet/test_versioned_state.py
@@ -2,12 +2,16 @@
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.control.fleet.versioned_state import (
+    HeldConfiguration,
+    OrderZone,
     PutConfiguration,
     VersionedState,
     encode_command,
 )
 from jasperwalk.errors import MalformedMessage
+from jasperwalk.fleet.messages import DrainedZones, WarmUp
 from jasperwalk.flows.routes import FlowRoute, RouteBackend
+from jasperwalk.messages import codec
 
 
 def command(version, text=b"text"):
@@ -48,3 +52,47 @@
 def test_a_damaged_snapshot_is_a_typed_failure():
     with pytest.raises(MalformedMessage):
         VersionedState.restore(b"noise")
+
+
+def drain(zone):
+    return OrderZone(zone, True)
+
+
+def restore(zone):
+    return OrderZone(zone, False)
+
+
+def test_zones_are_drained_and_restored_in_the_order_of_the_log():
+    state, outcomes = applied(drain("a"), drain("b"), restore("a"), drain("c"), restore("c"))
+    assert state.zones.drained_zones() == DrainedZones(5, ["b"])
+    assert [each.revision for each in outcomes] == [1, 2, 3, 4, 5]
+
+
+def test_an_order_that_comes_again_changes_nothing():
+    state, outcomes = applied(drain("a"), drain("a"), restore("b"))
+    assert state.zones.drained_zones() == DrainedZones(1, ["a"])
+    assert [each.changed for each in outcomes] == [True, False, False]
+
+
+def test_configurations_and_orders_do_not_touch_each_other():
+    state, _ = applied(command(3), drain("a"), command(9), command(5))
+    assert state.position() == (9, 1)
+
+
+def test_a_snapshot_restores_the_drained_zones():
+    state, _ = applied(command(3), drain("a"), drain("b"), restore("b"))
+    restored = VersionedState.restore(state.serialise())
+    assert (restored.held, restored.zones) == (state.held, state.zones)
+
+
+def test_a_snapshot_from_before_there_were_orders_has_no_drained_zones():
+    held = HeldConfiguration(3, b"text", [])
+    restored = VersionedState.restore(codec.encode(held))
+    assert restored.held == held
+    assert restored.zones.drained_zones() == DrainedZones()
+
+
+def test_what_cold_hosts_bear_is_held_with_the_configuration():
+    warm_ups = {"web": WarmUp(2.0, 20.0)}
+    state, _ = applied(PutConfiguration(3, b"text", [], 0, warm_ups))
+    assert VersionedState.restore(state.serialise()).held.warm_ups == warm_ups
--- /dev/null
+++ b/tests/control/fleet/zone_order_model.py
@@ -0,0 +1,281 @@
+"""Operators who race on virtual time: orders for zones, leader changes, copies that come late.
+
+The product's consensus core, state machine and guard run in it; the network of the consensus tests
+carries the replicas' messages. An operator sends an order to any replica, follows to the leader,
+waits a second, closes, and sends it again elsewhere. What it sent before may still arrive, seconds
+later, and the close a moment behind it. The same seed plays the same race.
+"""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass, field
+from random import Random
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.consensus.outcomes import Proposed
+from jasperwalk.control.fleet.late_orders import LateOrderGuard, Leadership, ZoneOrder
+from jasperwalk.control.fleet.versioned_state import (
+    OrderZone,
+    PutConfiguration,
+    VersionedState,
+    encode_command,
+)
+from jasperwalk.flows.routes import FlowRoute, RouteBackend
+from tests.consensus.conftest import TICK_SECONDS, World
+
+REPEAT_SECONDS = 6.0
+PATIENCE_SECONDS = 1.0
+LONGEST_LATENESS_SECONDS = 5.0
+LONGEST_CLOSE_SECONDS = 0.25
+"""How long after a late copy its sender's close arrives."""
+ZONES = ("a", "b")
+ORDERS_PER_OPERATOR = 6
+RACE_SECONDS = 40.0
+ROUTES = [FlowRoute("r", Endpoint("198.18.0.1", 443), [RouteBackend("web", 1.0)])]
+
+
+@dataclass
+class Attempt:
+    """One sending of an order: until when its connection stands, and whether it was answered."""
+
+    closes_at: float = float("inf")
+    acknowledged: bool = False
+
+
+@dataclass
+class Node:
+    """What the product keeps beside a replica's log."""
+
+    guard: LateOrderGuard
+    state: VersionedState = field(default_factory=VersionedState)
+    applied: int = 0
+    term: int = 0
+    leads_since: float = 0.0
+
+
+class Race:
+    """One played race; `violations` has what was lost or undone."""
+
+    def __init__(self, seed):
+        self.world = World(seed, 3)
+        self.random = Random(f"operators {seed}")
+        self.queue, self.number = [], 0
+        self.nodes = {each: Node(LateOrderGuard(REPEAT_SECONDS)) for each in self.world.replicas}
+        self.violations = []
+        self.acknowledged = dict.fromkeys(ZONES)
+        """Each zone's newest acknowledged order, None while a newer one is under way."""
+        self.counts = {"orders": 0, "paused": 0, "late": 0}
+
+    @property
+    def now(self):
+        return self.world.now
+
+    def later(self, delay, action):
+        self.number += 1
+        heapq.heappush(self.queue, (self.now + delay, self.number, action))
+
+    def play(self):
+        self.world.await_leader()
+        for zone in ZONES:
+            self.later(self.random.uniform(0, 2), lambda one=zone: self.begin(one, True, 0))
+        self.later(1.0, lambda: self.configure(1))
+        for _ in range(self.random.randint(1, 4)):
+            self.later(self.random.uniform(1, RACE_SECONDS * 0.8), self.disturb)
+        end = self.now + RACE_SECONDS
+        while self.now < end:
+            self.step()
+        self.world.cuts.clear()
+        for replica in self.world.replicas.values():
+            if replica.node is None:
+                replica.start()
+        self.world.run(8.0)
+        self.judge_end()
+        return self
+
+    def step(self):
+        self.world.step()
+        for replica_id, node in self.nodes.items():
+            self.follow(replica_id, node)
+        while self.queue and self.queue[0][0] <= self.now:
+            heapq.heappop(self.queue)[2]()
+
+    def follow(self, replica_id, node):
+        """Apply what is committed, and note the beginning of a term."""
+        replica = self.world.replicas[replica_id]
+        if len(replica.applied) < node.applied or replica.node is None:
+            node.state, node.applied, node.guard = (
+                VersionedState(),
+                0,
+                LateOrderGuard(REPEAT_SECONDS),
+            )
+            node.term = 0
+        for data in replica.applied[node.applied :]:
+            node.state.apply(data)
+        node.applied = len(replica.applied)
+        if is_settled(replica) and node.term != replica.node.term:
+            node.term, node.leads_since = replica.node.term, self.now
+
+    def disturb(self):
+        """Kill, or cut off, a replica for a while: mostly the one that leads."""
+        leader = self.world.leader()
+        ids = sorted(self.world.replicas)
+        is_leader_hit = leader is not None and self.random.random() < 0.7
+        hit = leader.disk.replica_id if is_leader_hit else self.random.choice(ids)
+        if self.random.random() < 0.5:
+            self.world.kill(hit)
+            self.later(self.random.uniform(0.2, 4.0), self.world.replicas[hit].start)
+        else:
+            self.world.cut({hit})
+            self.later(self.random.uniform(0.2, 4.0), self.world.cuts.clear)
+
+    # Operators
+
+    def begin(self, zone, drained, number):
+        """Send an order until it is acknowledged or the operator has repeated it long enough."""
+        self.acknowledged[zone] = None
+        self.counts["orders"] += 1
+        self.attempt(zone, drained, number, self.now)
+
+    def attempt(self, zone, drained, number, began_at):
+        attempt = Attempt()
+        self.send(zone, drained, attempt)
+        self.later(PATIENCE_SECONDS, lambda: self.give_up(zone, drained, number, began_at, attempt))
+
+    def give_up(self, zone, drained, number, began_at, attempt):
+        if attempt.acknowledged:
+            self.note_acknowledged(zone, drained)
+        elif self.now - began_at < REPEAT_SECONDS:
+            pause = self.random.uniform(0.05, 0.3)
+            attempt.closes_at = self.now
+            self.later(pause, lambda: self.attempt(zone, drained, number, began_at))
+            return
+        attempt.closes_at = self.now
+        if number + 1 < ORDERS_PER_OPERATOR:
+            pause = self.random.choice((0.05, 0.5, 3.0))
+            self.later(pause, lambda: self.begin(zone, not drained, number + 1))
+
+    def send(self, zone, drained, attempt):
+        """Send one copy: mostly at once, sometimes so late that its sender has closed."""
+        delay = self.random.uniform(0.001, 0.02)
+        if self.random.random() < 0.25:
+            delay = self.random.uniform(0.5, LONGEST_LATENESS_SECONDS)
+            self.counts["late"] += 1
+        close_delay = self.random.uniform(0.0, LONGEST_CLOSE_SECONDS)
+        replica_id = self.random.choice(sorted(self.nodes))
+        arrival = [0.0]
+
+        def waits():
+            closed_at = max(attempt.closes_at, arrival[0]) + close_delay
+            return self.now < closed_at
+
+        def arrive():
+            arrival[0] = self.now
+            leader = self.leader_known_to(replica_id)
+            if leader == replica_id or (leader is not None and self.now < attempt.closes_at):
+                self.arrive(leader, ZoneOrder(zone, drained, None), attempt, waits)
+
+        self.later(delay, arrive)
+
+    def leader_known_to(self, replica_id):
+        node = self.world.replicas[replica_id].node
+        if node is None:
+            return None
+        return replica_id if node.is_leader else node.leader_id
+
+    # The product's way of taking an order: see `ZoneOrders`
+
+    def arrive(self, replica_id, order, attempt, waits):
+        if not self.leads(replica_id):
+            return
+        node = self.nodes[replica_id]
+        pause = node.guard.pause_seconds(
+            self.held(node, order), self.leadership(replica_id), self.now
+        )
+        if pause:
+            self.counts["paused"] += 1
+        self.later(pause, lambda: self.take(replica_id, order, attempt, waits))
+
+    def take(self, replica_id, order, attempt, waits):
+        if not self.leads(replica_id):
+            return
+        node, replica = self.nodes[replica_id], self.world.replicas[replica_id]
+        order = self.held(node, order)
+        refusal = node.guard.take(order, self.leadership(replica_id), waits(), self.now)
+        if refusal is not None:
+            return
+        command = encode_command(OrderZone(order.zone, order.drained))
+        proposed = replica.node.propose(command, self.now)
+        replica.pump()
+        if isinstance(proposed, Proposed):
+            self.await_commit(replica_id, proposed, attempt)
+
+    def await_commit(self, replica_id, proposed, attempt):
+        entry = self.world.committed.get(proposed.index)
+        replica = self.world.replicas[replica_id]
+        if entry is None or replica.applied_index < proposed.index:
+            if replica.node is not None and self.now < attempt.closes_at:
+                self.later(TICK_SECONDS, lambda: self.await_commit(replica_id, proposed, attempt))
+        elif entry.term == proposed.term and self.random.random() > 0.15:
+            # The rest of the acknowledgements is lost on its way.
+            attempt.acknowledged = True
+
+    def leads(self, replica_id):
+        node = self.world.replicas[replica_id].node
+        return node is not None and node.is_leader
+
+    def leadership(self, replica_id):
+        replica, node = self.world.replicas[replica_id], self.nodes[replica_id]
+        term = replica.node.term
+        since = node.leads_since if node.term == term else self.now
+        return Leadership(term, is_settled(replica), since)
+
+    def held(self, node, order):
+        return ZoneOrder(order.zone, order.drained, node.state.zones.drained.get(order.zone))
+
+    def configure(self, version):
+        """Another operator sends configurations meanwhile."""
+        leader = self.world.leader()
+        if leader is not None:
+            command = PutConfiguration(version, b"text", ROUTES)
+            leader.node.propose(encode_command(command), self.now)
+            leader.pump()
+        self.later(self.random.uniform(0.5, 2.0), lambda: self.configure(version + 1))
+
+    # What is checked
+
+    def note_acknowledged(self, zone, drained):
+        self.acknowledged[zone] = drained
+        for delay in (0.5, 2.0):
+            self.later(delay, lambda: self.check(zone, drained))
+
+    def check(self, zone, drained):
+        """While no newer order is under way, a settled leader holds the acknowledged one."""
+        leader = self.world.leader()
+        is_last = self.acknowledged[zone] is not None and self.acknowledged[zone] == drained
+        if leader is None or not is_last or not is_settled(leader):
+            return
+        self.compare(zone, drained, self.nodes[leader.disk.replica_id].state)
+
+    def judge_end(self):
+        leader = self.world.await_leader()
+        node = self.nodes[leader.disk.replica_id]
+        self.follow(leader.disk.replica_id, node)
+        for zone, drained in self.acknowledged.items():
+            if drained is not None:
+                self.compare(zone, drained, node.state)
+
+    def compare(self, zone, drained, state):
+        if state.zones.drained.get(zone) != drained:
+            self.violations.append(f"{self.now:.2f} s: zone {zone} is not drained={drained}")
+
+
+def is_settled(replica):
+    """Tell whether a replica leads and has applied all that was committed before its term."""
+    if replica.node is None or replica.node.first_index_of_leadership is None:
+        return False
+    return replica.applied_index >= replica.node.first_index_of_leadership
+
+
+def play(seed):
+    return Race(seed).play()
--- a/tests/flows/fleet_model.py
+++ b/tests/flows/fleet_model.py
@@ -17,7 +17,7 @@
 from jasperwalk.agent.datagrams.host import HostAnnouncement, HostState
 from jasperwalk.agent.datagrams.search_helper import SearchHelper
 from jasperwalk.balancer.datagrams.flow_balancer import FlowBalancer
-from jasperwalk.fleet.messages import FleetUpdate, HostPhase, NodeRecord, NodeRole
+from jasperwalk.fleet.messages import DrainedZones, FleetUpdate, HostPhase, NodeRecord, NodeRole
 from jasperwalk.fleet.targets import TargetPool
 from jasperwalk.flows.frames import FrameKind
 from jasperwalk.flows.routes import FlowRoute, RouteBackend, RouteSet, RouteTable
@@ -43,6 +43,11 @@
 OTHER_LISTENER = Endpoint("198.18.0.2", 443)
 SLOW_SECONDS = 2.5
 """How long an overloaded balancer gets to its packets late."""
+ZONES = ("a", "b")
+CUT_OFF_SECONDS = 3.0
+"""How late balancers, or else agents, learn that a zone is drained."""
+NEWS_SECONDS = 0.05
+"""Longest way of the directory's news."""
 SERVICES = {"web": LISTENER, "export": OTHER_LISTENER}
 
 
@@ -102,6 +107,7 @@
     def __init__(self, world, number, service):
         self.world, self.number, self.service = world, number, service
         self.address = Endpoint(f"10.0.1.{number}", 7602)
+        self.zone = ZONES[number % len(ZONES)]
         self.incarnation = 0
         self.hosts = 0
         self.host = None
@@ -130,7 +136,9 @@
             log=SilentLog(),
             started_at=self.world.now,
             flow_lifetime_seconds=LIFETIME,
+            zone=self.zone,
         )
+        self.agent.zones_changed(self.world.zones, self.world.now)
         self.agent.flow_idle_seconds = IDLE
         self.helper = SearchHelper(
             codec=self.world.codec,
@@ -170,7 +178,7 @@
             f"slot-{self.number}",
             self.incarnation,
             NodeRole.AGENT,
-            "a",
+            self.zone,
             self.address,
             self.service,
             self.state.phase,
@@ -217,6 +225,7 @@
             log=SilentLog(),
             delegates_searches=world.delegates,
         )
+        self.core.zones_changed(world.zones, world.now)
         self.routes.replace(world.route_set())
         self.core.fleet_changed(world.directory(), world.now)
 
@@ -282,6 +291,7 @@
         self.codec = PlainCodec()
         self.queue, self.order = [], 0
         self.version = 1
+        self.zones, self.drained_at = DrainedZones(), {}
         self.slots, self.balancers, self.callers = {}, [], {}
         self.holders, self.seen = {}, {}
         self.resets_of_open_flows = 0
@@ -364,6 +374,25 @@
     def _told(self, core, record):
         core.fleet_changed(FleetUpdate(False, [record], []), self.now)
 
+    def order_zone(self, zone, drained, late):
+        """Drain or restore a zone; `late` says who is cut off and learns it long after."""
+        held = set(self.zones.zones) - {zone}
+        names = sorted(held | {zone} if drained else held)
+        self.zones = zones = DrainedZones(self.zones.revision + 1, names)
+        self.drained_at.pop(zone, None)
+        if drained:
+            self.drained_at[zone] = self.now
+        for balancer in self.balancers:
+            delay = CUT_OFF_SECONDS if late == "balancers" else NEWS_SECONDS
+            self.later(delay, lambda one=balancer: one.core.zones_changed(zones, self.now))
+        for slot in self.slots.values():
+            delay = CUT_OFF_SECONDS if late == "agents" else NEWS_SECONDS
+            self.later(delay, lambda one=slot: self._tell_zones(one, zones))
+
+    def _tell_zones(self, slot, zones):
+        if slot.agent is not None:
+            slot.agent.zones_changed(zones, self.now)
+
     def route_set(self):
         routes = [
             FlowRoute(service, listener, [RouteBackend(service, 1.0)])
@@ -383,6 +412,9 @@
         drained_at = self.slots[host.slot].acknowledged_drain_at
         if self.codec.is_opening(packet) and drained_at is not None and self.now > drained_at + 0.1:
             self.violate("a host that leaves gets no new flow", host.host_id)
+        zone = self.slots[host.slot].zone
+        if self.codec.is_opening(packet) and self.now > self.drained_at.get(zone, self.now) + 0.1:
+            self.violate("a drained zone gets no new flow", host.host_id)
         self._watch_spray(host, key)
 
     def _watch_spray(self, host, key):
@@ -449,6 +481,17 @@
         replace_host(world, slot, other)
 
 
+def schedule_zone_orders(world, seconds):
+    """Let an operator drain a zone and restore it, once or twice; drawn apart from the faults."""
+    drawn = random.Random(f"zones {world.seed}")
+    for _ in range(drawn.randint(0, 2)):
+        zone, late = drawn.choice(ZONES), drawn.choice(("balancers", "agents", ""))
+        drained_at = drawn.uniform(1.0, seconds * 0.6)
+        restored_at = drained_at + drawn.uniform(1.0, 6.0)
+        world.later(drained_at, lambda one=zone, who=late: world.order_zone(one, True, who))
+        world.later(restored_at, lambda one=zone: world.order_zone(one, False, ""))
+
+
 def restart_agent(world, slot):
     slot.agent = None
     world.later(world.random.uniform(0.05, 0.4), slot.start_agent)
@@ -474,6 +517,7 @@
     for _ in range(world.random.randint(2, 7)):
         kind = world.random.choice(FAULTS)
         world.later(world.random.uniform(1.0, seconds), lambda kind=kind: inject(world, kind))
+    schedule_zone_orders(world, seconds)
     world.run(1.5 + seconds + CALM_SECONDS + IDLE)
     world.judge_end()
     return world
--- a/tests/flows/test_fleet_model.py
+++ b/tests/flows/test_fleet_model.py
@@ -64,6 +64,18 @@
     assert "a host that leaves gets no new flow" in broken_promises()
 
 
+def test_mutant_balancers_send_into_a_drained_zone(monkeypatch):
+    # Agents that are cut off from control do not know that they should refuse.
+    monkeypatch.setattr(targets.TargetPool, "drain_zones", lambda *_: True)
+    assert "a drained zone gets no new flow" in broken_promises()
+
+
+def test_mutant_agents_take_flows_in_a_drained_zone(monkeypatch):
+    # Balancers that are cut off from control go on sending.
+    monkeypatch.setattr(flow_agent.HostAdmission, "is_zone_drained", lambda *_: False)
+    assert "a drained zone gets no new flow" in broken_promises()
+
+
 def test_mutant_a_restarted_agent_denies_what_it_does_not_know(monkeypatch):
     monkeypatch.setattr(flow_agent.FlowAgent, "_knows_all_flows", lambda *_: True)
     assert "an open flow is not reset" in broken_promises()
--- a/tests/platform_adapter/test_configuration_document.py
+++ b/tests/platform_adapter/test_configuration_document.py
@@ -5,6 +5,7 @@
 from configuration_document import InvalidDocument, parse_configuration
 
 from jasperwalk.addresses import Endpoint
+from jasperwalk.fleet.messages import WarmUp
 from jasperwalk.flows.routes import FlowRoute, RouteBackend
 
 DOCUMENT = {
@@ -99,3 +100,31 @@
 def test_an_invalid_configuration_is_refused_whole(body):
     with pytest.raises(InvalidDocument):
         parse_configuration(body)
+
+
+def test_what_cold_hosts_bear_is_taken_from_the_services_that_say_so():
+    services = [
+        {"name": "web", "coldS": 2.0, "warmupPerS": 20},
+        {"name": "export", "coldS": 2.0, "warmupPerS": 0.0},
+    ]
+    command = parse_configuration(changed(lambda each: each.update(services=services)))
+    assert command.warm_ups == {"web": WarmUp(2.0, 20.0)}
+
+
+@pytest.mark.parametrize("figure", ["20", True, -1, None, [], 1e400])
+def test_a_figure_that_is_none_limits_nothing(figure):
+    services = [{"name": "web", "coldS": 2.0, "warmupPerS": figure}, {"name": "export"}]
+    body = changed(lambda each: each.update(services=services))
+    assert parse_configuration(body).warm_ups == {}
+
+
+def test_the_allowed_regions_of_a_route():
+    body = changed(lambda each: each["routes"][0].update(allowedRegions=["hanoi", "zagreb"]))
+    routes = parse_configuration(body).routes
+    assert [route.allowed_regions for route in routes] == [["hanoi", "zagreb"], []]
+
+
+@pytest.mark.parametrize("regions", ["hanoi", {"a": 1}, [1], [None]])
+def test_allowed_regions_that_are_no_list_of_names_are_refused(regions):
+    with pytest.raises(InvalidDocument):
+        parse_configuration(changed(lambda each: each["routes"][0].update(allowedRegions=regions)))
--- a/tests/platform_adapter/test_http_calls.py
+++ b/tests/platform_adapter/test_http_calls.py
@@ -6,8 +6,10 @@
 from operator_calls import operator_calls
 
 from jasperwalk.addresses import Endpoint
-from jasperwalk.control.fleet.configurations import Acknowledged, AskLeader, Unavailable
+from jasperwalk.control.fleet.committing import AskLeader, Unavailable
+from jasperwalk.control.fleet.configurations import Acknowledged
 from jasperwalk.control.fleet.versioned_state import HeldConfiguration
+from jasperwalk.control.fleet.zone_orders import UnknownZone, ZoneAcknowledged
 from jasperwalk.fleet.messages import HostPhase
 from jasperwalk.transport.http_messages import HttpRequest
 
@@ -54,7 +56,7 @@
     (news,) = desk.heard
     assert response.status == 200
     assert (news.host_id, news.phase, news.capacity) == ("i-1", HostPhase.READY, 3)
-    assert (news.slow_start_seconds, news.call_number) == (1.5, 4)
+    assert (news.slow_start_seconds, news.call_number, news.zone) == (1.5, 4, "a")
 
 
 def test_a_draining_heartbeat_and_a_goodbye():
@@ -102,19 +104,19 @@
 
 def test_an_acknowledged_configuration():
     service = Service(Acknowledged(1, 1))
-    assert ask(operator_calls(service, 8166), "PUT", "/config", VALID).status == 200
+    assert ask(operator_calls(service, None, 8166), "PUT", "/config", VALID).status == 200
     assert service.taken[0].source == VALID
 
 
 def test_an_invalid_configuration_goes_no_further():
     service = Service(Acknowledged(1, 1))
-    assert ask(operator_calls(service, 8166), "PUT", "/config", b"{}").status == 400
+    assert ask(operator_calls(service, None, 8166), "PUT", "/config", b"{}").status == 400
     assert service.taken == []
 
 
 @pytest.mark.parametrize("method", ["GET", "PUT"])
 def test_a_replica_that_does_not_lead_sends_the_operator_to_the_leader(method):
-    handler = operator_calls(Service(AskLeader(Endpoint("10.0.0.4", 7600))), 8166)
+    handler = operator_calls(Service(AskLeader(Endpoint("10.0.0.4", 7600))), None, 8166)
     response = ask(handler, method, "/config", VALID)
     assert response.status == 307
     assert response.headers["Location"] == "http://10.0.0.4:8166/config"
@@ -123,7 +125,7 @@
 @pytest.mark.parametrize("method", ["GET", "PUT"])
 def test_a_replica_that_is_not_sure_says_when_to_come_back(method):
     response = ask(
-        operator_calls(Service(Unavailable("no quorum")), 8166), method, "/config", VALID
+        operator_calls(Service(Unavailable("no quorum")), None, 8166), method, "/config", VALID
     )
     assert response.status == 503
     assert response.headers["Retry-After"] == "1"
@@ -131,4 +133,63 @@
 
 def test_a_read_returns_what_the_operator_sent():
     service = Service(HeldConfiguration(1, VALID, []))
-    assert ask(operator_calls(service, 8166), "GET", "/config").body == VALID
+    assert ask(operator_calls(service, None, 8166), "GET", "/config").body == VALID
+
+
+class Orders:
+    def __init__(self, result):
+        self.result = result
+        self.taken = []
+
+    async def order(self, zone, drained, caller_waits):
+        self.taken.append((zone, drained, caller_waits()))
+        return self.result
+
+
+def evacuate(result, method, path):
+    orders = Orders(result)
+    return ask(operator_calls(None, orders, 8166), method, path), orders.taken
+
+
+@pytest.mark.parametrize(("method", "drained"), [("POST", True), ("DELETE", False)])
+def test_an_evacuation_drains_a_zone_and_its_end_restores_it(method, drained):
+    result = ZoneAcknowledged("hall a", drained, 1)
+    response, taken = evacuate(result, method, "/evacuations/hall%20a")
+    assert response.status == 200
+    assert taken == [("hall a", drained, True)]
+
+
+@pytest.mark.parametrize(
+    ("result", "status"),
+    [
+        (UnknownZone("x"), 404),
+        (Unavailable("caller-left"), 503),
+        (AskLeader(Endpoint("10.0.0.4", 7600)), 307),
+    ],
+)
+def test_an_order_that_is_not_taken(result, status):
+    response, _ = evacuate(result, "POST", "/evacuations/hall%20a")
+    assert response.status == status
+    if status == 307:
+        assert response.headers["Location"] == "http://10.0.0.4:8166/evacuations/hall%20a"
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("GET", "/evacuations/a", 405),
+        ("PUT", "/evacuations/a", 405),
+        ("POST", "/evacuations", 404),
+    ],
+)
+def test_a_bad_call_for_a_zone_orders_nothing(method, path, status):
+    response, taken = evacuate(ZoneAcknowledged("a", True, 1), method, path)
+    assert response.status == status
+    assert taken == []
+
+
+@pytest.mark.parametrize("name", ["%ff%fe", "%00", "a/b", "..%2f..", "x" * 60_000, ""])
+def test_an_odd_name_of_a_zone_reaches_the_orders_as_a_text(name):
+    _, taken = evacuate(UnknownZone(""), "POST", f"/evacuations/{name}")
+    ((zone, _, _),) = taken
+    assert isinstance(zone, str)
--- a/tests/platform_adapter/test_processes.py
+++ b/tests/platform_adapter/test_processes.py
@@ -163,6 +163,19 @@
     return made
 
 
+def until_reset(fabric, client, opening, ingress):
+    """Open a flow until it is reset: the order is in force a moment after it is acknowledged."""
+    client.settimeout(0.1)
+    try:
+        for _ in range(int(PATIENCE_SECONDS / 0.1)):
+            fabric.sendto(opening, ingress)
+            with contextlib.suppress(TimeoutError):
+                return client.recv(2048)
+    finally:
+        client.settimeout(PATIENCE_SECONDS)
+    raise AssertionError("the flow was not reset")
+
+
 def heartbeat(state, number):
     return json.dumps(
         {"service": "web", "capacity": 4, "state": state, "coldLeftMs": 0, "callSeq": number}
@@ -210,6 +223,15 @@
         fabric.sendto(request, ingress)
         assert host.recv(2048) == request
 
+        evacuation = ("operators", "/evacuations/a")
+        fleet.until("POST", CONTROL_HOSTS[1], *evacuation)
+        turned_away = packet((CALLER_HOST, 40003), listener, SYN)
+        assert until_reset(fabric, client, turned_away, ingress) == CODEC.reset_for(turned_away)
+        assert fleet.call("POST", CONTROL_HOSTS[0], "operators", "/evacuations/elsewhere")[0] == 404
+        fleet.until("DELETE", CONTROL_HOSTS[2], *evacuation)
+        fleet.until("POST", CONTROL_HOSTS[0], *evacuation)
+        fleet.until("DELETE", CONTROL_HOSTS[0], *evacuation)
+
         fleet.until("PUT", AGENT_HOST, "calls", "/instances/h1", heartbeat("draining", 2))
         other = (CALLER_HOST, 40002)
         refused = packet(other, listener, SYN)
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -74,3 +74,32 @@
     received = exchange(GET, handler=refuse)
     assert received.startswith(b"HTTP/1.1 503")
     assert b"Retry-After: 1" in received
+
+
+def test_a_handler_can_tell_that_its_caller_has_left():
+    seen = []
+
+    async def main():
+        taken = asyncio.Event()
+
+        async def handle(request):
+            seen.append(request.caller_waits())
+            taken.set()
+            while request.caller_waits():
+                await asyncio.sleep(0.001)
+            seen.append(request.caller_waits())
+            return HttpResponse(200)
+
+        server = HttpServer(Endpoint("127.0.0.1", 0), handle)
+        await server.start()
+        _, writer = await asyncio.open_connection("127.0.0.1", server.endpoint.port)
+        async with asyncio.timeout(20):
+            writer.write(GET)
+            await taken.wait()
+            writer.close()
+            while len(seen) < 2:
+                await asyncio.sleep(0.001)
+        await server.close()
+
+    asyncio.run(main())
+    assert seen == [True, False]
