Agents that came back with their host, or without one, rule lost flows out at once

And machines of hosts that were being replaced came back without a host and went again silently from 37 to 44 s; each kept the searches of all flows open for 3.6 s: 443 to 650 flows "not found", their callers waiting to their deadlines.

Now (1) a host that started at most 0.4 s before its agent's process, by its slow start left and the configuration's figure, cannot hold flows of an earlier process; (2) an agent looks once whether anybody listens at its host's address, and says ABSENT where the connection is refused: such an agent is asked for no flow and gets none. Ruled out: the host's call number (4 or 5 at its first announcement that arrives: hosts are up before their agents).

--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -15,6 +15,7 @@
 from jasperwalk.agent.datagrams.admission_queue import AdmissionQueue
 from jasperwalk.agent.datagrams.balancer_answers import BalancerAnswers
 from jasperwalk.agent.datagrams.counters import AgentCounters
+from jasperwalk.agent.datagrams.flow_knowledge import FlowKnowledge
 from jasperwalk.agent.datagrams.half_open import HalfOpenFlows
 from jasperwalk.agent.datagrams.held_flow import NO_BALANCER, HeldFlow
 from jasperwalk.agent.datagrams.host import HostState
@@ -35,11 +36,7 @@
 from jasperwalk.observability.decisions import DecisionLog
 from jasperwalk.observability.latency import LatencyCounts
 
-SILENT_HOST_SECONDS = 4.0
-"""A host that has not spoken this long after its agent's start is not there."""
 LIFETIME_SLACK_SECONDS = 10.0
-IDLE_SLACK = 2.0
-"""Seconds added to the longest rest of a flow: packets under way, clocks of both sides."""
 
 
 @dataclass(eq=False, repr=False)
@@ -62,11 +59,10 @@
     host_latency: LatencyCounts = field(default_factory=LatencyCounts)
     """From a request's last packet to the first packet of its answer."""
     wait_latency: LatencyCounts = field(default_factory=LatencyCounts)
-    """How long flows waited for room."""
     flow_idle_seconds: float = float("inf")
     """Longest rest of a flow that is kept."""
     _flows: dict[bytes, HeldFlow] = field(default_factory=dict)
-    _host_started_here: bool = False
+    _host_is_absent: bool = False
     _half_open: HalfOpenFlows = field(default_factory=HalfOpenFlows)
 
     def __post_init__(self) -> None:
@@ -78,6 +74,9 @@
         self.watch = HostWatch(self.host, self.log)
         self.warm_up = WarmUpLimit(self.warm_up_floor, self.started_at)
         self.admission = HostAdmission(self.host, self.watch.response, self.warm_up, self.zone)
+        self.knowledge = FlowKnowledge(
+            self.host, self.warm_up, self.started_at, self.flow_lifetime_seconds
+        )
         self.waiting = WaitingFlows(
             codec=self.codec,
             queue=self.queue,
@@ -126,23 +125,27 @@
         if tag != self._tag:
             return FrameKind.NOT_HELD
         if flow is None:
-            return FrameKind.NOT_HELD if self._knows_all_flows(now) else FrameKind.UNSURE
+            return (
+                FrameKind.NOT_HELD
+                if self.knowledge.knows_all_flows(self.flow_idle_seconds, now)
+                else FrameKind.UNSURE
+            )
         # Another host may have answered the caller first; a packet would tell.
         flow.confirmed = flow.confirmed and flow.followed_up
         flow.balancer = sender
         return FrameKind.HELD if flow.confirmed else FrameKind.UNSURE
 
-    def _knows_all_flows(self, now: float) -> bool:
-        """Tell whether every open flow must have passed here since this process began.
+    def note_host_absent(self, now: float) -> None:
+        """Note that no host runs beside this agent: one that starts later starts here."""
+        if self.host.phase is HostPhase.UNKNOWN:
+            self.knowledge.host_started_here = True
+            self._host_is_absent = True
+            self.log.note("host-absent", after_ms=round(1000 * (now - self.started_at)))
 
-        A flow that has rested for longer than the configuration allows may be forgotten.
-        """
-        if self._host_started_here:
-            return True
-        known_for = now - self.started_at
-        if self.host.phase is HostPhase.UNKNOWN and known_for > SILENT_HOST_SECONDS:
-            return True
-        return known_for > min(self.flow_lifetime_seconds, self.flow_idle_seconds + IDLE_SLACK)
+    def host_phase(self) -> HostPhase:
+        """Return what is announced of the host; one that was absent has to announce itself."""
+        is_absent = self._host_is_absent and self.host.phase is HostPhase.UNKNOWN
+        return HostPhase.ABSENT if is_absent else self.host.phase
 
     def host_changed(self, now: float) -> None:
         """Doubt the flows in the table: another host has replaced the one beside this agent.
@@ -151,7 +154,7 @@
         kept, and a packet will tell. Flows that are not in it cannot be at the new host: it
         began while this process watched.
         """
-        self._host_started_here = True
+        self.knowledge.host_started_here = True
         self.watch.note_replaced()
         for flow in self._flows.values():
             self._set_busy(flow, False, now)
@@ -166,7 +169,7 @@
             return
         flow = self._flows.get(key)
         if flow is None:
-            if self._knows_all_flows(now):
+            if self.knowledge.knows_all_flows(self.flow_idle_seconds, now):
                 self.answers.reply(FrameKind.RETURNED, 0, key, sender, now, packet)
                 return
             flow = self._flows[key] = HeldFlow(sender, now, now, confirmed=False)
--- /dev/null
+++ b/src/jasperwalk/agent/datagrams/flow_knowledge.py
@@ -0,0 +1,60 @@
+"""Whether an agent knows every flow that its host may hold.
+
+An agent that was restarted has an empty table, and its host may hold flows that an earlier process
+admitted. It may deny a flow only once it is sure that there are none of those.
+
+Sans-IO; times are seconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from jasperwalk.agent.datagrams.host import HostState
+from jasperwalk.agent.datagrams.warm_up import WarmUpLimit
+from jasperwalk.fleet.messages import HostPhase
+
+SILENT_HOST_SECONDS = 4.0
+"""A host that has not spoken this long after its agent's start is not there."""
+IDLE_SLACK = 2.0
+"""Seconds added to the longest rest of a flow: packets under way, clocks of both sides."""
+STARTED_TOGETHER_SECONDS = 0.4
+"""A host that started at most this long before its agent's process got no flow through an earlier
+one: that one would have had to take the host's announcement, have a balancer learn of it, pass a
+flow on, end and be started again in this time; to start again alone takes 0.2 s and more."""
+
+
+@dataclass(eq=False, repr=False)
+class FlowKnowledge:
+    """What one process of an agent may rule out."""
+
+    host: HostState
+    warm_up: WarmUpLimit
+    started_at: float
+    flow_lifetime_seconds: float
+    host_started_here: bool = False
+    """True once it is sure that the present host started while this process watched."""
+
+    def knows_all_flows(self, idle_seconds: float, now: float) -> bool:
+        """Tell whether every open flow must have passed here since this process began.
+
+        A flow that has rested for longer than `idle_seconds` may be forgotten.
+        """
+        if self.host_started_here or self._host_started_with_agent():
+            return True
+        known_for = now - self.started_at
+        if self.host.phase is HostPhase.UNKNOWN and known_for > SILENT_HOST_SECONDS:
+            return True
+        return known_for > min(self.flow_lifetime_seconds, idle_seconds + IDLE_SLACK)
+
+    def _host_started_with_agent(self) -> bool:
+        """Tell whether the host started when this process did: the machine has come back.
+
+        After a loss of power the host may be up first, but nothing can have reached it: packets
+        come through its agent. Without this every flow from before is shown to some twelve hosts,
+        one after the other, until its caller is reset.
+        """
+        host_started_at = self.host.started_at(self.warm_up.slow_start_seconds)
+        if host_started_at is None:
+            return False
+        return host_started_at >= self.started_at - STARTED_TOGETHER_SECONDS
--- a/src/jasperwalk/agent/datagrams/host.py
+++ b/src/jasperwalk/agent/datagrams/host.py
@@ -50,6 +50,8 @@
     capacity: int = 1
     zone: str = ""
     slow_until: float = 0.0
+    _slow_until_at_most: float = 0.0
+    """The same, of all announcements the one that was least late."""
     call_number: int = -1
     announced_at: float = 0.0
     _left: set[str] = field(default_factory=set)
@@ -70,15 +72,31 @@
             if not self._may_replace(news, now):
                 return False
             self._note_replaced()
+            self._slow_until_at_most = 0.0
         self.host_id = news.host_id
         self.phase = news.phase
         self.capacity = max(news.capacity, 1)
         self.zone = news.zone
-        self.slow_until = now + news.slow_start_seconds
+        self._note_slow_start(news, now)
         self.call_number = news.call_number
         self.announced_at = now
         return True
 
+    def _note_slow_start(self, news: HostAnnouncement, now: float) -> None:
+        self.slow_until = now + news.slow_start_seconds
+        if news.slow_start_seconds:
+            known = self._slow_until_at_most or self.slow_until
+            self._slow_until_at_most = min(known, self.slow_until)
+
+    def started_at(self, slow_start_seconds: float) -> float | None:
+        """Return when the present host started, None where it has not been in slow start here.
+
+        `slow_start_seconds` is how long hosts of its service are slow after a start.
+        """
+        if not self._slow_until_at_most or not slow_start_seconds:
+            return None
+        return self._slow_until_at_most - slow_start_seconds
+
     def _may_replace(self, news: HostAnnouncement, now: float) -> bool:
         """Tell whether an announcement of another host is newer than the present one's."""
         last_call_number = self._replaced.get(news.host_id)
--- a/src/jasperwalk/agent/datagrams/process.py
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -14,6 +14,7 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.agent.datagrams.flow_agent import FlowAgent
 from jasperwalk.agent.datagrams.host import HostAnnouncement, HostState
+from jasperwalk.agent.datagrams.host_presence import is_host_absent
 from jasperwalk.agent.datagrams.planned_stop import outlast_leaving_host
 from jasperwalk.agent.datagrams.search_helper import SearchHelper
 from jasperwalk.fleet.bound_sockets import AgentSockets, bind_agent
@@ -107,8 +108,8 @@
         self._random = random.Random(secrets.randbits(64))
         self._incarnation = draw_incarnation()
         self._gone = False
-        host_endpoint = Endpoint.parse(settings.host)
-        self._host_address: SocketAddress = (host_endpoint.host, host_endpoint.port)
+        self._host_endpoint = Endpoint.parse(settings.host)
+        self._host_address: SocketAddress = (self._host_endpoint.host, self._host_endpoint.port)
         frames_port = Endpoint.parse(settings.frames_listen).port
         self._callers_port = settings.callers_port or frames_port
         self.host = HostState()
@@ -177,7 +178,7 @@
             zone=self._settings.zone,
             endpoint=self._frames.endpoint,
             service=self._settings.service,
-            phase=HostPhase.GONE if self._gone else self.host.phase,
+            phase=HostPhase.GONE if self._gone else self.core.host_phase(),
             capacity=self.host.capacity,
             slow_start_seconds=self.host.slow_start_seconds(now),
             host_zone="" if self.host.zone == self._settings.zone else self.host.zone,
@@ -198,7 +199,11 @@
             service=self._settings.service,
             zone=self._settings.zone,
         )
-        jobs = [asyncio.create_task(self._link.run()), asyncio.create_task(self._sweep())]
+        jobs = [
+            asyncio.create_task(self._link.run()),
+            asyncio.create_task(self._sweep()),
+            asyncio.create_task(self._look_for_host()),
+        ]
         await stop.wait()
         await outlast_leaving_host(self.host, self._settings.stop_grace_ms / 1000)
         await self._deregister()
@@ -210,12 +215,22 @@
 
     async def _deregister(self) -> None:
         """Tell the home where the host is gone, so that its flows are not waited for."""
-        if not self.host.has_left():
+        if not self.host.has_left() and not await self._is_without_host():
             return
         self._gone = True
         self._link.announce()
         await asyncio.sleep(DEREGISTRATION_SECONDS)
 
+    async def _look_for_host(self) -> None:
+        """Learn at once that there is no host; where there is one, wait for its announcement."""
+        if await self._is_without_host():
+            self.core.note_host_absent(time.monotonic())
+            self._link.announce()
+
+    async def _is_without_host(self) -> bool:
+        is_unknown = self.host.phase is HostPhase.UNKNOWN
+        return is_unknown and await is_host_absent(self._host_endpoint)
+
     def _host_changed(self) -> None:
         self.core.host_changed(time.monotonic())
 
--- a/src/jasperwalk/agent/datagrams/warm_up.py
+++ b/src/jasperwalk/agent/datagrams/warm_up.py
@@ -60,6 +60,11 @@
         self._forget_old(now)
         return len(self._passed_at) + 1 > most
 
+    @property
+    def slow_start_seconds(self) -> float:
+        """How long a host of the service is cold after its start, 0 where that is not known."""
+        return 0.0 if self._warm_up is None else self._warm_up.seconds
+
     def bound(self, slow_until: float, now: float) -> float | None:
         """Return how many new flows the host gets in a second now, None where nothing limits it."""
         if not self._is_cold(slow_until, now):
@@ -71,8 +76,7 @@
         return max(self._warm_up.flows_per_second, self.floor or 0.0)
 
     def _is_cold(self, slow_until: float, now: float) -> bool:
-        seconds = 0.0 if self._warm_up is None else self._warm_up.seconds
-        return now < max(slow_until, self._zone_restored_at + seconds)
+        return now < max(slow_until, self._zone_restored_at + self.slow_start_seconds)
 
     def _forget_old(self, now: float) -> None:
         while self._passed_at and now - self._passed_at[0] >= WINDOW_SECONDS:
--- a/src/jasperwalk/control/fleet/directory.py
+++ b/src/jasperwalk/control/fleet/directory.py
@@ -12,7 +12,7 @@
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.control.fleet.messages import HomedNodes, ReplicaBeat
-from jasperwalk.fleet.messages import FleetUpdate, HostPhase, NodeRecord, NodeRole
+from jasperwalk.fleet.messages import HOSTLESS, FleetUpdate, NodeRecord, NodeRole
 
 CLAIM_LIFETIME_SECONDS = 6.0
 """A silent replica's claims are kept this long: its nodes find another home meanwhile."""
@@ -142,7 +142,7 @@
                 return
         del self._merged[endpoint]
         self._changed[endpoint] = None
-        if held.phase is not HostPhase.GONE:
+        if held.phase not in HOSTLESS:
             self._lost[endpoint] = LostNode(held, now)
 
     def agents(self, now: float) -> FleetUpdate:
--- a/src/jasperwalk/fleet/messages.py
+++ b/src/jasperwalk/fleet/messages.py
@@ -32,6 +32,12 @@
     READY = "ready"
     DRAINING = "draining"
     GONE = "gone"
+    ABSENT = "absent"
+    """No host has run there since the agent's process began; one may start."""
+
+
+HOSTLESS = frozenset((HostPhase.GONE, HostPhase.ABSENT))
+"""Phases in which no flow can be held beside the agent."""
 
 
 class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/src/jasperwalk/fleet/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from jasperwalk.addresses import Endpoint
-from jasperwalk.fleet.messages import DrainedZones, FleetUpdate, HostPhase, NodeRecord
+from jasperwalk.fleet.messages import HOSTLESS, DrainedZones, FleetUpdate, HostPhase, NodeRecord
 from jasperwalk.flows.codec import SocketAddress
 from jasperwalk.flows.frames import (
     FrameKind,
@@ -34,6 +34,7 @@
 room for agents that came since."""
 FLOW_LIFETIME_SECONDS = 70.0
 """A flow without a packet for this long is forgotten, and an agent that left longer ago."""
+EXPECTED_PHASES = frozenset((HostPhase.UNKNOWN, HostPhase.ABSENT))
 EXPECTED_SECONDS = 2.0
 """A host is expected to speak to its agent within this time of the agent's start."""
 UNLISTED_USABLE_SECONDS = 8.0
@@ -96,7 +97,7 @@
     """Questions asked since then, several at the same moment counted once."""
     asked_at: float = float("-inf")
     departed: bool = False
-    """True once the agent said that its host is gone, or another process took its address."""
+    """True once the agent said that there is no host, or another process took its address."""
 
     def open_head(self, age_seconds: float, waits: bool = False) -> bytes:
         """Return what goes in front of an opening packet whose caller began this long ago."""
@@ -232,7 +233,7 @@
         held.record = record
         held.unlisted_since = None
         held.slow_until = now + record.slow_start_seconds
-        held.departed = record.phase is HostPhase.GONE
+        held.departed = record.phase in HOSTLESS
         held.zone_drained = record.zone_of_host() in self.drained.zones
 
     def _index(self) -> None:
@@ -306,7 +307,7 @@
         if self.directory_since is None or now - self.directory_since < EXPECTED_SECONDS:
             return True
         return any(
-            target.record.phase is HostPhase.UNKNOWN
+            target.record.phase in EXPECTED_PHASES
             and target.unlisted_since is None
             and not target.zone_drained
             and self._is_in(target, regions)
--- a/tests/agent/datagrams/test_held_flows.py
+++ b/tests/agent/datagrams/test_held_flows.py
@@ -3,14 +3,14 @@
 import pytest
 
 from jasperwalk.addresses import Endpoint
-from jasperwalk.agent.datagrams.flow_agent import (
+from jasperwalk.agent.datagrams.flow_knowledge import (
     IDLE_SLACK,
     SILENT_HOST_SECONDS,
 )
 from jasperwalk.agent.datagrams.host import HostAnnouncement
-from jasperwalk.fleet.messages import HostPhase
+from jasperwalk.fleet.messages import HostPhase, WarmUp
 from jasperwalk.flows.frames import FrameKind
-from tests.agent.datagrams.support import LIFETIME, Bench
+from tests.agent.datagrams.support import CAPACITY, LIFETIME, Bench
 from tests.flows.support import (
     CALLER,
     RETURNED,
@@ -129,3 +129,56 @@
     bench = Bench(HostPhase.UNKNOWN)
     assert bench.find(SILENT_HOST_SECONDS - 0.1) is FrameKind.UNSURE
     assert bench.find(SILENT_HOST_SECONDS + 0.1) is FrameKind.NOT_HELD
+
+
+COLD_SECONDS = 2.0
+
+
+def cold_host(bench, left_seconds, now, number=4, host="h1"):
+    """Announce a host that is slow for so much longer."""
+    news = HostAnnouncement(host, HostPhase.READY, CAPACITY, left_seconds, number)
+    bench.host.announce(news, now)
+    bench.agent.warm_up.configure(1, WarmUp(COLD_SECONDS, 0.0))
+
+
+def test_an_agent_that_came_back_together_with_its_host_knows_all_flows():
+    """After a loss of power the host may be up a moment before its agent."""
+    bench = Bench(HostPhase.UNKNOWN, started_at=10.0)
+    assert bench.find(10.05) is FrameKind.UNSURE
+    cold_host(bench, COLD_SECONDS - 0.3, 10.1)
+    assert bench.find(10.2) is FrameKind.NOT_HELD
+
+
+@pytest.mark.parametrize("left_seconds", [0.0, 0.5])
+def test_an_agent_that_came_back_alone_does_not_know_what_its_host_holds(left_seconds):
+    bench = Bench(HostPhase.UNKNOWN, started_at=10.0)
+    cold_host(bench, left_seconds, 10.1)
+    assert bench.find(10.2) is FrameKind.UNSURE
+
+
+def test_an_announcement_that_was_late_makes_no_host_younger():
+    bench = Bench(HostPhase.UNKNOWN, started_at=10.0)
+    cold_host(bench, 0.5, 10.1, number=4)
+    cold_host(bench, COLD_SECONDS, 10.2, number=5)
+    assert bench.find(10.3) is FrameKind.UNSURE
+
+
+def test_an_agent_without_a_host_holds_no_flow():
+    bench = Bench(HostPhase.UNKNOWN, started_at=10.0)
+    bench.agent.note_host_absent(10.01)
+    assert bench.find(10.2) is FrameKind.NOT_HELD
+
+
+def test_a_host_that_has_announced_itself_is_not_absent():
+    bench = Bench(HostPhase.READY, started_at=10.0)
+    bench.agent.note_host_absent(10.01)
+    assert bench.find(10.2) is FrameKind.UNSURE
+
+
+def test_an_absent_host_is_announced_as_absent_until_it_speaks():
+    bench = Bench(HostPhase.UNKNOWN, started_at=10.0)
+    assert bench.agent.host_phase() is HostPhase.UNKNOWN
+    bench.agent.note_host_absent(10.01)
+    assert bench.agent.host_phase() is HostPhase.ABSENT
+    bench.say(HostPhase.READY, 1)
+    assert bench.agent.host_phase() is HostPhase.READY
--- a/tests/fleet/test_targets.py
+++ b/tests/fleet/test_targets.py
@@ -164,3 +164,19 @@
     assert target.record.name == f"agent-{expected}"
     if busy:
         assert chosen(made) == "agent-2"
+
+
+def test_an_agent_without_a_host_is_asked_for_no_flow_and_gets_none():
+    """After a loss of power machines come back whose hosts had left, and go again silently."""
+    made = pool(record(1), record(2, HostPhase.ABSENT))
+    assert [each.record.name for each in made.all_targets()] == ["agent-1"]
+    assert [each.record.name for each in made.candidates(["web"], KEY)] == ["agent-1"]
+    assert chosen(made, excluded=made.all_targets()) is None
+
+
+def test_a_host_that_starts_beside_an_agent_that_had_none_gets_flows():
+    made = pool(record(1, HostPhase.ABSENT))
+    assert made.expects_hosts(["web"], 1.0)
+    made.update(FleetUpdate(False, [record(1)], []), 1.0)
+    assert chosen(made) == "agent-1"
+    assert len(made.all_targets()) == 1
