--- a/src/jasperwalk/cli/main.py
+++ b/src/jasperwalk/cli/main.py
@@ -13,6 +13,7 @@
 from jasperwalk.cli.status import status
 from jasperwalk.cli.templates import template
 from jasperwalk.cli.tenants import tenant
+from jasperwalk.cli.zones import zone
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -37,6 +38,7 @@
     change,
     host,
     member,
+    zone,
     keys,
     status,
     explain,
--- /dev/null
+++ b/src/jasperwalk/cli/zones.py
@@ -0,0 +1,264 @@
+"""`jasperwalk zone`: drain, restore and list zones of a datagram fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import ClassVar, TypeVar, cast
+
+import click
+import msgspec
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.cli.exit_codes import ExitCode
+from jasperwalk.cli.failures import CommandError, ControlUnreachable
+from jasperwalk.cli.operation import EndpointType, OperatorCommand
+from jasperwalk.cli.output import Printer, format_table
+from jasperwalk.control.fleet.messages import (
+    OPERATOR_REPLY_DECODER,
+    OperatorReply,
+    OperatorRequest,
+    ZoneListReply,
+    ZoneListRequest,
+    ZoneOrderReply,
+    ZoneOrderRequest,
+)
+from jasperwalk.errors import JasperwalkError
+from jasperwalk.fleet.messages import CLUSTER_ID
+from jasperwalk.messages import codec
+from jasperwalk.transport.client import connect
+from jasperwalk.transport.hello import ConnectionKind, make_hello
+
+REPLICAS_VARIABLE = "JASPERWALK_REPLICAS"
+ATTEMPT_SECONDS = 2.0
+"""How long one replica may take."""
+PAUSE_SECONDS = 0.2
+DEFAULT_TIMEOUT_SECONDS = 10.0
+DONE = frozenset(("zone-acknowledged", "zones-listed"))
+UNKNOWN_ZONE = "unknown-zone"
+
+Command = TypeVar("Command", bound=Callable[..., object])
+ReplyType = TypeVar("ReplyType", ZoneOrderReply, ZoneListReply)
+
+
+@dataclass(eq=False)
+class ZoneRefused(CommandError):
+    """No node and no setting names the zone; nothing was changed."""
+
+    kind: ClassVar[str] = UNKNOWN_ZONE
+    zone: str
+
+    def describe(self) -> str:
+        """Name the zone and the mend."""
+        return f"no zone {self.zone!r}; `jasperwalk zone list` names those that are known"
+
+
+@dataclass(eq=False)
+class ZoneNotInForce(CommandError):
+    """An acknowledged order was not in force on every linked node when the time was up."""
+
+    kind: ClassVar[str] = "not-in-force"
+    exit_code: ClassVar[ExitCode] = ExitCode.NOT_IN_FORCE
+    revision: int
+    in_force: int
+
+    def describe(self) -> str:
+        """Give both revisions."""
+        return (
+            f"revision {self.revision} is acknowledged, but some linked node still goes by "
+            f"{self.in_force}; it holds for the others"
+        )
+
+
+class ZoneView(msgspec.Struct, frozen=True):
+    """The JSON object of `drain` and `restore`."""
+
+    zone: str
+    drained: bool
+    revision: int
+    in_force: bool
+
+
+class ZoneRow(msgspec.Struct, frozen=True):
+    """One zone in the JSON object of `list`."""
+
+    zone: str
+    drained: bool
+
+
+class ZoneListView(msgspec.Struct, frozen=True):
+    """The JSON object of `list`; `in_force` tells whether every linked node goes by it."""
+
+    revision: int
+    in_force: bool
+    zones: list[ZoneRow]
+
+
+@dataclass(frozen=True)
+class ReplicaCalls:
+    """Asks replicas in turn, following them to the leader, until the time is up."""
+
+    replicas: tuple[Endpoint, ...]
+    timeout_seconds: float
+
+    def ask(self, request: OperatorRequest, wanted: type[ReplyType]) -> ReplyType:
+        """Return a definite reply; raises `ControlUnreachable` or `ZoneRefused`."""
+        return asyncio.run(self._ask(request, wanted))
+
+    async def _ask(self, request: OperatorRequest, wanted: type[ReplyType]) -> ReplyType:
+        deadline = time.monotonic() + self.timeout_seconds
+        reasons: dict[Endpoint, str] = {}
+        while True:
+            for replica in self.replicas:
+                reply = await _ask_following(replica, request, reasons)
+                if isinstance(reply, wanted):
+                    return reply
+            if time.monotonic() > deadline:
+                raise ControlUnreachable(tuple(f"{at}: {why}" for at, why in reasons.items()))
+            await asyncio.sleep(PAUSE_SECONDS)
+
+
+async def _ask_following(
+    replica: Endpoint, request: OperatorRequest, reasons: dict[Endpoint, str]
+) -> OperatorReply | None:
+    """Ask one replica, and the leader that it names; None where neither settles it."""
+    asked: Endpoint | None = replica
+    for _ in range(2):
+        if asked is None:
+            break
+        reply = await _ask_once(asked, request, reasons)
+        if reply is None or reply.outcome in DONE:
+            return reply
+        if reply.outcome == UNKNOWN_ZONE and isinstance(request, ZoneOrderRequest):
+            raise ZoneRefused(request.zone)
+        reasons[asked] = reply.reason or reply.outcome
+        asked = reply.leader
+    return None
+
+
+async def _ask_once(
+    replica: Endpoint, request: OperatorRequest, reasons: dict[Endpoint, str]
+) -> OperatorReply | None:
+    hello = make_hello(ConnectionKind.OPERATOR, "operator", CLUSTER_ID)
+    try:
+        async with asyncio.timeout(ATTEMPT_SECONDS):
+            connection = await connect(replica, hello, ATTEMPT_SECONDS)
+            try:
+                await connection.send(codec.encode(request))
+                return OPERATOR_REPLY_DECODER.decode(await connection.receive())
+            finally:
+                connection.abort()
+    except TimeoutError:
+        reasons[replica] = "no answer in time"
+    except JasperwalkError as error:
+        reasons[replica] = error.describe()
+    return None
+
+
+def replica_options(command: Command) -> Command:
+    """Add --replica, --timeout and --json; they arrive as `calls` and `printer`."""
+
+    @functools.wraps(command)
+    def run(
+        *arguments: object,
+        replicas: tuple[Endpoint, ...],
+        timeout_seconds: float,
+        json_output: bool,
+        **options: object,
+    ) -> object:
+        calls = ReplicaCalls(replicas, timeout_seconds)
+        return command(*arguments, calls=calls, printer=Printer(json_output), **options)
+
+    for option in (
+        click.option("--json", "json_output", is_flag=True, help="Print one JSON object."),
+        click.option(
+            "--timeout",
+            "timeout_seconds",
+            type=click.FloatRange(min=0.1),
+            default=DEFAULT_TIMEOUT_SECONDS,
+            show_default=True,
+            help="Seconds to go on trying the replicas.",
+        ),
+        click.option(
+            "--replica",
+            "replicas",
+            type=EndpointType(),
+            multiple=True,
+            required=True,
+            envvar=REPLICAS_VARIABLE,
+            help="A control replica's replica_listen; may be repeated.",
+        ),
+    ):
+        run = option(run)
+    return cast(Command, run)
+
+
+@click.group()
+def zone() -> None:
+    """Empty zones of a datagram fleet and take them back."""
+
+
+@zone.command(
+    cls=OperatorCommand,
+    examples=("jasperwalk zone drain dvorana-a --replica 10.0.0.4:7600 --wait 5",),
+)
+@click.argument("name")
+@click.option("--wait", "wait_seconds", type=click.FloatRange(min=0.0), default=0.0)
+@replica_options
+def drain(name: str, wait_seconds: float, calls: ReplicaCalls, printer: Printer) -> None:
+    """Send no new flow to the hosts of the zone NAME; open flows stay.
+
+    With --wait the command ends once every linked node goes by the order, or with exit code 5.
+    """
+    _order(name, True, wait_seconds, calls, printer)
+
+
+@zone.command(
+    cls=OperatorCommand,
+    examples=("jasperwalk zone restore dvorana-a --replica 10.0.0.4:7600",),
+)
+@click.argument("name")
+@click.option("--wait", "wait_seconds", type=click.FloatRange(min=0.0), default=0.0)
+@replica_options
+def restore(name: str, wait_seconds: float, calls: ReplicaCalls, printer: Printer) -> None:
+    """Let the hosts of the zone NAME take new flows again, as fast as cold hosts bear them."""
+    _order(name, False, wait_seconds, calls, printer)
+
+
+@zone.command(
+    "list", cls=OperatorCommand, examples=("jasperwalk zone list --replica 10.0.0.4:7600",)
+)
+@replica_options
+def list_zones(calls: ReplicaCalls, printer: Printer) -> None:
+    """List the zones that are known, and which of them are drained."""
+    reply = calls.ask(ZoneListRequest(), ZoneListReply)
+    rows = [ZoneRow(each.zone, each.drained) for each in reply.zones]
+    view = ZoneListView(reply.revision, reply.in_force >= reply.revision, rows)
+    table = format_table(("ZONE", "DRAINED"), [(row.zone, row.drained) for row in rows])
+    printer.result(view, table)
+
+
+def _order(
+    name: str, drained: bool, wait_seconds: float, calls: ReplicaCalls, printer: Printer
+) -> None:
+    reply = calls.ask(ZoneOrderRequest(name, drained), ZoneOrderReply)
+    in_force = _wait_in_force(reply.revision, wait_seconds, calls)
+    view = ZoneView(name, drained, reply.revision, in_force >= reply.revision)
+    state = "drained" if drained else "restored"
+    where = "in force" if view.in_force else "acknowledged"
+    printer.result(view, [f"zone {name} is {state}: {where}, revision {reply.revision}"])
+    if wait_seconds and not view.in_force:
+        raise ZoneNotInForce(reply.revision, in_force)
+
+
+def _wait_in_force(revision: int, wait_seconds: float, calls: ReplicaCalls) -> int:
+    """Return the revision in force, asked again for a while as long as it is older."""
+    deadline = time.monotonic() + wait_seconds
+    while True:
+        in_force = calls.ask(ZoneListRequest(), ZoneListReply).in_force
+        if in_force >= revision or time.monotonic() >= deadline:
+            return in_force
+        time.sleep(PAUSE_SECONDS)
--- a/src/jasperwalk/control/fleet/home_links.py
+++ b/src/jasperwalk/control/fleet/home_links.py
@@ -79,6 +79,8 @@
     sent_version: int = 0
     sent_routes: dict[Endpoint, FlowRoute] = field(default_factory=dict)
     sent_zones_revision: int = 0
+    zones_revision: int = 0
+    """What the node says that it goes by."""
     sent_warm_up: WarmUp | None = None
 
     def send(self, message: HomeMessage) -> None:
@@ -167,6 +169,8 @@
         view = self._view()
         if isinstance(message, Announce):
             self._announced(link, message.record)
+        else:
+            link.zones_revision = message.zones_revision
         link.send(view.status())
 
     def _announced(self, link: NodeLink, record: NodeRecord) -> None:
@@ -243,6 +247,11 @@
         routes = self._view().routes
         self._to_balancers(lambda link: link.send_routes(routes))
 
+    def zones_in_force(self) -> int:
+        """Return the zones' revision that every linked node goes by, or a newer one."""
+        revisions = [link.zones_revision for link in self._links if link.record is not None]
+        return min(revisions, default=self._view().zones.revision)
+
     def publish_restrictions(self) -> None:
         """Send every linked node the drained zones, and agents what cold hosts bear."""
         view = self._view()
--- a/src/jasperwalk/control/fleet/messages.py
+++ b/src/jasperwalk/control/fleet/messages.py
@@ -17,7 +17,8 @@
 
     `life` names the sender's process. `leading` tells that it leads and has committed an
     entry of its own term; `version` is the configuration it holds, `zones_revision` the drained
-    zones. `sequence` numbers the changes of the nodes that are linked to it.
+    zones, `zones_in_force` what every node that is linked to it goes by. `sequence` numbers the
+    changes of those nodes.
     """
 
     life: int
@@ -25,6 +26,7 @@
     version: int
     sequence: int
     zones_revision: int = 0
+    zones_in_force: int = 0
 
 
 class HomedNodes(msgspec.Struct, frozen=True, array_like=True, tag=312):
@@ -84,3 +86,47 @@
 
 
 JOIN_DECODER: Decoder[JoinRequest | JoinReply] = Decoder(JoinRequest | JoinReply)
+
+
+class ZoneOrderRequest(msgspec.Struct, frozen=True, array_like=True, tag=331):
+    """An operator's command to any replica: drain a zone, or restore it."""
+
+    zone: str
+    drained: bool
+
+
+class ZoneListRequest(msgspec.Struct, frozen=True, array_like=True, tag=332):
+    """An operator's command to any replica: which zones are there, and which are drained."""
+
+
+class ZoneOrderReply(msgspec.Struct, frozen=True, array_like=True, tag=333):
+    """What an order came to: a kind of `ZoneResult`, and where to ask where that is known."""
+
+    outcome: str
+    reason: str
+    revision: int
+    leader: Endpoint | None
+
+
+class ListedZone(msgspec.Struct, frozen=True, array_like=True):
+    """A zone, and whether it is drained."""
+
+    zone: str
+    drained: bool
+
+
+class ZoneListReply(msgspec.Struct, frozen=True, array_like=True, tag=334):
+    """The zones; `in_force` is the revision that every linked node goes by."""
+
+    outcome: str
+    reason: str
+    revision: int
+    in_force: int
+    zones: list[ListedZone]
+    leader: Endpoint | None
+
+
+OperatorRequest = ZoneOrderRequest | ZoneListRequest
+OperatorReply = ZoneOrderReply | ZoneListReply
+OPERATOR_REQUEST_DECODER: Decoder[OperatorRequest] = Decoder(OperatorRequest)
+OPERATOR_REPLY_DECODER: Decoder[OperatorReply] = Decoder(OperatorReply)
--- a/src/jasperwalk/control/fleet/process.py
+++ b/src/jasperwalk/control/fleet/process.py
@@ -19,9 +19,11 @@
 from jasperwalk.control.fleet.identity import open_identity, renew_identity
 from jasperwalk.control.fleet.joining import JoinDesk
 from jasperwalk.control.fleet.messages import HomedNodes, JoinReply, JoinRequest, JoinStatus
+from jasperwalk.control.fleet.operator_desk import OperatorDesk
 from jasperwalk.control.fleet.replica import FleetReplica, ReplicaRemoved
 from jasperwalk.control.fleet.settings import FleetControlSettings
 from jasperwalk.control.fleet.zone_orders import ZoneOrders
+from jasperwalk.control.storage_faults import StorageFaults
 from jasperwalk.errors import JasperwalkError
 from jasperwalk.fleet.figures import ProcessFigures, metrics_server
 from jasperwalk.fleet.messages import CLUSTER_ID
@@ -48,7 +50,7 @@
 
     def __init__(self, settings: FleetControlSettings, interface: OperatorsInterface) -> None:
         self._settings = settings
-        self._address = settings.replica_endpoint()
+        self._address = settings.advertised_endpoint()
         self._life = secrets.randbits(LIFE_BITS)
         self._random = random.Random(self._life)
         self._replica: FleetReplica | None = None
@@ -89,8 +91,9 @@
             ConnectionKind.PEER: self._serve_peer,
             ConnectionKind.SUBSCRIBER: self._homes.serve,
             ConnectionKind.REPORTER: JoinDesk(self._answer_join).serve,
+            ConnectionKind.OPERATOR: OperatorDesk(zone_orders).serve,
         }
-        self._server = FramedServer(self._address, hello, handlers)
+        self._server = FramedServer(settings.replica_endpoint(), hello, handlers)
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop` is set."""
@@ -174,8 +177,17 @@
             life=self._life,
             random=self._random,
             on_change=self._publish,
+            own_zones_in_force=self._homes.zones_in_force,
+            storage_faults=self._storage_faults(),
         )
 
+    def _storage_faults(self) -> StorageFaults | None:
+        path = self._settings.storage_faults
+        if not path:
+            return None
+        logger.warning("storage-faults-enabled", path=path)
+        return StorageFaults(Path(path))
+
     def _publish(self) -> None:
         self._homes.publish_restrictions()
         self._homes.publish_fleet()
--- a/src/jasperwalk/control/fleet/replica.py
+++ b/src/jasperwalk/control/fleet/replica.py
@@ -38,6 +38,7 @@
 from jasperwalk.control.peer_links import LinkTimes, PeerNetwork
 from jasperwalk.control.peer_messages import LinkAlive, RaftPayload
 from jasperwalk.control.raft_runner import RaftRunner, RaftRunnerConfig
+from jasperwalk.control.storage_faults import StorageFaults
 from jasperwalk.errors import JasperwalkError
 from jasperwalk.fleet.messages import CLUSTER_ID
 
@@ -78,6 +79,14 @@
     received_at: float = float("-inf")
 
 
+@dataclass(frozen=True)
+class ZonesInForce:
+    """The zones' revision that the nodes of another replica go by, and when it said so."""
+
+    revision: int
+    received_at: float
+
+
 class FleetReplica:
     """Runs one life; `run` ends by cancellation or with the failure that ended the life."""
 
@@ -92,8 +101,10 @@
         life: int,
         random: Random,
         on_change: Callable[[], None],
+        own_zones_in_force: Callable[[], int] = lambda: 0,
+        storage_faults: StorageFaults | None = None,
     ) -> None:
-        """Read the log; raises `StorageError`."""
+        """Read the log; raises `StorageError`. `storage_faults` is for trials of failures."""
         self._identity = identity
         self._name = name
         self._address = address
@@ -104,6 +115,8 @@
         self._autopilot = Autopilot()
         self._leader_sign = LeaderSign()
         self._on_change = on_change
+        self._own_zones_in_force = own_zones_in_force
+        self._zones_in_force: dict[int, ZonesInForce] = {}
         self._leading = False
         self._led_term = 0
         self._leads_since = 0.0
@@ -117,7 +130,9 @@
             decoder=REPLICA_DECODER,
             times=PEER_LINK_TIMES,
         )
-        self.runner = RaftRunner(self._runner_config(), self.network, self.applier, random)
+        self.runner = RaftRunner(
+            self._runner_config(), self.network, self.applier, random, storage_faults
+        )
 
     def _runner_config(self) -> RaftRunnerConfig:
         members = tuple(
@@ -176,6 +191,16 @@
         is_noted = self._led_term == self.runner.term
         return self._leads_since if is_noted else time.monotonic()
 
+    def zones_in_force(self) -> int:
+        """Return the zones' revision that every node linked to a living replica goes by."""
+        now = time.monotonic()
+        fresh = [
+            each.revision
+            for each in self._zones_in_force.values()
+            if now - each.received_at <= CURRENT_SECONDS
+        ]
+        return min([self._own_zones_in_force(), *fresh])
+
     def notify_replicas(self, news: HomedNodes) -> None:
         """Pass news of the linked nodes on."""
         for replica_id in self.network.connected_ids():
@@ -198,6 +223,7 @@
                 pass
 
     def _take_beat(self, sender: int, beat: ReplicaBeat, now: float) -> None:
+        self._zones_in_force[sender] = ZonesInForce(beat.zones_in_force, now)
         if beat.leading:
             self._leader_sign = LeaderSign(sender, beat.version, beat.zones_revision, now)
         if self._directory.take_beat(sender, beat, now):
@@ -218,6 +244,7 @@
             version=version,
             sequence=self._directory.sequence,
             zones_revision=zones_revision,
+            zones_in_force=self._own_zones_in_force(),
         )
         for replica_id in self.network.connected_ids():
             self.network.send(replica_id, beat)
--- a/src/jasperwalk/control/fleet/settings.py
+++ b/src/jasperwalk/control/fleet/settings.py
@@ -20,6 +20,11 @@
     data_folder: str
     operators_listen: str
     replica_listen: str
+    replica_advertised: str = ""
+    """Where others reach `replica_listen`, where that differs: behind a relay or a translation."""
+    storage_faults: str = ""
+    """File that says how the storage is to misbehave, for trials of failures; see
+    `jasperwalk.control.storage_faults`. Empty on every real machine."""
     seeds: list[str] = []
     founding: bool = False
     zones: list[str] = []
@@ -38,6 +43,10 @@
         """Return where replicas and nodes connect; raises `InvalidAddress`."""
         return Endpoint.parse(self.replica_listen)
 
+    def advertised_endpoint(self) -> Endpoint:
+        """Return where others connect to the replica; raises `InvalidAddress`."""
+        return Endpoint.parse(self.replica_advertised or self.replica_listen)
+
     def seed_endpoints(self) -> list[Endpoint]:
-        """Return the seeds' replica end points: their hosts at this replica's own port."""
-        return sorted(seed_replicas(self.seeds, self.replica_endpoint().port))
+        """Return the seeds' replica end points: their hosts at the port of this one."""
+        return sorted(seed_replicas(self.seeds, self.advertised_endpoint().port))
--- a/src/jasperwalk/control/fleet/zone_orders.py
+++ b/src/jasperwalk/control/fleet/zone_orders.py
@@ -55,10 +55,14 @@
 
 @dataclass(frozen=True)
 class ZonesListed:
-    """Every known zone, by name; `revision` counts the orders that changed something."""
+    """Every known zone, by name; `revision` counts the orders that changed something.
+
+    `in_force` is the revision that every node linked to a living replica goes by.
+    """
 
     kind: ClassVar[str] = "zones-listed"
     revision: int
+    in_force: int
     zones: tuple[ZoneListed, ...]
 
 
@@ -166,7 +170,7 @@
         states = replica.applier.state.zones
         names = sorted({*self._known_zones(), *states.drained})
         listed = tuple(ZoneListed(name, states.drained.get(name, False)) for name in names)
-        return ZonesListed(states.revision, listed)
+        return ZonesListed(states.revision, replica.zones_in_force(), listed)
 
 
 def _order_of(replica: FleetReplica, zone: str, drained: bool, arrived_at: float) -> ZoneOrder:
--- a/src/jasperwalk/control/raft_runner.py
+++ b/src/jasperwalk/control/raft_runner.py
@@ -42,6 +42,7 @@
     ReplicaChange,
 )
 from jasperwalk.control.replica_members import core_change, endpoints_of
+from jasperwalk.control.storage_faults import StorageFaults
 from jasperwalk.errors import JasperwalkError
 from jasperwalk.messages import codec
 
@@ -119,7 +120,9 @@
         network: PeerNetwork,
         applier: EntryApplier,
         random: Random,
+        storage_faults: StorageFaults | None = None,
     ) -> None:
+        self._storage_faults = storage_faults
         self._config = config
         self._network = network
         self._failure: JasperwalkError | None = None
@@ -295,9 +298,14 @@
             self._advance_state(ready)
             self._link_members()
 
+    def _write(self, batch: PersistBatch) -> None:
+        if self._storage_faults is not None:
+            self._storage_faults.before_write()
+        self._storage.persist(batch)
+
     async def _persist(self, batch: PersistBatch) -> None:
         loop = asyncio.get_running_loop()
-        await loop.run_in_executor(self._disk, self._storage.persist, batch)
+        await loop.run_in_executor(self._disk, self._write, batch)
         self._node.persisted()
 
     def _send(self, messages: list[Outgoing]) -> None:
--- /dev/null
+++ b/src/jasperwalk/control/storage_faults.py
@@ -0,0 +1,57 @@
+"""Storage that misbehaves on purpose, for trials of failures on a running replica.
+
+The settings name a file; while it is there, each write to the log first does what its one line
+says: `slow SECONDS`, `full` or `sync-fails`. Without the setting nothing of this is in the way, and
+with it the process says so at its start.
+"""
+
+from __future__ import annotations
+
+import enum
+import time
+from pathlib import Path
+
+import structlog
+
+from jasperwalk.consensus.disk.failures import WriteFailed
+
+LONGEST_SLOW_SECONDS = 10.0
+
+logger = structlog.get_logger(__name__)
+
+
+class StorageFault(enum.StrEnum):
+    """What a write does before it begins, or instead."""
+
+    SLOW = "slow"
+    FULL = "full"
+    SYNC_FAILS = "sync-fails"
+
+
+class StorageFaults:
+    """Reads the file at every write, on the storage's own thread."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+
+    def before_write(self) -> None:
+        """Wait, or raise `WriteFailed`, as the file says; an unreadable or odd one does nothing."""
+        try:
+            words = self._path.read_text(encoding="ascii").split()
+        except (OSError, UnicodeDecodeError):
+            return
+        if not words:
+            return
+        if words[0] == StorageFault.SLOW:
+            time.sleep(min(_seconds(words), LONGEST_SLOW_SECONDS))
+        elif words[0] in (StorageFault.FULL, StorageFault.SYNC_FAILS):
+            raise WriteFailed(path=self._path, reason=words[0])
+        else:
+            logger.warning("storage-fault-unknown", fault=words[0][:40])
+
+
+def _seconds(words: list[str]) -> float:
+    try:
+        return float(words[1])
+    except (IndexError, ValueError):
+        return 0.0
--- a/src/jasperwalk/fleet/home_link.py
+++ b/src/jasperwalk/fleet/home_link.py
@@ -21,6 +21,7 @@
     CLUSTER_ID,
     HOME_DECODER,
     Announce,
+    DrainedZones,
     HomeMessage,
     HomeStatus,
     NodePing,
@@ -79,6 +80,7 @@
         self._connection: FramedConnection | None = None
         self._current_at = 0.0
         self._connect_seconds = FIRST_CONNECT_SECONDS
+        self._zones_revision = 0
         self.home: Endpoint | None = None
 
     def announce(self) -> None:
@@ -155,10 +157,12 @@
     async def _ping(self, connection: FramedConnection) -> None:
         while True:
             await asyncio.sleep(PING_SECONDS)
-            await connection.send(codec.encode(NodePing()))
+            await connection.send(codec.encode(NodePing(self._zones_revision)))
 
     def _take(self, message: HomeMessage) -> None:
         now = time.monotonic()
+        if isinstance(message, DrainedZones):
+            self._zones_revision = max(self._zones_revision, message.revision)
         if isinstance(message, HomeStatus):
             if message.replicas:
                 self._replicas = message.replicas
--- a/src/jasperwalk/fleet/messages.py
+++ b/src/jasperwalk/fleet/messages.py
@@ -72,7 +72,12 @@
 
 
 class NodePing(msgspec.Struct, frozen=True, array_like=True, tag=302):
-    """A node to its home, at a steady pace; answered by `HomeStatus`."""
+    """A node to its home, at a steady pace; answered by `HomeStatus`.
+
+    `zones_revision` numbers the drained zones that it goes by.
+    """
+
+    zones_revision: int = 0
 
 
 class HomeStatus(msgspec.Struct, frozen=True, array_like=True, tag=303):
--- a/src/jasperwalk/fleet/settings.py
+++ b/src/jasperwalk/fleet/settings.py
@@ -103,6 +103,8 @@
     replica_port: int
     seeds: list[str]
     callers_port: int = 0
+    frames_advertised: str = ""
+    """Where others reach `frames_listen`, where that differs: behind a relay or a translation."""
     warm_up_floor: float | None = None
     """New flows a second that any cold host bears, whatever its service's configuration says.
 
--- a/src/jasperwalk/transport/hello.py
+++ b/src/jasperwalk/transport/hello.py
@@ -23,6 +23,7 @@
     REPORTER = "reporter"
     RELAY = "relay"
     LENDING = "lending"
+    OPERATOR = "operator"
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=1):
