--- a/src/jasperwalk_lab/cli.py
+++ b/src/jasperwalk_lab/cli.py
@@ -13,6 +13,7 @@
 from jasperwalk_lab.commands.fleet import fleet
 from jasperwalk_lab.commands.load import load
 from jasperwalk_lab.commands.simulate import simulate
+from jasperwalk_lab.commands.soak import soak
 from jasperwalk_lab.commands.stand_in import stand_in
 from jasperwalk_lab.serving import configure_lab_logging
 
@@ -32,6 +33,7 @@
 lab.add_command(load)
 lab.add_command(report)
 lab.add_command(simulate)
+lab.add_command(soak)
 lab.add_command(stand_in)
 
 
--- /dev/null
+++ b/src/jasperwalk_lab/commands/soak.py
@@ -0,0 +1,85 @@
+"""`jasperwalk-lab soak`: random faults in running processes, and the promises checked."""
+
+from __future__ import annotations
+
+import secrets
+import sys
+from pathlib import Path
+
+import click
+import msgspec
+
+from jasperwalk_lab.chaos.report import describe as describe_chaos
+from jasperwalk_lab.chaos.run import run_chaos
+from jasperwalk_lab.commands.options import example_option, runs_option
+from jasperwalk_lab.commands.running import run_stoppable
+from jasperwalk_lab.soak.kept_seeds import read_kept_seeds
+from jasperwalk_lab.soak.report import SoakReport, describe
+from jasperwalk_lab.soak.run import run_soak
+
+EXIT_PROMISE_BROKEN = 1
+SHORTEST_MINUTES = 0.4
+SEED_BITS = 31
+SECONDS_PER_MINUTE = 60.0
+PLANES = ("datagrams", "http3")
+
+
+@click.command("soak")
+@click.option(
+    "--minutes",
+    type=click.FloatRange(min=SHORTEST_MINUTES),
+    default=2.0,
+    show_default=True,
+    help="Length of the run.",
+)
+@click.option("--seed", type=int, default=None, help="Seed of the schedule; drawn if left out.")
+@click.option("--plane", type=click.Choice(PLANES), default=PLANES[0], show_default=True)
+@click.option("--kept", is_flag=True, help="Play the seeds that once failed first.")
+@example_option
+@runs_option
+@click.option("--json", "as_json", is_flag=True, help="Print the verdict as one JSON object.")
+def soak(
+    minutes: float,
+    seed: int | None,
+    plane: str,
+    kept: bool,
+    example: str,
+    runs: Path,
+    as_json: bool,
+) -> None:
+    """Kill, pause, cut, drain and wipe in running processes, and check every promise.
+
+    The same seed gives the same schedule of faults. Exit status 0 when every promise held, 1 when
+    one was broken, 2 for wrong flags. The run's folder has the logs, the schedule as it took place
+    (history.json), the verdict and a page with plots.
+    """
+    drawn_seed = secrets.randbits(SEED_BITS) if seed is None else seed
+    if plane == PLANES[1]:
+        sys.exit(_soak_http3(example, minutes, drawn_seed, runs, as_json))
+    runs_to_play = [(each.seconds, each.seed) for each in read_kept_seeds()] if kept else []
+    runs_to_play.append((minutes * SECONDS_PER_MINUTE, drawn_seed))
+    broken = False
+    for seconds, each_seed in runs_to_play:
+        report = run_stoppable(run_soak(seconds, each_seed, runs, _tell))
+        _print(report, as_json)
+        broken = broken or bool(report.violations)
+    sys.exit(EXIT_PROMISE_BROKEN if broken else 0)
+
+
+def _soak_http3(example: str, minutes: float, seed: int, runs: Path, as_json: bool) -> int:
+    seconds = minutes * SECONDS_PER_MINUTE
+    report = run_stoppable(run_chaos(example, seconds, seed, runs, _tell))
+    click.echo(describe_chaos(report), err=as_json)
+    if as_json:
+        click.echo(msgspec.json.encode(report).decode())
+    return EXIT_PROMISE_BROKEN if report.violations else 0
+
+
+def _tell(line: str) -> None:
+    click.echo(line, err=True)
+
+
+def _print(report: SoakReport, as_json: bool) -> None:
+    click.echo(describe(report), err=as_json)
+    if as_json:
+        click.echo(msgspec.json.encode(report).decode())
--- /dev/null
+++ b/src/jasperwalk_lab/soak/checks.py
@@ -0,0 +1,207 @@
+"""The promises of the datagram plane, each checked on a soak's history."""
+
+from __future__ import annotations
+
+import enum
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
+
+import msgspec
+
+from jasperwalk_lab.soak.history import (
+    OpeningTaken,
+    RequestOutcome,
+    RequestRun,
+    SoakHistory,
+)
+
+HOST_DRAIN_SECONDS = 0.5
+"""Acknowledgements of an agent hold at once; the rest is for packets under way."""
+ZONE_DRAIN_SECONDS = 4.0
+"""Within this time an order holds wherever a balancer or the agent has a home."""
+CONFIGURATION_SECONDS = 4.0
+"""Age of an acknowledgement from which no replica may answer with an older configuration."""
+PLANNED_CALM_SECONDS = 6.0
+"""A reset counts as planned work's where no other fault was this near before it."""
+BACK_SECONDS = 6.0
+"""Time after the last fault in which the service comes back."""
+LEAST_ANSWERED_SHARE = 0.97
+"""Share of the requests after that which have to be answered: one in a hundred may meet its end
+of the run."""
+LEAST_REQUESTS_AFTER = 20
+MOST_MEMORY_GROWTH = 1.5
+MEMORY_SLACK_BYTES = 24 << 20
+DESCRIPTOR_SLACK = 24
+
+
+class SoakPromise(enum.StrEnum):
+    """What must hold."""
+
+    AT_MOST_ONCE = "a request runs at most once"
+    RIGHT_ANSWER = "an answer belongs to the request"
+    RIGHT_SERVICE = "a packet reaches only hosts of its service"
+    HOST_DRAINED = "a host that drains gets no new flow"
+    ZONE_DRAINED = "a drained zone gets no new flow"
+    WARM_UP = "a cold host gets no more flows a second than it bears"
+    CONFIGURATION_KEPT = "an acknowledged configuration is read back"
+    PLANNED_WORK = "planned work resets no open flow"
+    BACK_IN_TIME = "service is back in time after the last fault"
+    NO_EXIT = "no process ends by itself"
+    RESOURCES = "memory and descriptors return to where they were"
+
+
+class SoakViolation(msgspec.Struct, frozen=True):
+    """A broken promise: when, and what was seen."""
+
+    promise: SoakPromise
+    at: float
+    detail: str
+
+
+Check = Callable[[SoakHistory, float], Iterator[SoakViolation]]
+"""A check; the number is how many new flows a second a cold host may get."""
+
+
+def check_all(history: SoakHistory, cold_flows_per_second: float) -> list[SoakViolation]:
+    """Return every broken promise, in the order of time."""
+    found = [each for check in CHECKS for each in check(history, cold_flows_per_second)]
+    return sorted(found, key=lambda each: each.at)
+
+
+def _at_most_once(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
+    hosts: dict[str, str] = {}
+    for run in history.runs:
+        first = hosts.setdefault(run.request_id, run.host_id)
+        if first != run.host_id:
+            detail = f"{run.request_id} at {first} and {run.host_id}"
+            yield SoakViolation(SoakPromise.AT_MOST_ONCE, run.at, detail)
+
+
+def _right_answer(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
+    for request in history.requests:
+        is_answered = request.outcome is RequestOutcome.ANSWERED
+        if is_answered and request.answered_id != request.request_id:
+            detail = f"{request.request_id} got the answer of {request.answered_id}"
+            yield SoakViolation(SoakPromise.RIGHT_ANSWER, request.at, detail)
+
+
+def _right_service(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
+    arrived: list[OpeningTaken | RequestRun] = [*history.openings, *history.runs]
+    for seen in arrived:
+        if seen.service != seen.route_service:
+            detail = f"{seen.host_id} of {seen.service} got a packet for {seen.route_service}"
+            yield SoakViolation(SoakPromise.RIGHT_SERVICE, seen.at, detail)
+
+
+def _host_drained(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
+    drained_at = {each.host_id: each.at for each in history.drained}
+    for opening in history.openings:
+        since = drained_at.get(opening.host_id)
+        if since is not None and opening.at > since + HOST_DRAIN_SECONDS:
+            detail = f"{opening.host_id}, {opening.at - since:.2f} s after its acknowledgement"
+            yield SoakViolation(SoakPromise.HOST_DRAINED, opening.at, detail)
+
+
+def _zone_drained(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
+    for begins_at, ends_at, zone in _drained_spans(history):
+        for opening in history.openings:
+            if opening.zone == zone and begins_at < opening.at < ends_at:
+                detail = f"{opening.host_id} in {zone}"
+                yield SoakViolation(SoakPromise.ZONE_DRAINED, opening.at, detail)
+
+
+def _drained_spans(history: SoakHistory) -> Iterator[tuple[float, float, str]]:
+    """Yield from when to when each zone has to be without new flows."""
+    for order in history.zones:
+        if not order.drained or order.acknowledged_at is None:
+            continue
+        later = [
+            each.sent_at
+            for each in history.zones
+            if each.zone == order.zone and not each.drained and each.sent_at > order.sent_at
+        ]
+        yield order.acknowledged_at + ZONE_DRAIN_SECONDS, min(later, default=1e9), order.zone
+
+
+def _warm_up(history: SoakHistory, cold_flows_per_second: float) -> Iterator[SoakViolation]:
+    times: dict[str, list[float]] = defaultdict(list)
+    for opening in history.openings:
+        times[opening.host_id].append(opening.at)
+    for cold in history.cold:
+        seen = [at for at in times[cold.host_id] if cold.begins_at <= at < cold.ends_at]
+        for start in seen:
+            count = sum(start <= at < start + 1.0 for at in seen)
+            if count > cold_flows_per_second:
+                detail = f"{cold.host_id} got {count} within a second"
+                yield SoakViolation(SoakPromise.WARM_UP, start, detail)
+                break
+
+
+def _configuration_kept(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
+    for read in history.reads:
+        old_enough = read.asked_at - CONFIGURATION_SECONDS
+        is_last = read.asked_at >= history.ends_at
+        acknowledged = [
+            each.version for each in history.acknowledged if each.at <= old_enough or is_last
+        ]
+        newest = max(acknowledged, default=0)
+        if read.version < newest:
+            detail = f"version {read.version}, {newest} was acknowledged"
+            yield SoakViolation(SoakPromise.CONFIGURATION_KEPT, read.asked_at, detail)
+
+
+def _planned_work(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
+    unplanned = [each for each in history.faults if not each.planned.is_planned]
+    for reset in history.resets:
+        near = [
+            each
+            for each in unplanned
+            if each.began_at <= reset.at
+            and reset.at <= (each.ended_at or history.ends_at) + PLANNED_CALM_SECONDS
+        ]
+        if not near:
+            detail = f"{reset.flow} at {reset.host_id}"
+            yield SoakViolation(SoakPromise.PLANNED_WORK, reset.at, detail)
+
+
+def _back_in_time(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
+    last = max((each.ended_at or each.began_at for each in history.faults), default=0.0)
+    after = [each for each in history.requests if each.began_at > last + BACK_SECONDS]
+    counts = Counter(each.outcome for each in after)
+    answered = counts[RequestOutcome.ANSWERED]
+    if len(after) < LEAST_REQUESTS_AFTER or answered < LEAST_ANSWERED_SHARE * len(after):
+        detail = f"{answered} of {len(after)} requests, {BACK_SECONDS} s after the last fault"
+        yield SoakViolation(SoakPromise.BACK_IN_TIME, last + BACK_SECONDS, detail)
+
+
+def _no_exit(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
+    for name in history.ended_processes:
+        yield SoakViolation(SoakPromise.NO_EXIT, history.ends_at, name)
+
+
+def _resources(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
+    for use in history.uses:
+        most_bytes = use.first_bytes * MOST_MEMORY_GROWTH + MEMORY_SLACK_BYTES
+        if use.last_bytes > most_bytes:
+            detail = f"{use.process}: {use.first_bytes >> 20} MB, then {use.last_bytes >> 20} MB"
+            yield SoakViolation(SoakPromise.RESOURCES, history.ends_at, detail)
+        if use.last_descriptors > use.first_descriptors + DESCRIPTOR_SLACK:
+            detail = (
+                f"{use.process}: {use.first_descriptors} descriptors, then {use.last_descriptors}"
+            )
+            yield SoakViolation(SoakPromise.RESOURCES, history.ends_at, detail)
+
+
+CHECKS: tuple[Check, ...] = (
+    _at_most_once,
+    _right_answer,
+    _right_service,
+    _host_drained,
+    _zone_drained,
+    _warm_up,
+    _configuration_kept,
+    _planned_work,
+    _back_in_time,
+    _no_exit,
+    _resources,
+)
--- /dev/null
+++ b/src/jasperwalk_lab/soak/faults.py
@@ -0,0 +1,114 @@
+"""The faults of a soak: what they strike, how long they last, which of them are planned work."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class TargetGroup(enum.StrEnum):
+    """What a fault strikes."""
+
+    CONTROL = "control"
+    BALANCER = "balancer"
+    AGENT = "agent"
+    HOST = "host"
+    ZONE = "zone"
+    ALL = "all"
+
+
+class FaultKind(enum.StrEnum):
+    """What happens."""
+
+    CONTROL_KILLED = "control-killed"
+    CONTROL_PAUSED = "control-paused"
+    CONTROL_WIPED = "control-wiped"
+    CONTROL_TERMINATED = "control-terminated"
+    CONTROL_LINKS_SILENT = "control-links-silent"
+    CONTROL_LINKS_ONE_WAY = "control-links-one-way"
+    CONTROL_LINKS_SLOW = "control-links-slow"
+    CONTROL_LINKS_RESET = "control-links-reset"
+    STORAGE_SLOW = "storage-slow"
+    STORAGE_FULL = "storage-full"
+    STORAGE_SYNC_FAILS = "storage-sync-fails"
+    BALANCER_KILLED = "balancer-killed"
+    BALANCER_PAUSED = "balancer-paused"
+    BALANCER_TERMINATED = "balancer-terminated"
+    AGENT_KILLED = "agent-killed"
+    AGENT_PAUSED = "agent-paused"
+    AGENT_TERMINATED = "agent-terminated"
+    AGENT_LINKS_LOSSY = "agent-links-lossy"
+    AGENT_LINKS_SILENT = "agent-links-silent"
+    AGENT_LINKS_ONE_WAY = "agent-links-one-way"
+    HOST_CRASHED = "host-crashed"
+    HOST_REPLACED = "host-replaced"
+    HOST_TURNS_AWAY = "host-turns-away"
+    ZONE_DRAINED = "zone-drained"
+    ALL_KILLED = "all-killed"
+
+
+class FaultShape(msgspec.Struct, frozen=True):
+    """A kind's target, its shortest and longest time in seconds, and whether it is planned work."""
+
+    group: TargetGroup
+    shortest: float
+    longest: float
+    is_planned: bool = False
+
+
+SHAPES = {
+    FaultKind.CONTROL_KILLED: FaultShape(TargetGroup.CONTROL, 0.3, 2.0),
+    FaultKind.CONTROL_PAUSED: FaultShape(TargetGroup.CONTROL, 0.3, 2.5),
+    FaultKind.CONTROL_WIPED: FaultShape(TargetGroup.CONTROL, 0.3, 1.5),
+    FaultKind.CONTROL_TERMINATED: FaultShape(TargetGroup.CONTROL, 0.3, 1.0, is_planned=True),
+    FaultKind.CONTROL_LINKS_SILENT: FaultShape(TargetGroup.CONTROL, 1.0, 3.0),
+    FaultKind.CONTROL_LINKS_ONE_WAY: FaultShape(TargetGroup.CONTROL, 1.0, 3.0),
+    FaultKind.CONTROL_LINKS_SLOW: FaultShape(TargetGroup.CONTROL, 1.0, 3.0),
+    FaultKind.CONTROL_LINKS_RESET: FaultShape(TargetGroup.CONTROL, 0.1, 0.2),
+    FaultKind.STORAGE_SLOW: FaultShape(TargetGroup.CONTROL, 1.0, 3.0),
+    FaultKind.STORAGE_FULL: FaultShape(TargetGroup.CONTROL, 0.5, 2.0),
+    FaultKind.STORAGE_SYNC_FAILS: FaultShape(TargetGroup.CONTROL, 0.3, 1.0),
+    FaultKind.BALANCER_KILLED: FaultShape(TargetGroup.BALANCER, 0.2, 1.0),
+    FaultKind.BALANCER_PAUSED: FaultShape(TargetGroup.BALANCER, 0.3, 2.0),
+    FaultKind.BALANCER_TERMINATED: FaultShape(TargetGroup.BALANCER, 0.3, 1.0, is_planned=True),
+    FaultKind.AGENT_KILLED: FaultShape(TargetGroup.AGENT, 0.2, 0.8),
+    FaultKind.AGENT_PAUSED: FaultShape(TargetGroup.AGENT, 0.3, 2.0),
+    FaultKind.AGENT_TERMINATED: FaultShape(TargetGroup.AGENT, 0.2, 0.6, is_planned=True),
+    FaultKind.AGENT_LINKS_LOSSY: FaultShape(TargetGroup.AGENT, 1.0, 4.0),
+    FaultKind.AGENT_LINKS_SILENT: FaultShape(TargetGroup.AGENT, 0.5, 2.0),
+    FaultKind.AGENT_LINKS_ONE_WAY: FaultShape(TargetGroup.AGENT, 0.5, 2.0),
+    FaultKind.HOST_CRASHED: FaultShape(TargetGroup.HOST, 0.3, 2.0),
+    FaultKind.HOST_REPLACED: FaultShape(TargetGroup.HOST, 0.3, 1.0, is_planned=True),
+    FaultKind.HOST_TURNS_AWAY: FaultShape(TargetGroup.HOST, 1.0, 3.0),
+    FaultKind.ZONE_DRAINED: FaultShape(TargetGroup.ZONE, 6.0, 9.0, is_planned=True),
+    FaultKind.ALL_KILLED: FaultShape(TargetGroup.ALL, 0.2, 0.8),
+}
+
+
+class PlannedFault(msgspec.Struct, frozen=True):
+    """One fault: when it begins, what it strikes, how long it lasts; seconds of the run."""
+
+    at: float
+    kind: FaultKind
+    target: str
+    seconds: float
+
+    @property
+    def is_planned(self) -> bool:
+        """Tell whether it is planned work, which may cost no open flow."""
+        return SHAPES[self.kind].is_planned
+
+    @property
+    def ends_at(self) -> float:
+        """When it is undone."""
+        return self.at + self.seconds
+
+
+class HappenedFault(msgspec.Struct, frozen=True):
+    """A fault as it took place; `ended_at` is None where the run ended before it was undone."""
+
+    planned: PlannedFault
+    began_at: float
+    ended_at: float | None
+    failure: str = ""
--- /dev/null
+++ b/src/jasperwalk_lab/soak/fleet.py
@@ -0,0 +1,284 @@
+"""The processes of a soak: control replicas, balancers and agents, started through `platform/`.
+
+Each has loopback addresses of its own. Replicas and agents advertise relays, in which links fail.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import random
+import shutil
+import signal
+import socket
+import sys
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import psutil
+import tomli_w
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk_lab.soak.callers import BalancerPlace
+from jasperwalk_lab.soak.hosts import HostPlace
+from jasperwalk_lab.soak.relays import TcpRelay, UdpRelay
+from jasperwalk_lab.soak.schedule import SoakNames
+
+ROOT = Path(__file__).resolve().parents[3]
+RUN_SCRIPT = ROOT / "platform" / "run.py"
+SETTINGS_VARIABLE = "JASPERWALK_NODE_FILE"
+ZONES = ("north", "south")
+SERVICES = ("web", "export")
+CONTROLS = 3
+BALANCERS = 3
+AGENTS = 6
+STOP_SECONDS = 8.0
+"""From SIGTERM to SIGKILL: an agent may wait for a host that leaves."""
+WARM_UP_FLOOR = 5
+ROLES = ("control", "balancer", "agent")
+STORAGE_FAULT_FILE = "storage-fault"
+
+
+class ProcessNotRunning(Exception):
+    """A process that was to be struck does not run."""
+
+
+@dataclass
+class SoakProcess:
+    """One process of the product; `settings` are written anew at each start."""
+
+    name: str
+    role: str
+    settings: dict[str, object]
+    folder: Path
+    process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start it; its log goes on."""
+        path = self.folder / f"{self.name}.toml"
+        path.write_text(tomli_w.dumps(self.settings), encoding="utf-8")
+        environment = {"PATH": os.environ.get("PATH", ""), SETTINGS_VARIABLE: str(path)}
+        with (self.folder / f"{self.name}.log").open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(RUN_SCRIPT),
+                self.role,
+                cwd=ROOT,
+                env=environment,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal by process ID."""
+        if self.process is None or self.process.returncode is not None:
+            raise ProcessNotRunning(self.name)
+        self.process.send_signal(number)
+
+    async def end(self, number: signal.Signals) -> None:
+        """End it with a signal; SIGTERM is followed by SIGKILL after a while."""
+        process, self.process = self.process, None
+        if process is None:
+            return
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGCONT)
+            process.send_signal(number)
+        try:
+            await asyncio.wait_for(process.wait(), STOP_SECONDS)
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+
+    def has_ended_by_itself(self) -> bool:
+        """Tell whether it ended though nobody ended it."""
+        return self.process is not None and self.process.returncode is not None
+
+    def use(self) -> tuple[int, int]:
+        """Return its resident bytes and open descriptors, zeros where it does not run."""
+        if self.process is None or self.process.returncode is not None:
+            return 0, 0
+        try:
+            seen = psutil.Process(self.process.pid)
+            return int(seen.memory_info().rss), int(seen.num_fds())
+        except psutil.Error:
+            return 0, 0
+
+
+def common_port(hosts: Sequence[str]) -> int:
+    """Return a port that is free on each of these addresses, for TCP and UDP."""
+    while True:
+        with contextlib.ExitStack() as stack:
+            port = 0
+            try:
+                for host in hosts:
+                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                        probe = stack.enter_context(socket.socket(socket.AF_INET, kind))
+                        probe.bind((host, port))
+                        port = probe.getsockname()[1]
+            except OSError:
+                continue
+            return port
+
+
+class SoakFleet:
+    """Lays the processes out; use it as an asynchronous context."""
+
+    def __init__(self, folder: Path, drawn: random.Random) -> None:
+        self.folder = folder
+        self._block = random.SystemRandom().randrange(40, 120)
+        self._drawn = drawn
+        self._control_hosts = self._hosts(1, CONTROLS)
+        self._control_relays = self._hosts(2, CONTROLS)
+        self._balancer_hosts = self._hosts(3, BALANCERS)
+        self._agent_hosts = self._hosts(4, AGENTS)
+        self._agent_relays = self._hosts(5, AGENTS)
+        every = [
+            *self._control_hosts,
+            *self._control_relays,
+            *self._balancer_hosts,
+            *self._agent_hosts,
+            *self._agent_relays,
+            self._host(9, 1),
+        ]
+        names = ("replica", "operators", "callers", "ready", "frames", "calls", "packets", "app")
+        self._ports = {name: common_port(every) for name in names}
+        self.callers = Endpoint(self._host(9, 1), self._ports["callers"])
+        self.processes: dict[str, SoakProcess] = {}
+        self.control_relays: dict[str, TcpRelay] = {}
+        self.agent_relays: dict[str, UdpRelay] = {}
+        self.balancers: list[BalancerPlace] = []
+        self.hosts: dict[str, HostPlace] = {}
+        self._lay_out()
+
+    def _host(self, group: int, number: int) -> str:
+        return f"127.{self._block}.{group}.{number}"
+
+    def _hosts(self, group: int, count: int) -> list[str]:
+        return [self._host(group, number) for number in range(1, count + 1)]
+
+    def _at(self, host: str, port: str) -> Endpoint:
+        return Endpoint(host, self._ports[port])
+
+    def names(self) -> SoakNames:
+        """Return what faults may strike."""
+        by_role = {role: self.of_role(role) for role in ROLES}
+        return SoakNames(
+            tuple(each.name for each in by_role["control"]),
+            tuple(each.name for each in by_role["balancer"]),
+            tuple(each.name for each in by_role["agent"]),
+            ZONES,
+        )
+
+    def of_role(self, role: str) -> list[SoakProcess]:
+        """Return the processes of a role."""
+        return [each for each in self.processes.values() if each.role == role]
+
+    def replicas(self) -> list[Endpoint]:
+        """Return where operators call."""
+        return [self._at(host, "operators") for host in self._control_hosts]
+
+    def _lay_out(self) -> None:
+        for number, host in enumerate(self._control_hosts):
+            self._lay_out_control(number, host)
+        for number, host in enumerate(self._balancer_hosts):
+            self._lay_out_balancer(number, host)
+        for number, host in enumerate(self._agent_hosts):
+            self._lay_out_agent(number, host)
+
+    def _add(self, name: str, role: str, zone: str, **settings: object) -> None:
+        seeds = [str(self._at(host, "operators")) for host in self._control_relays]
+        common: dict[str, object] = {"name": name, "zone": zone, "seeds": seeds}
+        self.processes[name] = SoakProcess(name, role, {**common, **settings}, self.folder)
+
+    def _lay_out_control(self, number: int, host: str) -> None:
+        name = f"control-{number}"
+        relay = self._at(self._control_relays[number], "replica")
+        listen = self._at(host, "replica")
+        self.control_relays[name] = TcpRelay(relay, listen)
+        self._add(
+            name,
+            "control",
+            ZONES[number % len(ZONES)],
+            data_folder=str(self.folder / f"{name}-data"),
+            operators_listen=str(self._at(host, "operators")),
+            replica_listen=str(listen),
+            replica_advertised=str(relay),
+            storage_faults=str(self.storage_fault_file(name)),
+            zones=list(ZONES),
+            founding=True,
+        )
+
+    def _lay_out_balancer(self, number: int, host: str) -> None:
+        name = f"balancer-{number}"
+        callers, ready = self._at(host, "callers"), self._at(host, "ready")
+        self.balancers.append(BalancerPlace(name, callers, ready))
+        self._add(
+            name,
+            "balancer",
+            ZONES[number % len(ZONES)],
+            callers_listen=str(callers),
+            readiness_listen=str(ready),
+            frames_listen=str(self._at(host, "frames")),
+            replica_port=self._ports["replica"],
+        )
+
+    def _lay_out_agent(self, number: int, host: str) -> None:
+        name = f"agent-{number}"
+        zone, service = ZONES[number % len(ZONES)], SERVICES[number % 3 == 0]
+        listen, relay = self._at(host, "frames"), self._at(self._agent_relays[number], "frames")
+        place = HostPlace(
+            name,
+            service,
+            zone,
+            self._at(host, "app"),
+            self._at(host, "packets"),
+            self._at(host, "calls"),
+        )
+        self.hosts[name] = place
+        self.agent_relays[name] = UdpRelay(relay, listen, self._host(6, number + 1), self._drawn)
+        self._add(
+            name,
+            "agent",
+            zone,
+            service=service,
+            host=str(place.app),
+            frames_listen=str(listen),
+            frames_advertised=str(relay),
+            host_packets_listen=str(place.packets),
+            host_calls_listen=str(place.calls),
+            readiness_listen=str(self._at(host, "ready")),
+            callers_port=self.callers.port,
+            replica_port=self._ports["replica"],
+            warm_up_floor=WARM_UP_FLOOR,
+        )
+
+    def storage_fault_file(self, control: str) -> Path:
+        """Return the file that says how a replica's storage misbehaves."""
+        return self.folder / f"{control}-{STORAGE_FAULT_FILE}"
+
+    def wipe(self, control: str) -> None:
+        """Empty a replica's data folder; its process must not run."""
+        shutil.rmtree(self.folder / f"{control}-data", ignore_errors=True)
+
+    async def __aenter__(self) -> SoakFleet:
+        """Start everything; the system is founded by its first start only."""
+        for tcp in self.control_relays.values():
+            await tcp.start()
+        for udp in self.agent_relays.values():
+            await udp.start()
+        await asyncio.gather(*(each.start() for each in self.processes.values()))
+        for control in self.of_role("control"):
+            control.settings["founding"] = False
+        return self
+
+    async def __aexit__(self, *_failure: object) -> None:
+        """End everything that was started here, by process ID."""
+        ending = [each.end(signal.SIGTERM) for each in self.processes.values()]
+        await asyncio.gather(*ending, return_exceptions=True)
+        for tcp in self.control_relays.values():
+            await tcp.close()
+        for udp in self.agent_relays.values():
+            udp.close()
--- /dev/null
+++ b/src/jasperwalk_lab/soak/history.py
@@ -0,0 +1,123 @@
+"""What callers, hosts and operators of a soak saw; the checks read nothing else."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+import msgspec
+
+from jasperwalk_lab.soak.faults import HappenedFault
+
+
+class RequestOutcome(enum.StrEnum):
+    """How a request ended for its caller."""
+
+    ANSWERED = "answered"
+    GIVEN_UP = "given-up"
+    FLOW_RESET = "flow-reset"
+
+
+class OpeningTaken(msgspec.Struct, frozen=True):
+    """An opening packet that reached a host; `route_service` is whose listener it named."""
+
+    at: float
+    host_id: str
+    service: str
+    route_service: str
+    zone: str
+
+
+class RequestRun(msgspec.Struct, frozen=True):
+    """A request that a host began to run."""
+
+    at: float
+    request_id: str
+    host_id: str
+    service: str
+    route_service: str
+
+
+class RequestEnded(msgspec.Struct, frozen=True):
+    """What became of a request; `answered_id` is the request that the answer names."""
+
+    began_at: float
+    at: float
+    request_id: str
+    outcome: RequestOutcome
+    answered_id: str = ""
+
+
+class OpenFlowReset(msgspec.Struct, frozen=True):
+    """A reset on a flow that its host, still alive, held open and had not reset itself."""
+
+    at: float
+    flow: str
+    host_id: str
+
+
+class HostDrained(msgspec.Struct, frozen=True):
+    """A host's word that it drains, acknowledged by the agent beside it."""
+
+    at: float
+    host_id: str
+
+
+class HostCold(msgspec.Struct, frozen=True):
+    """A host is cold from its start on."""
+
+    host_id: str
+    begins_at: float
+    ends_at: float
+
+
+class ZoneOrdered(msgspec.Struct, frozen=True):
+    """An order for a zone: when it was sent first, and acknowledged (None where it was not)."""
+
+    zone: str
+    drained: bool
+    sent_at: float
+    acknowledged_at: float | None
+
+
+class ConfigurationAcknowledged(msgspec.Struct, frozen=True):
+    """A configuration that an operator had acknowledged."""
+
+    at: float
+    version: int
+
+
+class ConfigurationRead(msgspec.Struct, frozen=True):
+    """A configuration that was read back from a replica."""
+
+    asked_at: float
+    version: int
+
+
+class ProcessUse(msgspec.Struct, frozen=True):
+    """Memory and descriptors of a process when traffic had begun, and at the end."""
+
+    process: str
+    first_bytes: int
+    last_bytes: int
+    first_descriptors: int
+    last_descriptors: int
+
+
+@dataclass
+class SoakHistory:
+    """Everything recorded; times are seconds of the run."""
+
+    openings: list[OpeningTaken] = field(default_factory=list)
+    runs: list[RequestRun] = field(default_factory=list)
+    requests: list[RequestEnded] = field(default_factory=list)
+    resets: list[OpenFlowReset] = field(default_factory=list)
+    drained: list[HostDrained] = field(default_factory=list)
+    cold: list[HostCold] = field(default_factory=list)
+    zones: list[ZoneOrdered] = field(default_factory=list)
+    acknowledged: list[ConfigurationAcknowledged] = field(default_factory=list)
+    reads: list[ConfigurationRead] = field(default_factory=list)
+    faults: list[HappenedFault] = field(default_factory=list)
+    ended_processes: list[str] = field(default_factory=list)
+    uses: list[ProcessUse] = field(default_factory=list)
+    ends_at: float = 0.0
--- /dev/null
+++ b/src/jasperwalk_lab/soak/hosts.py
@@ -0,0 +1,235 @@
+"""Stand-in hosts: they announce themselves, take flows, run requests, drain, crash, turn away."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk_lab.soak.history import HostCold, HostDrained, OpeningTaken, RequestRun, SoakHistory
+from jasperwalk_lab.soak.http_calls import call
+from jasperwalk_lab.soak.relays import Address, DatagramReceiver
+from jasperwalk_lab.soak.wire import ACK, FIN, RST, SYN, Heartbeat, Packet, bounced, decode
+
+HEARTBEAT_SECONDS = 0.8
+RETRY_SECONDS = 0.1
+WORK_SECONDS = (0.004, 0.03)
+COLD_SECONDS = 2.0
+CAPACITY = 4
+REQUEST_MARK = b"request "
+ANSWER_MARK = b"answer "
+OK_STATUS = 200
+
+
+@dataclass
+class HostFlow:
+    """A flow at a host; `answers` are kept for requests that come again, by their number."""
+
+    sequence: int
+    is_open: bool = False
+    answers: dict[int, bytes] = field(default_factory=dict)
+    running: set[int] = field(default_factory=set)
+    sent: int = 1
+
+
+@dataclass
+class HostPlace:
+    """Where a host is: its own address, where its packets go, and where it announces itself."""
+
+    name: str
+    service: str
+    zone: str
+    app: Endpoint
+    packets: Endpoint
+    calls: Endpoint
+
+
+@dataclass
+class SoakHost:
+    """One start of a host; a crash ends it, and another start has another ID."""
+
+    place: HostPlace
+    number: int
+    clock: Callable[[], float]
+    history: SoakHistory
+    service_of: Callable[[Endpoint], str]
+    drawn: random.Random
+    is_cold: bool = True
+    turns_away: bool = False
+    is_draining: bool = False
+    flows: dict[tuple[Endpoint, Endpoint], HostFlow] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Name this start."""
+        self.host_id = f"i-{self.place.name}-{self.number}"
+        self.is_alive = False
+        self.started_at = 0.0
+        self._calls = 0
+        self._transport: asyncio.DatagramTransport | None = None
+        self._server: asyncio.Server | None = None
+        self._announcing: asyncio.Task[None] | None = None
+        self._works: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listen, and announce the host again and again; raises `OSError`."""
+        place, loop = self.place, asyncio.get_running_loop()
+        self._server = await asyncio.start_server(_refuse_call, place.app.host, place.app.port)
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: DatagramReceiver(self._receive), local_addr=(place.app.host, place.app.port)
+        )
+        self.is_alive = True
+        self.started_at = self.clock()
+        if self.is_cold:
+            ends_at = self.started_at + COLD_SECONDS
+            self.history.cold.append(HostCold(self.host_id, self.started_at, ends_at))
+        self._announcing = asyncio.create_task(self._announce_again())
+
+    async def crash(self) -> None:
+        """Forget everything at once, without a word."""
+        self.is_alive = False
+        for task in (self._announcing, *self._works):
+            if task is not None:
+                task.cancel()
+        if self._transport is not None:
+            self._transport.close()
+        if self._server is not None:
+            self._server.close()
+        await asyncio.sleep(0)
+
+    async def drain(self, seconds: float) -> None:
+        """Say that the host leaves, serve on for a while, deregister and end."""
+        self.is_draining = True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                while not await self._announce():
+                    await asyncio.sleep(RETRY_SECONDS)
+        await asyncio.sleep(seconds)
+        await call(self.place.calls, "DELETE", f"/instances/{self.host_id}")
+        await self.crash()
+
+    async def _announce_again(self) -> None:
+        while True:
+            taken = await self._announce()
+            pause = HEARTBEAT_SECONDS * self.drawn.uniform(0.8, 1.2) if taken else RETRY_SECONDS
+            await asyncio.sleep(pause)
+
+    async def _announce(self) -> bool:
+        self._calls += 1
+        left = max(0.0, self.started_at + COLD_SECONDS - self.clock()) if self.is_cold else 0.0
+        is_draining = self.is_draining
+        heartbeat = Heartbeat(
+            host_id=self.host_id,
+            service=self.place.service,
+            address=self.place.app,
+            zone=self.place.zone,
+            capacity=CAPACITY,
+            is_draining=is_draining,
+            cold_seconds=left,
+            call_number=self._calls,
+        )
+        answer = await call(self.place.calls, "PUT", heartbeat.path(), heartbeat.body())
+        is_taken = answer.status == OK_STATUS
+        if is_taken and is_draining and self.is_alive:
+            self._note_drained()
+        return is_taken
+
+    def _note_drained(self) -> None:
+        if all(each.host_id != self.host_id for each in self.history.drained):
+            self.history.drained.append(HostDrained(self.clock(), self.host_id))
+
+    # Packets
+
+    def _receive(self, datagram: bytes, _address: Address) -> None:
+        packet = decode(datagram)
+        if packet is None or not self.is_alive:
+            return
+        key = (packet.source, packet.target)
+        if packet.flags & SYN:
+            self._take_opening(key, packet, datagram)
+            return
+        flow = self.flows.get(key)
+        if flow is None or not self._belongs(flow, packet):
+            self._send(bounced(datagram))
+            return
+        flow.is_open = True
+        if packet.flags & (FIN | RST):
+            del self.flows[key]
+        elif packet.data:
+            self._take_request(key, flow, packet)
+
+    def _belongs(self, flow: HostFlow, packet: Packet) -> bool:
+        """Tell whether a packet follows this host's answer up."""
+        return flow.is_open or (packet.acknowledged - flow.sequence) % 2**32 < 2**16
+
+    def _take_opening(
+        self, key: tuple[Endpoint, Endpoint], packet: Packet, datagram: bytes
+    ) -> None:
+        opening = OpeningTaken(
+            self.clock(),
+            self.host_id,
+            self.place.service,
+            self.service_of(packet.target),
+            self.place.zone,
+        )
+        self.history.openings.append(opening)
+        if self.turns_away:
+            self._send(bounced(datagram))
+            return
+        flow = self.flows.get(key)
+        if flow is None:
+            flow = self.flows[key] = HostFlow(self.drawn.randrange(2**32))
+        self._answer(key, flow.sequence, packet.sequence + 1, SYN | ACK, b"")
+
+    def _take_request(self, key: tuple[Endpoint, Endpoint], flow: HostFlow, packet: Packet) -> None:
+        number = packet.sequence
+        if number in flow.answers:
+            self._answer_request(key, flow, packet, flow.answers[number])
+        elif number not in flow.running:
+            flow.running.add(number)
+            task = asyncio.create_task(self._run(key, flow, packet))
+            self._works.add(task)
+            task.add_done_callback(self._works.discard)
+
+    async def _run(self, key: tuple[Endpoint, Endpoint], flow: HostFlow, packet: Packet) -> None:
+        request_id = packet.data.removeprefix(REQUEST_MARK).decode("ascii", "replace")
+        run = RequestRun(
+            self.clock(),
+            request_id,
+            self.host_id,
+            self.place.service,
+            self.service_of(packet.target),
+        )
+        self.history.runs.append(run)
+        await asyncio.sleep(self.drawn.uniform(*WORK_SECONDS))
+        answer = ANSWER_MARK + request_id.encode() + b" " + self.host_id.encode()
+        flow.answers[packet.sequence] = answer
+        self._answer_request(key, flow, packet, answer)
+
+    def _answer_request(
+        self, key: tuple[Endpoint, Endpoint], flow: HostFlow, packet: Packet, answer: bytes
+    ) -> None:
+        acknowledged = packet.sequence + len(packet.data)
+        self._answer(key, flow.sequence + 1, acknowledged, ACK, answer)
+
+    def _answer(
+        self,
+        key: tuple[Endpoint, Endpoint],
+        sequence: int,
+        acknowledged: int,
+        flags: int,
+        data: bytes,
+    ) -> None:
+        caller, listener = key
+        self._send(Packet(listener, caller, sequence, acknowledged, flags, data).encode())
+
+    def _send(self, datagram: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(datagram, (self.place.packets.host, self.place.packets.port))
+
+
+async def _refuse_call(_reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Nobody calls a stand-in's health page; that the port is open tells that the host runs."""
+    writer.transport.abort()
--- /dev/null
+++ b/src/jasperwalk_lab/soak/run.py
@@ -0,0 +1,205 @@
+"""One soak: processes, stand-ins, faults and checks, for some minutes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk_lab.fleet import make_run_folder
+from jasperwalk_lab.soak.callers import Callers, Router
+from jasperwalk_lab.soak.checks import check_all
+from jasperwalk_lab.soak.fleet import SERVICES, SoakFleet
+from jasperwalk_lab.soak.history import ProcessUse, SoakHistory
+from jasperwalk_lab.soak.hosts import COLD_SECONDS, SoakHost
+from jasperwalk_lab.soak.http_calls import call
+from jasperwalk_lab.soak.injector import HostYard, SoakInjector
+from jasperwalk_lab.soak.operators import Operators
+from jasperwalk_lab.soak.report import SoakReport, make_report, write_page
+from jasperwalk_lab.soak.schedule import plan_soak
+from jasperwalk_lab.soak.wire import READY_PATH, SoakConfiguration, SoakRoute
+
+LISTENERS = {
+    service: Endpoint("198.18.0.1", port)
+    for service, port in zip(SERVICES, (443, 8443), strict=True)
+}
+COLD_FLOWS_PER_SECOND = 8.0
+MOST_COLD_FLOWS = 8
+"""What the agents keep to; the check counts what reaches the hosts."""
+LONG_CALLERS = 16
+LONG_PAUSE_SECONDS = 0.6
+SHORT_PER_SECOND = 20.0
+READY_SECONDS = 60.0
+FIRST_USE_SECONDS = 1.5
+PROGRESS_SECONDS = 5.0
+WATCH_SECONDS = 0.2
+OK_STATUS = 200
+
+Progress = Callable[[str], None]
+
+
+async def run_soak(seconds: float, seed: int, runs: Path, progress: Progress) -> SoakReport:
+    """Play one soak; what it leaves stands in a folder of `runs`."""
+    folder = make_run_folder(runs, f"soak-{seed}")
+    progress(f"run folder {folder}, seed {seed}")
+    async with SoakFleet(folder, random.Random(f"links {seed}")) as fleet:
+        soak = Soak(fleet, seconds, seed, progress)
+        await soak.run()
+        progress("stopping the processes")
+    violations = check_all(soak.history, MOST_COLD_FLOWS)
+    report = make_report(seed, seconds, soak.history, violations)
+    (folder / "history.json").write_bytes(msgspec.json.encode(vars(soak.history)))
+    (folder / "report.json").write_bytes(msgspec.json.encode(report))
+    write_page(folder / "report.html", report, soak.history)
+    progress(f"report {folder / 'report.html'}")
+    return report
+
+
+class Soak:
+    """The parts of a run on processes that were started."""
+
+    def __init__(self, fleet: SoakFleet, seconds: float, seed: int, progress: Progress) -> None:
+        self._fleet = fleet
+        self._seconds = seconds
+        self._progress = progress
+        self._planned = plan_soak(fleet.names(), seconds, seed)
+        self._began_at = time.monotonic()
+        self._drawn = random.Random(f"traffic {seed}")
+        self.history = SoakHistory()
+        self._yard = HostYard(self._make_host)
+        self._router = Router(fleet.balancers)
+        self._callers = Callers(
+            fleet.callers, self._router, self._clock, self.history, self._yard.all, self._drawn
+        )
+        self._operators = Operators(
+            fleet.replicas(), _configuration, self._clock, self.history, self._drawn
+        )
+        self._injector = SoakInjector(
+            fleet, self._yard, self._operators, self._clock, self.history, progress, self._drawn
+        )
+        self._first_use: dict[str, tuple[int, int]] = {}
+
+    def _clock(self) -> float:
+        return time.monotonic() - self._began_at
+
+    def _make_host(self, agent: str, number: int, is_cold: bool) -> SoakHost:
+        return SoakHost(
+            self._fleet.hosts[agent],
+            number,
+            self._clock,
+            self.history,
+            _service_of,
+            self._drawn,
+            is_cold,
+        )
+
+    async def run(self) -> None:
+        """Bring the service up, let traffic and faults run, and read back at the end."""
+        await self._callers.start()
+        for agent in self._fleet.hosts:
+            await self._yard.start(agent, is_cold=False)
+        await self._operators.configure()
+        await self._until_ready()
+        self._began_at = time.monotonic()
+        self._forget_the_start()
+        background = [
+            asyncio.create_task(job)
+            for job in (
+                self._router.run(),
+                self._operators.change_configurations(),
+                self._operators.read_again(),
+                self._watch(),
+                self._short_requests(),
+                *self._long_requests(),
+            )
+        ]
+        try:
+            await self._injector.run(self._planned)
+            await asyncio.sleep(max(0.0, self._seconds - self._clock()))
+        finally:
+            await _cancel(background)
+        self.history.ends_at = self._clock()
+        await self._operators.read_at_end()
+        self._note_uses()
+        self._callers.close()
+        for host in self._yard.all():
+            await host.crash()
+
+    def _forget_the_start(self) -> None:
+        """Count times from here; the configuration of before still has to be held."""
+        self.history.openings.clear()
+        for host in self._yard.all():
+            host.started_at = -COLD_SECONDS
+
+    async def _until_ready(self) -> None:
+        async with asyncio.timeout(READY_SECONDS):
+            for place in self._fleet.balancers:
+                while (await call(place.ready, "GET", READY_PATH)).status != OK_STATUS:
+                    await asyncio.sleep(0.1)
+
+    def _long_requests(self) -> list[Coroutine[Any, Any, None]]:
+        listeners = list(LISTENERS.values())
+        return [
+            self._callers.request_now_and_then(listeners[number % 2], LONG_PAUSE_SECONDS)
+            for number in range(LONG_CALLERS)
+        ]
+
+    async def _short_requests(self) -> None:
+        async with asyncio.TaskGroup() as tasks:
+            while True:
+                listener = self._drawn.choice(list(LISTENERS.values()))
+                tasks.create_task(self._callers.request_once(listener))
+                await asyncio.sleep(self._drawn.expovariate(SHORT_PER_SECOND))
+
+    async def _watch(self) -> None:
+        """Note processes that end by themselves, and tell how the run goes."""
+        told_at = 0.0
+        while True:
+            await asyncio.sleep(WATCH_SECONDS)
+            for process in self._fleet.processes.values():
+                is_new = process.name not in self.history.ended_processes
+                if process.has_ended_by_itself() and is_new:
+                    self.history.ended_processes.append(process.name)
+            if not self._first_use and self._clock() > FIRST_USE_SECONDS:
+                self._first_use = {n: each.use() for n, each in self._fleet.processes.items()}
+            if self._clock() - told_at >= PROGRESS_SECONDS:
+                told_at = self._clock()
+                self._tell(told_at)
+
+    def _tell(self, now: float) -> None:
+        counts = Counter(each.outcome.value for each in self.history.requests)
+        told = ", ".join(f"{name} {count}" for name, count in sorted(counts.items()))
+        faults = "; ".join(self._injector.now) or "none"
+        self._progress(f"{now:6.1f} s of {self._seconds:.0f}  {told}  faults now: {faults}")
+
+    def _note_uses(self) -> None:
+        for name, process in self._fleet.processes.items():
+            first, last = self._first_use.get(name, (0, 0)), process.use()
+            if all(first) and all(last):
+                use = ProcessUse(name, first[0], last[0], first[1], last[1])
+                self.history.uses.append(use)
+
+
+def _configuration(version: int) -> SoakConfiguration:
+    routes = tuple(SoakRoute(listener, service) for service, listener in LISTENERS.items())
+    idle = SoakRoute(Endpoint("198.18.0.2", 1000 + version % 1000), SERVICES[0])
+    return SoakConfiguration(version, (*routes, idle), COLD_SECONDS, COLD_FLOWS_PER_SECOND)
+
+
+def _service_of(listener: Endpoint) -> str:
+    return next((name for name, each in LISTENERS.items() if each == listener), "")
+
+
+async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/tests/lab/soak/test_soak_checks.py
@@ -0,0 +1,148 @@
+"""Each check of a soak passes a clean history and finds the fault that it is there for."""
+
+import pytest
+
+from jasperwalk_lab.soak.checks import (
+    BACK_SECONDS,
+    CONFIGURATION_SECONDS,
+    HOST_DRAIN_SECONDS,
+    PLANNED_CALM_SECONDS,
+    ZONE_DRAIN_SECONDS,
+    SoakPromise,
+    check_all,
+)
+from jasperwalk_lab.soak.faults import FaultKind, HappenedFault, PlannedFault
+from jasperwalk_lab.soak.history import (
+    ConfigurationAcknowledged,
+    ConfigurationRead,
+    HostCold,
+    HostDrained,
+    OpenFlowReset,
+    OpeningTaken,
+    ProcessUse,
+    RequestEnded,
+    RequestOutcome,
+    RequestRun,
+    SoakHistory,
+    ZoneOrdered,
+)
+
+ENDS_AT = 60.0
+COLD_FLOWS = 8
+ANSWERED = RequestOutcome.ANSWERED
+
+
+def fault(kind, began_at, ended_at):
+    planned = PlannedFault(began_at, kind, "x", ended_at - began_at)
+    return HappenedFault(planned, began_at, ended_at)
+
+
+def opening(at, host_id="h1", zone="north", route_service="web"):
+    return OpeningTaken(at, host_id, "web", route_service, zone)
+
+
+def history(**parts):
+    """A run without faults whose requests were answered, changed by `parts`."""
+    requests = [
+        RequestEnded(at / 2, at / 2 + 0.02, f"q{at}", ANSWERED, f"q{at}") for at in range(110)
+    ]
+    made = SoakHistory(requests=requests, ends_at=ENDS_AT)
+    for name, values in parts.items():
+        getattr(made, name).extend(values)
+    return made
+
+
+def promises(made):
+    return {each.promise for each in check_all(made, COLD_FLOWS)}
+
+
+def test_a_clean_run_breaks_nothing():
+    made = history(
+        openings=[opening(1.0), opening(1.1)],
+        runs=[RequestRun(1.2, "q1", "h1", "web", "web"), RequestRun(1.3, "q1", "h1", "web", "web")],
+        acknowledged=[ConfigurationAcknowledged(1.0, 3)],
+        reads=[ConfigurationRead(2.0, 1), ConfigurationRead(2.0 + CONFIGURATION_SECONDS, 3)],
+        faults=[fault(FaultKind.AGENT_TERMINATED, 5.0, 6.0)],
+        uses=[ProcessUse("agent-0", 30 << 20, 32 << 20, 20, 22)],
+    )
+    assert promises(made) == set()
+
+
+BROKEN = {
+    SoakPromise.AT_MOST_ONCE: {
+        "runs": [
+            RequestRun(1.0, "q1", "h1", "web", "web"),
+            RequestRun(2.0, "q1", "h2", "web", "web"),
+        ]
+    },
+    SoakPromise.RIGHT_ANSWER: {"requests": [RequestEnded(1.0, 1.1, "q1", ANSWERED, "q2")]},
+    SoakPromise.RIGHT_SERVICE: {"openings": [opening(1.0, route_service="export")]},
+    SoakPromise.HOST_DRAINED: {
+        "drained": [HostDrained(1.0, "h1")],
+        "openings": [opening(1.1 + HOST_DRAIN_SECONDS)],
+    },
+    SoakPromise.ZONE_DRAINED: {
+        "zones": [ZoneOrdered("north", True, 1.0, 1.1), ZoneOrdered("north", False, 9.0, 9.1)],
+        "openings": [opening(1.2 + ZONE_DRAIN_SECONDS)],
+    },
+    SoakPromise.WARM_UP: {
+        "cold": [HostCold("h1", 1.0, 3.0)],
+        "openings": [opening(1.9 + number / 100) for number in range(COLD_FLOWS + 1)],
+    },
+    SoakPromise.CONFIGURATION_KEPT: {
+        "acknowledged": [ConfigurationAcknowledged(1.0, 3)],
+        "reads": [ConfigurationRead(1.1 + CONFIGURATION_SECONDS, 2)],
+    },
+    SoakPromise.PLANNED_WORK: {
+        "resets": [OpenFlowReset(9.0, "flow", "h1")],
+        "faults": [fault(FaultKind.BALANCER_TERMINATED, 8.0, 9.5)],
+    },
+    SoakPromise.BACK_IN_TIME: {
+        "requests": [
+            RequestEnded(50.0, 52.0, f"late{number}", RequestOutcome.GIVEN_UP)
+            for number in range(10)
+        ],
+        "faults": [fault(FaultKind.ALL_KILLED, 40.0, 49.0 - BACK_SECONDS)],
+    },
+    SoakPromise.NO_EXIT: {"ended_processes": ["agent-1"]},
+    SoakPromise.RESOURCES: {"uses": [ProcessUse("agent-0", 30 << 20, 90 << 20, 20, 20)]},
+}
+
+
+@pytest.mark.parametrize("promise", list(SoakPromise))
+def test_each_promise_can_be_found_broken(promise):
+    assert promises(history(**BROKEN[promise])) == {promise}
+
+
+def test_descriptors_that_stay_open_are_found():
+    made = history(uses=[ProcessUse("agent-0", 30 << 20, 30 << 20, 20, 80)])
+    assert promises(made) == {SoakPromise.RESOURCES}
+
+
+def test_what_was_acknowledged_last_is_read_back_at_the_end():
+    made = history(
+        acknowledged=[ConfigurationAcknowledged(ENDS_AT - 0.1, 3)],
+        reads=[ConfigurationRead(ENDS_AT + 0.1, 2)],
+    )
+    assert promises(made) == {SoakPromise.CONFIGURATION_KEPT}
+
+
+def test_a_reset_soon_after_an_unplanned_fault_is_excused():
+    made = history(
+        resets=[OpenFlowReset(9.0, "flow", "h1")],
+        faults=[fault(FaultKind.AGENT_KILLED, 2.0, 9.1 - PLANNED_CALM_SECONDS)],
+    )
+    assert promises(made) == set()
+
+
+def test_a_restored_zone_may_get_flows():
+    made = history(
+        zones=[ZoneOrdered("north", True, 1.0, 1.1), ZoneOrdered("north", False, 9.0, 9.1)],
+        openings=[opening(9.2), opening(7.0, zone="south")],
+    )
+    assert promises(made) == set()
+
+
+def test_an_order_that_was_not_acknowledged_promises_nothing():
+    made = history(zones=[ZoneOrdered("north", True, 1.0, None)], openings=[opening(9.0)])
+    assert promises(made) == set()
--- /dev/null
+++ b/tests/lab/soak/test_soak_schedule.py
@@ -0,0 +1,71 @@
+"""What a soak's seed draws, and that every kind of fault can be brought about."""
+
+import pytest
+
+from jasperwalk_lab.errors import LabSettingsError
+from jasperwalk_lab.soak.faults import SHAPES, FaultKind, TargetGroup
+from jasperwalk_lab.soak.injector import covers_every_kind
+from jasperwalk_lab.soak.kept_seeds import KeptSeed, read_kept_seeds
+from jasperwalk_lab.soak.schedule import (
+    LAST_FAULT_BEFORE_END_SECONDS,
+    MOST_OUT,
+    SoakNames,
+    plan_soak,
+)
+
+NAMES = SoakNames(
+    ("control-0", "control-1", "control-2"),
+    ("balancer-0", "balancer-1", "balancer-2"),
+    tuple(f"agent-{number}" for number in range(6)),
+    ("north", "south"),
+)
+
+
+def test_the_same_seed_gives_the_same_schedule():
+    assert plan_soak(NAMES, 120.0, 7) == plan_soak(NAMES, 120.0, 7)
+    assert plan_soak(NAMES, 120.0, 7) != plan_soak(NAMES, 120.0, 8)
+
+
+def test_a_few_schedules_have_every_kind_of_fault():
+    drawn = {fault.kind for seed in range(20) for fault in plan_soak(NAMES, 120.0, seed)}
+    assert drawn == set(FaultKind)
+    assert covers_every_kind()
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_more_is_out_of_order_at_once_than_has_to_be_borne(seed):
+    planned = plan_soak(NAMES, 120.0, seed)
+    for fault in planned:
+        group = SHAPES[fault.kind].group
+        others = [
+            each
+            for each in planned
+            if SHAPES[each.kind].group is group and each.at <= fault.at < each.ends_at
+        ]
+        assert len(others) <= MOST_OUT[group]
+        if group is TargetGroup.ALL:
+            assert len([each for each in planned if each.at <= fault.at < each.ends_at]) == 1
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_faults_are_over_before_the_end(seed):
+    last = max(fault.ends_at for fault in plan_soak(NAMES, 60.0, seed))
+    assert last <= 60.0 - LAST_FAULT_BEFORE_END_SECONDS + 1.0
+
+
+def test_kept_seeds_are_read_with_their_causes(tmp_path):
+    path = tmp_path / "seeds.txt"
+    path.write_text("# comment\n\n12 | 60 | a cause\n")
+    assert read_kept_seeds(path) == [KeptSeed(12, 60.0, "a cause")]
+    assert read_kept_seeds(tmp_path / "none.txt") == []
+
+
+def test_a_malformed_line_of_kept_seeds_is_named(tmp_path):
+    path = tmp_path / "seeds.txt"
+    path.write_text("twelve | 60 | a cause\n")
+    with pytest.raises(LabSettingsError, match="twelve"):
+        read_kept_seeds(path)
+
+
+def test_the_kept_seeds_of_the_repository_can_be_read():
+    assert all(each.cause for each in read_kept_seeds())
