Callers that have left are known by the time that the others take

Cause: in the seconds after a loss of power most flows that wait at agents belong to callers who have left.

--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -184,7 +184,7 @@
         flow.balancer = sender
         flow.seen_at = now
         flow.followed_up = True
-        self._half_open.discard(key)
+        self._half_open.note_followed_up(key, now)
         self._note_caller_packet(flow, packet, now)
         self.counters.packets_in += 1
         self.to_host(packet)
--- a/src/jasperwalk/agent/datagrams/half_open.py
+++ b/src/jasperwalk/agent/datagrams/half_open.py
@@ -4,9 +4,47 @@
 
 from jasperwalk.agent.datagrams.held_flow import HeldFlow
 
-ANSWER_EXPECTED_SECONDS = 0.25
+LONGEST_EXPECTED_SECONDS = 0.25
 """A caller that still waits follows its opening packet up within a round trip; after this an
-admitted flow without any further packet no longer counts as a request under way."""
+admitted flow without any further packet no longer counts as a request under way, however slow the
+others are. It holds while nothing has been measured."""
+SHORTEST_EXPECTED_SECONDS = 0.03
+"""The same, however fast the others are: a round trip within a country, and a busy balancer."""
+NEWEST_WEIGHT = 0.125
+DEVIATION_WEIGHT = 0.25
+DEVIATIONS = 4.0
+"""Weights of the newest sample and of its deviation, and the number of deviations beyond the mean
+that are waited for, as for a retransmission (RFC 6298)."""
+
+
+class FollowUpTime:
+    """How long callers take from the admission of their flow to its next packet.
+
+    After an outage many callers have left when their flows are admitted. Each such flow keeps one
+    of the host's few places for this long, so a fixed quarter of a second left hosts idle.
+    """
+
+    __slots__ = ("_deviation", "_mean")
+
+    def __init__(self) -> None:
+        self._mean = 0.0
+        self._deviation = 0.0
+
+    def note(self, seconds: float) -> None:
+        """Note one caller's time."""
+        if not self._mean:
+            self._mean, self._deviation = seconds, seconds / 2
+            return
+        deviation = abs(seconds - self._mean)
+        self._deviation += DEVIATION_WEIGHT * (deviation - self._deviation)
+        self._mean += NEWEST_WEIGHT * (seconds - self._mean)
+
+    def longest_expected(self) -> float:
+        """Return after how long a caller is taken to have left."""
+        if not self._mean:
+            return LONGEST_EXPECTED_SECONDS
+        expected = self._mean + DEVIATIONS * self._deviation
+        return min(max(expected, SHORTEST_EXPECTED_SECONDS), LONGEST_EXPECTED_SECONDS)
 
 
 class HalfOpenFlows:
@@ -14,22 +52,30 @@
 
     def __init__(self) -> None:
         self._flows: dict[bytes, HeldFlow] = {}
+        self.follow_up_time = FollowUpTime()
 
     def add(self, key: bytes, flow: HeldFlow) -> None:
         """Note an admitted flow, the newest of all."""
         self._flows.pop(key, None)
         self._flows[key] = flow
 
+    def note_followed_up(self, key: bytes, now: float) -> None:
+        """Note a caller's next packet."""
+        flow = self._flows.pop(key, None)
+        if flow is not None:
+            self.follow_up_time.note(now - flow.opened_at)
+
     def discard(self, key: bytes) -> None:
-        """Forget a flow that its caller has followed up, or that is gone."""
+        """Forget a flow that is gone."""
         self._flows.pop(key, None)
 
     def take_abandoned(self, now: float) -> list[HeldFlow]:
         """Take the flows whose callers had given up before they were admitted."""
         abandoned = []
+        longest = self.follow_up_time.longest_expected()
         while self._flows:
             key, flow = next(iter(self._flows.items()))
-            if now - flow.opened_at <= ANSWER_EXPECTED_SECONDS:
+            if now - flow.opened_at <= longest:
                 break
             abandoned.append(self._flows.pop(key))
         return abandoned
--- a/src/jasperwalk/agent/datagrams/process.py
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -42,7 +42,7 @@
 from jasperwalk.transport.http_server import HttpServer, serving
 
 SWEEP_SECONDS = 1.0
-QUEUE_SECONDS = 0.1
+QUEUE_SECONDS = 0.025
 """Pace of looking at waiting flows while no packet of the host gives the occasion."""
 DEREGISTRATION_SECONDS = 0.05
 """Time for the last announcement to leave before the process ends."""
@@ -108,6 +108,9 @@
         self._random = random.Random(secrets.randbits(64))
         self._incarnation = draw_incarnation()
         self._gone = False
+        self._advertised = (
+            Endpoint.parse(settings.frames_advertised) if settings.frames_advertised else None
+        )
         self._host_endpoint = Endpoint.parse(settings.host)
         self._host_address: SocketAddress = (self._host_endpoint.host, self._host_endpoint.port)
         frames_port = Endpoint.parse(settings.frames_listen).port
@@ -176,7 +179,7 @@
             incarnation=self._incarnation,
             role=NodeRole.AGENT,
             zone=self._settings.zone,
-            endpoint=self._frames.endpoint,
+            endpoint=self._advertised or self._frames.endpoint,
             service=self._settings.service,
             phase=HostPhase.GONE if self._gone else self.core.host_phase(),
             capacity=self.host.capacity,
--- a/tests/agent/datagrams/support.py
+++ b/tests/agent/datagrams/support.py
@@ -73,6 +73,12 @@
         self.host_packets.clear()
         return callers
 
+    def fill_at(self, now):
+        """Bring the host to its limit at this time."""
+        for port in range(1, 1 + most_requests(CAPACITY)):
+            caller = Endpoint("100.64.0.9", port)
+            assert self.open(now, caller).kind is FrameKind.ACCEPTED
+
     def follow_up(self, callers, now=1.0):
         """Let callers send their requests."""
         for caller in callers:
--- a/tests/agent/datagrams/test_flow_admission.py
+++ b/tests/agent/datagrams/test_flow_admission.py
@@ -5,7 +5,11 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.agent.datagrams.admission import most_requests
 from jasperwalk.agent.datagrams.admission_queue import LONGEST_WAIT_SECONDS
-from jasperwalk.agent.datagrams.half_open import ANSWER_EXPECTED_SECONDS
+from jasperwalk.agent.datagrams.half_open import (
+    LONGEST_EXPECTED_SECONDS,
+    SHORTEST_EXPECTED_SECONDS,
+    FollowUpTime,
+)
 from jasperwalk.agent.datagrams.host_response import (
     HOST_SILENCE_SECONDS,
     RETURNS_IN_A_ROW,
@@ -179,8 +183,8 @@
 def test_a_flow_whose_caller_had_given_up_does_not_keep_a_place():
     bench = Bench()
     bench.fill()
-    assert bench.open(1.0 + ANSWER_EXPECTED_SECONDS).flags == RefusalReason.FULL
-    assert bench.open(1.01 + ANSWER_EXPECTED_SECONDS).kind is FrameKind.ACCEPTED
+    assert bench.open(1.0 + LONGEST_EXPECTED_SECONDS).flags == RefusalReason.FULL
+    assert bench.open(1.01 + LONGEST_EXPECTED_SECONDS).kind is FrameKind.ACCEPTED
 
 
 def test_a_flow_whose_caller_followed_up_keeps_its_place():
@@ -193,7 +197,7 @@
     bench = Bench()
     bench.fill()
     bench.wait(1)
-    bench.agent.admit_waiting(1.01 + ANSWER_EXPECTED_SECONDS)
+    bench.agent.admit_waiting(1.01 + LONGEST_EXPECTED_SECONDS)
     assert len(bench.host_packets) == 1
 
 
@@ -278,3 +282,37 @@
     hand_back(bench, RETURNS_IN_A_ROW)
     bench.agent.host_changed(1.1)
     assert bench.open(1.2, Endpoint("100.64.0.9", 1)).kind is FrameKind.ACCEPTED
+
+
+def test_callers_that_left_are_known_by_the_time_that_the_others_take():
+    """After an outage most waiting callers have left; their places are not kept for 0.25 s each."""
+    bench = Bench()
+    for number in range(20):
+        caller = Endpoint("100.64.0.8", 1 + number)
+        at = 1.0 + number / 10
+        assert bench.open(at, caller).kind is FrameKind.ACCEPTED
+        bench.follow_up([caller], at + 0.008)
+        bench.agent.receive_host_packet(from_host(0, b"answer", caller=caller), at + 0.02)
+    bench.fill_at(4.0)
+    assert bench.open(3.99 + SHORTEST_EXPECTED_SECONDS).flags == RefusalReason.FULL
+    assert bench.open(4.01 + SHORTEST_EXPECTED_SECONDS).kind is FrameKind.ACCEPTED
+
+
+def test_the_time_that_callers_take_is_bounded_both_ways():
+    times = FollowUpTime()
+    assert times.longest_expected() == LONGEST_EXPECTED_SECONDS
+    times.note(0.0001)
+    assert times.longest_expected() == SHORTEST_EXPECTED_SECONDS
+    for _ in range(50):
+        times.note(2.0)
+    assert times.longest_expected() == LONGEST_EXPECTED_SECONDS
+
+
+def test_callers_that_take_longer_are_waited_for_longer():
+    times = FollowUpTime()
+    for _ in range(100):
+        times.note(0.05)
+    steady = times.longest_expected()
+    for number in range(100):
+        times.note(0.05 + 0.03 * (number % 2))
+    assert SHORTEST_EXPECTED_SECONDS < steady < times.longest_expected()
