--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -24,7 +24,7 @@
 from jasperwalk.agent.datagrams.load import LoadMeter
 from jasperwalk.agent.datagrams.waiting_flows import WaitingFlows
 from jasperwalk.agent.datagrams.warm_up import WarmUpLimit
-from jasperwalk.fleet.messages import DrainedZones, HostPhase
+from jasperwalk.fleet.messages import DrainedZones
 from jasperwalk.flows.codec import DatagramSender, PacketCodec, SocketAddress
 from jasperwalk.flows.frames import (
     REQUEST_HEAD,
@@ -62,7 +62,6 @@
     flow_idle_seconds: float = float("inf")
     """Longest rest of a flow that is kept."""
     _flows: dict[bytes, HeldFlow] = field(default_factory=dict)
-    _host_is_absent: bool = False
     _half_open: HalfOpenFlows = field(default_factory=HalfOpenFlows)
 
     def __post_init__(self) -> None:
@@ -137,16 +136,9 @@
 
     def note_host_absent(self, now: float) -> None:
         """Note that no host runs beside this agent: one that starts later starts here."""
-        if self.host.phase is HostPhase.UNKNOWN:
-            self.knowledge.host_started_here = True
-            self._host_is_absent = True
+        if self.knowledge.note_host_absent():
             self.log.note("host-absent", after_ms=round(1000 * (now - self.started_at)))
 
-    def host_phase(self) -> HostPhase:
-        """Return what is announced of the host; one that was absent has to announce itself."""
-        is_absent = self._host_is_absent and self.host.phase is HostPhase.UNKNOWN
-        return HostPhase.ABSENT if is_absent else self.host.phase
-
     def host_changed(self, now: float) -> None:
         """Doubt the flows in the table: another host has replaced the one beside this agent.
 
--- a/src/jasperwalk/agent/datagrams/flow_knowledge.py
+++ b/src/jasperwalk/agent/datagrams/flow_knowledge.py
@@ -35,6 +35,20 @@
     host_started_here: bool = False
     """True once it is sure that the present host started while this process watched."""
 
+    _host_was_absent: bool = False
+
+    def note_host_absent(self) -> bool:
+        """Note that no host runs there; False where one has announced itself meanwhile."""
+        if self.host.phase is not HostPhase.UNKNOWN:
+            return False
+        self.host_started_here = self._host_was_absent = True
+        return True
+
+    def host_phase(self) -> HostPhase:
+        """Return what is announced of the host; one that was absent has to announce itself."""
+        is_absent = self._host_was_absent and self.host.phase is HostPhase.UNKNOWN
+        return HostPhase.ABSENT if is_absent else self.host.phase
+
     def knows_all_flows(self, idle_seconds: float, now: float) -> bool:
         """Tell whether every open flow must have passed here since this process began.
 
--- a/src/jasperwalk/agent/datagrams/process.py
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -181,7 +181,7 @@
             zone=self._settings.zone,
             endpoint=self._advertised or self._frames.endpoint,
             service=self._settings.service,
-            phase=HostPhase.GONE if self._gone else self.core.host_phase(),
+            phase=HostPhase.GONE if self._gone else self.core.knowledge.host_phase(),
             capacity=self.host.capacity,
             slow_start_seconds=self.host.slow_start_seconds(now),
             host_zone="" if self.host.zone == self._settings.zone else self.host.zone,
--- a/src/jasperwalk_lab/ports.py
+++ b/src/jasperwalk_lab/ports.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import socket
+from collections.abc import Sequence
 from types import TracebackType
 from typing import Self
 
@@ -65,3 +67,19 @@
         self._held.append(datagram)
         datagram.bind((host, port))
         return Endpoint(host=host, port=port)
+
+
+def common_port(hosts: Sequence[str]) -> int:
+    """Return a port that is free on each of these addresses, for TCP and UDP."""
+    while True:
+        with contextlib.ExitStack() as stack:
+            port = 0
+            try:
+                for host in hosts:
+                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                        probe = stack.enter_context(socket.socket(socket.AF_INET, kind))
+                        probe.bind((host, port))
+                        port = probe.getsockname()[1]
+            except OSError:
+                continue
+            return port
--- a/src/jasperwalk_lab/soak/fleet.py
+++ b/src/jasperwalk_lab/soak/fleet.py
@@ -11,9 +11,7 @@
 import random
 import shutil
 import signal
-import socket
 import sys
-from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -21,6 +19,7 @@
 import tomli_w
 
 from jasperwalk.addresses import Endpoint
+from jasperwalk_lab.ports import common_port
 from jasperwalk_lab.soak.callers import BalancerPlace
 from jasperwalk_lab.soak.hosts import HostPlace
 from jasperwalk_lab.soak.relays import TcpRelay, UdpRelay
@@ -107,22 +106,6 @@
             return 0, 0
 
 
-def common_port(hosts: Sequence[str]) -> int:
-    """Return a port that is free on each of these addresses, for TCP and UDP."""
-    while True:
-        with contextlib.ExitStack() as stack:
-            port = 0
-            try:
-                for host in hosts:
-                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                        probe = stack.enter_context(socket.socket(socket.AF_INET, kind))
-                        probe.bind((host, port))
-                        port = probe.getsockname()[1]
-            except OSError:
-                continue
-            return port
-
-
 class SoakFleet:
     """Lays the processes out; use it as an asynchronous context."""
 
--- a/tests/agent/datagrams/test_held_flows.py
+++ b/tests/agent/datagrams/test_held_flows.py
@@ -177,8 +177,8 @@
 
 def test_an_absent_host_is_announced_as_absent_until_it_speaks():
     bench = Bench(HostPhase.UNKNOWN, started_at=10.0)
-    assert bench.agent.host_phase() is HostPhase.UNKNOWN
+    assert bench.agent.knowledge.host_phase() is HostPhase.UNKNOWN
     bench.agent.note_host_absent(10.01)
-    assert bench.agent.host_phase() is HostPhase.ABSENT
+    assert bench.agent.knowledge.host_phase() is HostPhase.ABSENT
     bench.say(HostPhase.READY, 1)
-    assert bench.agent.host_phase() is HostPhase.READY
+    assert bench.agent.knowledge.host_phase() is HostPhase.READY
--- a/tests/control/fleet/support.py
+++ b/tests/control/fleet/support.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import socket
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.control.fleet.configurations import ConfigurationService, Unavailable
@@ -13,27 +11,13 @@
 from jasperwalk.control.fleet.versioned_state import PutConfiguration
 from jasperwalk.flows.routes import FlowRoute, RouteBackend
 from jasperwalk.transport.http_messages import HttpResponse
+from jasperwalk_lab.ports import common_port
 
 ZONES = ("a", "b")
 PATIENCE_SECONDS = 30.0
 """Bound of every wait; nothing is asserted about how long things take."""
 
 
-def free_port(hosts):
-    """Return a port that is free on every one of these loopback addresses."""
-    while True:
-        with contextlib.ExitStack() as stack:
-            port = 0
-            try:
-                for host in hosts:
-                    probe = stack.enter_context(socket.socket())
-                    probe.bind((host, port))
-                    port = probe.getsockname()[1]
-            except OSError:
-                continue
-            return port
-
-
 async def until(condition):
     """Wait until the condition holds."""
     async with asyncio.timeout(PATIENCE_SECONDS):
@@ -117,8 +101,8 @@
     def __init__(self, tmp_path, size):
         hosts = [f"127.0.0.{number}" for number in range(1, size + 1)]
         self.seeds = hosts[:3]
-        self.replica_port = free_port(hosts)
-        self.operators_port = free_port(hosts)
+        self.replica_port = common_port(hosts)
+        self.operators_port = common_port(hosts)
         self.replicas = [Replica(self, host, tmp_path / host) for host in hosts]
 
     async def __aenter__(self):
--- a/tests/platform_adapter/test_processes.py
+++ b/tests/platform_adapter/test_processes.py
@@ -18,6 +18,8 @@
 import pytest
 from datagram_codec import PlatformCodec
 
+from jasperwalk_lab.ports import common_port
+
 ROOT = Path(__file__).resolve().parents[2]
 PATIENCE_SECONDS = 60.0
 """Bound of every wait; nothing is asserted about how long things take."""
@@ -28,25 +30,6 @@
 SYN, ACK = 4, 16
 
 
-def free_ports(count):
-    """Return ports that are free on every address, for TCP and UDP."""
-    found = []
-    while len(found) < count:
-        with contextlib.ExitStack() as stack:
-            port = 0
-            try:
-                for host in HOSTS:
-                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                        probe = stack.enter_context(socket.socket(socket.AF_INET, kind))
-                        probe.bind((host, port))
-                        port = probe.getsockname()[1]
-            except OSError:
-                continue
-            if port not in found:
-                found.append(port)
-    return found
-
-
 def packet(source, target, flags, data=b""):
     head = bytearray(32)
     head[0:4], head[4:6] = socket.inet_aton(source[0]), source[1].to_bytes(2, "big")
@@ -62,7 +45,7 @@
     def __init__(self, folder):
         self.folder = folder
         names = ("replica", "operators", "frames", "ready", "calls", "outbound", "app", "ingress")
-        self.ports = dict(zip(names, free_ports(len(names)), strict=True))
+        self.ports = {name: common_port(HOSTS) for name in names}
         self.processes = []
 
     def start(self, role, name, **settings):
