--- a/src/jasperwalk_lab/soak/injector.py
+++ b/src/jasperwalk_lab/soak/injector.py
@@ -43,7 +43,7 @@
 }
 
 
-class HostYard:
+class RunningHosts:
     """The hosts that run now, by the agent beside them; each start has the next number."""
 
     def __init__(self, make: Callable[[str, int, bool], SoakHost]) -> None:
@@ -73,7 +73,7 @@
     def __init__(
         self,
         fleet: SoakFleet,
-        yard: HostYard,
+        hosts: RunningHosts,
         operators: Operators,
         clock: Clock,
         history: SoakHistory,
@@ -81,7 +81,7 @@
         drawn: random.Random,
     ) -> None:
         self._fleet = fleet
-        self._yard = yard
+        self._hosts = hosts
         self._operators = operators
         self._clock = clock
         self._history = history
@@ -124,7 +124,7 @@
         elif kind in STORAGE:
             await self._spoil_storage(target, STORAGE[kind], fault.seconds)
         else:
-            await self._others[kind](self, fault)
+            await self._handlers[kind](self, fault)
 
     async def _restart(
         self, processes: list[SoakProcess], number: signal.Signals, seconds: float
@@ -164,17 +164,17 @@
         self._fleet.control_relays[fault.target].reset()
 
     async def _crash_host(self, fault: PlannedFault) -> None:
-        await self._yard.beside(fault.target).crash()
+        await self._hosts.beside(fault.target).crash()
         await asyncio.sleep(fault.seconds)
-        await self._yard.start(fault.target, is_cold=True)
+        await self._hosts.start(fault.target, is_cold=True)
 
     async def _replace_host(self, fault: PlannedFault) -> None:
-        await self._yard.beside(fault.target).drain(DRAIN_SECONDS)
+        await self._hosts.beside(fault.target).drain(DRAIN_SECONDS)
         await asyncio.sleep(fault.seconds)
-        await self._yard.start(fault.target, is_cold=True)
+        await self._hosts.start(fault.target, is_cold=True)
 
     async def _turn_away(self, fault: PlannedFault) -> None:
-        host = self._yard.beside(fault.target)
+        host = self._hosts.beside(fault.target)
         host.turns_away = True
         await asyncio.sleep(fault.seconds)
         host.turns_away = False
@@ -188,7 +188,9 @@
         processes = list(self._fleet.processes.values())
         await self._restart(processes, signal.SIGKILL, fault.seconds)
 
-    _others: ClassVar[dict[FaultKind, Callable[[SoakInjector, PlannedFault], Awaitable[None]]]] = {
+    _handlers: ClassVar[
+        dict[FaultKind, Callable[[SoakInjector, PlannedFault], Awaitable[None]]]
+    ] = {
         FaultKind.CONTROL_WIPED: _wipe,
         FaultKind.CONTROL_LINKS_RESET: _reset_links,
         FaultKind.HOST_CRASHED: _crash_host,
@@ -201,5 +203,5 @@
 
 def covers_every_kind() -> bool:
     """Tell whether each kind of fault can be brought about."""
-    known = KILLS | PAUSES | STOPS | LINKS.keys() | STORAGE.keys() | SoakInjector._others.keys()
+    known = KILLS | PAUSES | STOPS | LINKS.keys() | STORAGE.keys() | SoakInjector._handlers.keys()
     return known == SHAPES.keys()
--- a/src/jasperwalk_lab/soak/run.py
+++ b/src/jasperwalk_lab/soak/run.py
@@ -21,7 +21,7 @@
 from jasperwalk_lab.soak.history import ProcessUse, SoakHistory
 from jasperwalk_lab.soak.hosts import COLD_SECONDS, SoakHost
 from jasperwalk_lab.soak.http_calls import call
-from jasperwalk_lab.soak.injector import HostYard, SoakInjector
+from jasperwalk_lab.soak.injector import RunningHosts, SoakInjector
 from jasperwalk_lab.soak.operators import Operators
 from jasperwalk_lab.soak.report import SoakReport, make_report, write_page
 from jasperwalk_lab.soak.schedule import plan_soak
@@ -74,16 +74,16 @@
         self._began_at = time.monotonic()
         self._drawn = random.Random(f"traffic {seed}")
         self.history = SoakHistory()
-        self._yard = HostYard(self._make_host)
+        self._hosts = RunningHosts(self._make_host)
         self._router = Router(fleet.balancers)
         self._callers = Callers(
-            fleet.callers, self._router, self._clock, self.history, self._yard.all, self._drawn
+            fleet.callers, self._router, self._clock, self.history, self._hosts.all, self._drawn
         )
         self._operators = Operators(
             fleet.replicas(), _configuration, self._clock, self.history, self._drawn
         )
         self._injector = SoakInjector(
-            fleet, self._yard, self._operators, self._clock, self.history, progress, self._drawn
+            fleet, self._hosts, self._operators, self._clock, self.history, progress, self._drawn
         )
         self._first_use: dict[str, tuple[int, int]] = {}
 
@@ -105,7 +105,7 @@
         """Bring the service up, let traffic and faults run, and read back at the end."""
         await self._callers.start()
         for agent in self._fleet.hosts:
-            await self._yard.start(agent, is_cold=False)
+            await self._hosts.start(agent, is_cold=False)
         await self._operators.configure()
         await self._until_ready()
         self._began_at = time.monotonic()
@@ -130,13 +130,13 @@
         await self._operators.read_at_end()
         self._note_uses()
         self._callers.close()
-        for host in self._yard.all():
+        for host in self._hosts.all():
             await host.crash()
 
     def _forget_the_start(self) -> None:
         """Count times from here; the configuration of before still has to be held."""
         self.history.openings.clear()
-        for host in self._yard.all():
+        for host in self._hosts.all():
             host.started_at = -COLD_SECONDS
 
     async def _until_ready(self) -> None:
