--- a/src/jasperwalk/agent/datagrams/host.py
+++ b/src/jasperwalk/agent/datagrams/host.py
@@ -33,7 +33,7 @@
 
 
 class HostSummary(msgspec.Struct, frozen=True):
-    """What others are told of a host; a change of it is announced at once."""
+    """What others learn of a host; a change of it is announced at once."""
 
     host_id: str
     phase: HostPhase
