--- a/src/jasperwalk/transport/identity.py
+++ b/src/jasperwalk/transport/identity.py
@@ -46,6 +46,7 @@
     ConnectionKind.SUBSCRIBER: frozenset({ProcessRole.BALANCER, ProcessRole.AGENT}),
     ConnectionKind.RELAY: frozenset({ProcessRole.AGENT}),
     ConnectionKind.LENDING: frozenset({ProcessRole.AGENT}),
+    ConnectionKind.OPERATOR: frozenset({ProcessRole.OPERATOR}),
 }
 """Who may open a connection of a kind; nobody where the kind is not named."""
 
@@ -54,6 +55,7 @@
     ConnectionKind.SUBSCRIBER: frozenset({ProcessRole.CONTROL}),
     ConnectionKind.RELAY: frozenset({ProcessRole.AGENT}),
     ConnectionKind.LENDING: frozenset({ProcessRole.AGENT}),
+    ConnectionKind.OPERATOR: frozenset({ProcessRole.CONTROL}),
 }
 """Who serves connections of a kind."""
 
