Read once more: agents of a service by region in one place, one way to wrap a write, no state noted twice

What the last read of the change found, mended without a change of behaviour: - which agents of a service a route's regions allow was decided in three comprehensions, with a call for each agent on every new flow, also where no region is named; `TargetPool._of_service` decides it once; - the runner asked twice whether storage is in a trial; `StorageFaults.around` wraps the write; - both the agent and its admission remembered whether the zone had been drained before an order; - two loops of the tests sent to the leader until it acknowledged; the cluster has one.

No assertion was changed.

--- a/src/jasperwalk/agent/datagrams/admission.py
+++ b/src/jasperwalk/agent/datagrams/admission.py
@@ -36,17 +36,11 @@
     own_zone: str
     _drained: DrainedZones = field(default=NO_ZONES)
 
-    def take_zones(self, zones: DrainedZones, now: float) -> bool:
-        """Take the drained zones; return False for what newer knowledge has overtaken.
-
-        The hosts of a zone that is restored may have gone cold meanwhile, and not have said so.
-        """
+    def take_zones(self, zones: DrainedZones) -> bool:
+        """Take the drained zones; return False for what newer knowledge has overtaken."""
         if zones.revision <= self._drained.revision:
             return False
-        was_drained = self.is_zone_drained()
         self._drained = zones
-        if was_drained and not self.is_zone_drained():
-            self.warm_up.note_zone_restored(now)
         return True
 
     def is_zone_drained(self) -> bool:
--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -276,14 +276,19 @@
         return self.admission.refusal(self.meter.busy, now)
 
     def zones_changed(self, zones: DrainedZones, now: float) -> None:
-        """Take the drained zones; flows that wait for a host in one of them are reset at once."""
+        """Take the drained zones; flows that wait for a host in one of them are reset at once.
+
+        The hosts of a zone that is restored may have gone cold meanwhile, and not have said so.
+        """
         was_drained = self.admission.is_zone_drained()
-        if not self.admission.take_zones(zones, now):
+        if not self.admission.take_zones(zones):
             return
         is_drained = self.admission.is_zone_drained()
         if is_drained != was_drained:
             event = "zone-drained" if is_drained else "zone-restored"
             self.log.note(event, revision=zones.revision, waiting=len(self.queue))
+        if was_drained and not is_drained:
+            self.warm_up.note_zone_restored(now)
         self.admit_waiting(now)
 
     def _admit(
--- a/src/jasperwalk/control/raft_runner.py
+++ b/src/jasperwalk/control/raft_runner.py
@@ -298,15 +298,11 @@
             self._advance_state(ready)
             self._link_members()
 
-    def _write_badly(self, batch: PersistBatch) -> None:
-        """Write as a trial of failures wants it."""
-        if self._storage_faults is not None:
-            self._storage_faults.before_write()
-        self._storage.persist(batch)
-
     async def _persist(self, batch: PersistBatch) -> None:
         loop = asyncio.get_running_loop()
-        write = self._storage.persist if self._storage_faults is None else self._write_badly
+        write: Callable[[PersistBatch], None] = self._storage.persist
+        if self._storage_faults is not None:
+            write = self._storage_faults.around(write)
         await loop.run_in_executor(self._disk, write, batch)
         self._node.persisted()
 
--- a/src/jasperwalk/control/storage_faults.py
+++ b/src/jasperwalk/control/storage_faults.py
@@ -9,11 +9,13 @@
 
 import enum
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import structlog
 
 from jasperwalk.consensus.disk.failures import WriteFailed
+from jasperwalk.consensus.durable import PersistBatch
 
 LONGEST_SLOW_SECONDS = 10.0
 
@@ -34,6 +36,15 @@
     def __init__(self, path: Path) -> None:
         self._path = path
 
+    def around(self, write: Callable[[PersistBatch], None]) -> Callable[[PersistBatch], None]:
+        """Return a write that first does as the file says."""
+
+        def write_after_fault(batch: PersistBatch) -> None:
+            self.before_write()
+            write(batch)
+
+        return write_after_fault
+
     def before_write(self) -> None:
         """Wait, or raise `WriteFailed`, as the file says; an unreadable or odd one does nothing."""
         try:
--- a/src/jasperwalk/fleet/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -273,11 +273,7 @@
 
         `regions` are those that the flow's hosts may be in, empty where every region may.
         """
-        usable = [
-            each
-            for each in self._by_service.get(service, ())
-            if each.is_usable(now) and self._is_in(each, regions)
-        ]
+        usable = [each for each in self._of_service(service, regions) if each.is_usable(now)]
         candidates = [each for each in _ranked(usable, key, CANDIDATES) if each not in excluded]
         other_zone_cost = BULK_OTHER_ZONE_COST if is_bulk else OTHER_ZONE_COST
         return min(
@@ -292,9 +288,19 @@
             cost += SUSPECT_COST
         return cost
 
-    def _is_in(self, target: Target, regions: Collection[str]) -> bool:
-        """Tell whether a host is in one of the regions; a zone of no known region is in none."""
-        return not regions or self.zone_regions.get(target.record.zone_of_host()) in regions
+    def _of_service(self, service: str, regions: Collection[str]) -> Sequence[Target]:
+        """Return the agents of a service whose hosts are in one of the regions, if any are named.
+
+        A zone of no known region is in none.
+        """
+        targets = self._by_service.get(service, [])
+        if not regions:
+            return targets
+        return [
+            target
+            for target in targets
+            if self.zone_regions.get(target.record.zone_of_host()) in regions
+        ]
 
     def expects_hosts(
         self, services: Collection[str], now: float, regions: Collection[str] = ()
@@ -310,10 +316,9 @@
             target.record.phase in EXPECTED_PHASES
             and target.unlisted_since is None
             and not target.zone_drained
-            and self._is_in(target, regions)
             and now - target.started_at < EXPECTED_SECONDS
             for service in services
-            for target in self._by_service.get(service, ())
+            for target in self._of_service(service, regions)
         )
 
     def candidates(
@@ -322,11 +327,7 @@
         """Return the agents of these services that may hold a flow, leaving ones too."""
         found: list[Target] = []
         for service in services:
-            alive = [
-                each
-                for each in self._by_service.get(service, ())
-                if not each.departed and self._is_in(each, regions)
-            ]
+            alive = [each for each in self._of_service(service, regions) if not each.departed]
             found += _ranked(alive, key, SEARCHED_CANDIDATES)
         return found
 
--- a/tests/control/fleet/support.py
+++ b/tests/control/fleet/support.py
@@ -122,12 +122,21 @@
 
     async def put(self, command):
         """Send a configuration to the leader until it is acknowledged."""
+        return await self._until(lambda leader: leader.service.put(command), "acknowledged")
+
+    async def order_zone(self, zone, drained):
+        """Send an order for a zone to the leader until it is acknowledged."""
+        return await self._until(
+            lambda leader: leader.zone_orders.order(zone, drained), "zone-acknowledged"
+        )
+
+    async def _until(self, send, acknowledged):
         async with asyncio.timeout(PATIENCE_SECONDS):
             while True:
                 leader = self.leader
                 if leader is not None:
-                    result = await leader.service.put(command)
-                    if result.kind == "acknowledged":
+                    result = await send(leader)
+                    if result.kind == acknowledged:
                         return result
                 await asyncio.sleep(0.05)
 
--- a/tests/control/fleet/test_zone_orders.py
+++ b/tests/control/fleet/test_zone_orders.py
@@ -4,25 +4,13 @@
 import shutil
 
 from jasperwalk.control.fleet.zone_orders import ZoneListed
-from tests.control.fleet.support import PATIENCE_SECONDS, Cluster, configuration, until
+from tests.control.fleet.support import Cluster, configuration, until
 
 
 def run(scenario):
     asyncio.run(scenario)
 
 
-async def order(cluster, zone, drained):
-    """Send an order to the leader until it is acknowledged."""
-    async with asyncio.timeout(PATIENCE_SECONDS):
-        while True:
-            leader = cluster.leader
-            if leader is not None:
-                result = await leader.zone_orders.order(zone, drained)
-                if result.kind == "zone-acknowledged":
-                    return result
-            await asyncio.sleep(0.05)
-
-
 def drained(replica):
     return [] if replica.life is None else replica.life.applier.state.zones.drained_zones().zones
 
@@ -30,10 +18,10 @@
 def test_an_order_is_acknowledged_again_when_it_is_sent_again(tmp_path):
     async def scenario():
         async with Cluster(tmp_path, 3) as cluster:
-            assert (await order(cluster, "a", True)).revision == 1
-            assert (await order(cluster, "a", True)).revision == 1
-            assert (await order(cluster, "a", False)).revision == 2
-            assert (await order(cluster, "a", False)).revision == 2
+            assert (await cluster.order_zone("a", True)).revision == 1
+            assert (await cluster.order_zone("a", True)).revision == 1
+            assert (await cluster.order_zone("a", False)).revision == 2
+            assert (await cluster.order_zone("a", False)).revision == 2
             await until(lambda: all(drained(each) == [] for each in cluster.replicas))
 
     run(scenario())
@@ -43,9 +31,9 @@
     async def scenario():
         async with Cluster(tmp_path, 5) as cluster:
             await cluster.put(configuration(7))
-            await order(cluster, "a", True)
-            await order(cluster, "b", True)
-            await order(cluster, "b", False)
+            await cluster.order_zone("a", True)
+            await cluster.order_zone("b", True)
+            await cluster.order_zone("b", False)
             for replica in cluster.replicas:
                 await replica.kill()
             for replica in cluster.replicas[:2]:
@@ -76,7 +64,7 @@
 def test_a_zone_that_nobody_knows_is_refused_and_one_that_was_ordered_is_known(tmp_path):
     async def scenario():
         async with Cluster(tmp_path, 3) as cluster:
-            await order(cluster, "a", True)
+            await cluster.order_zone("a", True)
             service = cluster.leader.zone_orders
             for name in ("elsewhere", "", "x" * 100_000):
                 result = await service.order(name, True)
@@ -90,8 +78,8 @@
 def test_an_order_whose_caller_has_left_changes_nothing(tmp_path):
     async def scenario():
         async with Cluster(tmp_path, 3) as cluster:
-            await order(cluster, "a", True)
-            await order(cluster, "a", False)
+            await cluster.order_zone("a", True)
+            await cluster.order_zone("a", False)
             service = cluster.leader.zone_orders
             result = await service.order("a", True, lambda: False)
             assert (result.kind, result.reason) == ("unavailable", "caller-left")
@@ -104,7 +92,7 @@
 def test_a_minority_acknowledges_no_order(tmp_path):
     async def scenario():
         async with Cluster(tmp_path, 3) as cluster:
-            await order(cluster, "a", True)
+            await cluster.order_zone("a", True)
             leader = cluster.leader
             for replica in cluster.replicas:
                 if replica is not leader:
