The soak starts and strikes its processes through the lab's supervisor

The soak had written process handling again that `Supervisor` has: start with a log, kill, freeze, thaw, SIGTERM followed by SIGKILL, processes that ended by themselves. A plan may now name an environment, and the supervisor tells a process ID.

--- a/src/jasperwalk_lab/soak/fleet.py
+++ b/src/jasperwalk_lab/soak/fleet.py
@@ -6,11 +6,9 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import os
 import random
 import shutil
-import signal
 import sys
 from dataclasses import dataclass
 from pathlib import Path
@@ -24,10 +22,11 @@
 from jasperwalk_lab.soak.hosts import HostPlace
 from jasperwalk_lab.soak.relays import TcpRelay, UdpRelay
 from jasperwalk_lab.soak.schedule import SoakNames
+from jasperwalk_lab.soak.wire import SETTINGS_VARIABLE
+from jasperwalk_lab.supervisor import ProcessPlan, Supervisor
 
 ROOT = Path(__file__).resolve().parents[3]
 RUN_SCRIPT = ROOT / "platform" / "run.py"
-SETTINGS_VARIABLE = "JASPERWALK_NODE_FILE"
 ZONES = ("north", "south")
 SERVICES = ("web", "export")
 CONTROLS = 3
@@ -52,55 +51,45 @@
     role: str
     settings: dict[str, object]
     folder: Path
-    process: asyncio.subprocess.Process | None = None
+    supervisor: Supervisor
 
     async def start(self) -> None:
         """Start it; its log goes on."""
         path = self.folder / f"{self.name}.toml"
         path.write_text(tomli_w.dumps(self.settings), encoding="utf-8")
         environment = {"PATH": os.environ.get("PATH", ""), SETTINGS_VARIABLE: str(path)}
-        with (self.folder / f"{self.name}.log").open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                str(RUN_SCRIPT),
-                self.role,
-                cwd=ROOT,
-                env=environment,
-                stdin=asyncio.subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
-
-    def send_signal(self, number: signal.Signals) -> None:
-        """Send a signal by process ID."""
-        if self.process is None or self.process.returncode is not None:
+        command = (sys.executable, str(RUN_SCRIPT), self.role)
+        await self.supervisor.start(ProcessPlan(self.name, command, None, environment))
+
+    async def kill(self) -> None:
+        """End it at once; raises `ProcessNotRunning`."""
+        self._check_runs()
+        await self.supervisor.kill(self.name)
+
+    async def stop(self) -> None:
+        """End it with SIGTERM, after a while with SIGKILL; raises `ProcessNotRunning`."""
+        self._check_runs()
+        await self.supervisor.stop(self.name, STOP_SECONDS)
+
+    async def pause(self, seconds: float) -> None:
+        """Let it stand still; raises `ProcessNotRunning`."""
+        self._check_runs()
+        self.supervisor.freeze(self.name)
+        await asyncio.sleep(seconds)
+        self._check_runs()
+        self.supervisor.thaw(self.name)
+
+    def _check_runs(self) -> None:
+        if self.supervisor.process_id(self.name) is None:
             raise ProcessNotRunning(self.name)
-        self.process.send_signal(number)
-
-    async def end(self, number: signal.Signals) -> None:
-        """End it with a signal; SIGTERM is followed by SIGKILL after a while."""
-        process, self.process = self.process, None
-        if process is None:
-            return
-        with contextlib.suppress(ProcessLookupError):
-            process.send_signal(signal.SIGCONT)
-            process.send_signal(number)
-        try:
-            await asyncio.wait_for(process.wait(), STOP_SECONDS)
-        except TimeoutError:
-            process.kill()
-            await process.wait()
-
-    def has_ended_by_itself(self) -> bool:
-        """Tell whether it ended though nobody ended it."""
-        return self.process is not None and self.process.returncode is not None
 
     def use(self) -> tuple[int, int]:
         """Return its resident bytes and open descriptors, zeros where it does not run."""
-        if self.process is None or self.process.returncode is not None:
+        process_id = self.supervisor.process_id(self.name)
+        if process_id is None:
             return 0, 0
         try:
-            seen = psutil.Process(self.process.pid)
+            seen = psutil.Process(process_id)
             return int(seen.memory_info().rss), int(seen.num_fds())
         except psutil.Error:
             return 0, 0
@@ -129,6 +118,7 @@
         names = ("replica", "operators", "callers", "ready", "frames", "calls", "packets", "app")
         self._ports = {name: common_port(every) for name in names}
         self.callers = Endpoint(self._host(9, 1), self._ports["callers"])
+        self.supervisor = Supervisor(folder)
         self.processes: dict[str, SoakProcess] = {}
         self.control_relays: dict[str, TcpRelay] = {}
         self.agent_relays: dict[str, UdpRelay] = {}
@@ -174,7 +164,9 @@
     def _add(self, name: str, role: str, zone: str, **settings: object) -> None:
         seeds = [str(self._at(host, "operators")) for host in self._control_relays]
         common: dict[str, object] = {"name": name, "zone": zone, "seeds": seeds}
-        self.processes[name] = SoakProcess(name, role, {**common, **settings}, self.folder)
+        self.processes[name] = SoakProcess(
+            name, role, {**common, **settings}, self.folder, self.supervisor
+        )
 
     def _lay_out_control(self, number: int, host: str) -> None:
         name = f"control-{number}"
@@ -259,7 +251,7 @@
 
     async def __aexit__(self, *_failure: object) -> None:
         """End everything that was started here, by process ID."""
-        ending = [each.end(signal.SIGTERM) for each in self.processes.values()]
+        ending = [each.stop() for each in self.processes.values()]
         await asyncio.gather(*ending, return_exceptions=True)
         for tcp in self.control_relays.values():
             await tcp.close()
--- a/src/jasperwalk_lab/soak/injector.py
+++ b/src/jasperwalk_lab/soak/injector.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import signal
 from collections.abc import Awaitable, Callable
 from typing import ClassVar
 
@@ -114,11 +113,11 @@
     async def _strike(self, fault: PlannedFault) -> None:
         kind, target = fault.kind, fault.target
         if kind in KILLS:
-            await self._restart([self._fleet.processes[target]], signal.SIGKILL, fault.seconds)
+            await self._kill([self._fleet.processes[target]], fault.seconds)
         elif kind in STOPS:
-            await self._restart([self._fleet.processes[target]], signal.SIGTERM, fault.seconds)
+            await self._stop(self._fleet.processes[target], fault.seconds)
         elif kind in PAUSES:
-            await self._pause(self._fleet.processes[target], fault.seconds)
+            await self._fleet.processes[target].pause(fault.seconds)
         elif kind in LINKS:
             await self._spoil_links(target, LINKS[kind], fault.seconds)
         elif kind in STORAGE:
@@ -126,17 +125,15 @@
         else:
             await self._handlers[kind](self, fault)
 
-    async def _restart(
-        self, processes: list[SoakProcess], number: signal.Signals, seconds: float
-    ) -> None:
-        await asyncio.gather(*(each.end(number) for each in processes))
+    async def _kill(self, processes: list[SoakProcess], seconds: float) -> None:
+        await asyncio.gather(*(each.kill() for each in processes))
         await asyncio.sleep(seconds)
         await asyncio.gather(*(each.start() for each in processes))
 
-    async def _pause(self, process: SoakProcess, seconds: float) -> None:
-        process.send_signal(signal.SIGSTOP)
+    async def _stop(self, process: SoakProcess, seconds: float) -> None:
+        await process.stop()
         await asyncio.sleep(seconds)
-        process.send_signal(signal.SIGCONT)
+        await process.start()
 
     async def _spoil_links(self, target: str, condition: LinkCondition, seconds: float) -> None:
         tcp, udp = self._fleet.control_relays.get(target), self._fleet.agent_relays.get(target)
@@ -155,7 +152,7 @@
 
     async def _wipe(self, fault: PlannedFault) -> None:
         process = self._fleet.processes[fault.target]
-        await process.end(signal.SIGKILL)
+        await process.kill()
         self._fleet.wipe(fault.target)
         await asyncio.sleep(fault.seconds)
         await process.start()
@@ -185,8 +182,7 @@
         await self._operators.drain_zone(fault.target, drained=False)
 
     async def _kill_all(self, fault: PlannedFault) -> None:
-        processes = list(self._fleet.processes.values())
-        await self._restart(processes, signal.SIGKILL, fault.seconds)
+        await self._kill(list(self._fleet.processes.values()), fault.seconds)
 
     _handlers: ClassVar[
         dict[FaultKind, Callable[[SoakInjector, PlannedFault], Awaitable[None]]]
--- a/src/jasperwalk_lab/soak/run.py
+++ b/src/jasperwalk_lab/soak/run.py
@@ -164,10 +164,9 @@
         told_at = 0.0
         while True:
             await asyncio.sleep(WATCH_SECONDS)
-            for process in self._fleet.processes.values():
-                is_new = process.name not in self.history.ended_processes
-                if process.has_ended_by_itself() and is_new:
-                    self.history.ended_processes.append(process.name)
+            for name in self._fleet.supervisor.ended_early():
+                if name not in self.history.ended_processes:
+                    self.history.ended_processes.append(name)
             if not self._first_use and self._clock() > FIRST_USE_SECONDS:
                 self._first_use = {n: each.use() for n, each in self._fleet.processes.items()}
             if self._clock() - told_at >= PROGRESS_SECONDS:
--- a/src/jasperwalk_lab/soak/wire.py
+++ b/src/jasperwalk_lab/soak/wire.py
@@ -15,6 +15,8 @@
 
 HEAD = struct.Struct("!4sHH4sIIIIBBH")
 RST, SYN, BOUNCED, ACK, FIN = 2, 4, 8, 16, 32
+SETTINGS_VARIABLE = "JASPERWALK_NODE_FILE"
+"""Environment variable with the path of a process's settings file."""
 CONFIG_PATH = "/config"
 READY_PATH = "/readiness"
 
--- a/src/jasperwalk_lab/supervisor.py
+++ b/src/jasperwalk_lab/supervisor.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import signal
+from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -30,6 +31,8 @@
     name: str
     command: tuple[str, ...]
     health_url: str | None
+    environment: Mapping[str, str] | None = None
+    """Its whole environment, or None for the one of this process."""
 
 
 def health_url(admin: Endpoint, path: str = "/healthz") -> str:
@@ -55,6 +58,7 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
+                env=plan.environment,
             )
         self._plans[plan.name] = plan
         self._processes[plan.name] = process
@@ -106,6 +110,11 @@
         _signal(self._processes[name], signal.SIGCONT)
         log.info("process_thawed", process=name)
 
+    def process_id(self, name: str) -> int | None:
+        """Return the ID of a process, None where it was not started or has ended."""
+        process = self._processes.get(name)
+        return None if process is None or process.returncode is not None else process.pid
+
     def runs(self, name: str) -> bool:
         """Tell whether a process was started and not ended by this supervisor."""
         return name in self._processes
