Balancers send no faster than their links carry, and open uploads as the link has room

Cause: a caller sends a window of 16 packets within 8 ms, a balancer passed them on at once, and its link (2 Mbit/s) kept ten and lost six. Callers send all of them again after 0.2 s in one burst and lose some again.

Ruled out: places kept too long (shorter ones were worse), the hosts' time, the way in.

New: scheduling/link_pacer.py (rate, small ones first, uploads in turns, copies of what waits not taken, bounded), scheduling/upload_admission.py in place of balancer/datagrams/bulk_admission.py (what counts is the time that the link needs, not a number of places), paced_link.py runs it. Switch link_pacing in [policies] in place of bulk_admission; setting caller_resend_ms; figures and log fields in OPERATIONS. Design note docs/design/link-pacing.md.

--- a/src/jasperwalk/balancer/datagrams/flow_balancer.py
+++ b/src/jasperwalk/balancer/datagrams/flow_balancer.py
@@ -7,11 +7,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from jasperwalk.addresses import Endpoint
-from jasperwalk.balancer.datagrams.bulk_admission import BulkAdmission
 from jasperwalk.balancer.datagrams.counters import FlowCounters
 from jasperwalk.balancer.datagrams.delegated_searches import DelegatedSearches
 from jasperwalk.balancer.datagrams.early_packets import EarlyPackets
@@ -26,6 +25,14 @@
 from jasperwalk.flows.routes import RouteEntry, RouteTable
 from jasperwalk.observability.decisions import DecisionLog
 from jasperwalk.observability.latency import LatencyCounts
+from jasperwalk.scheduling.link_pacer import LinkPacer
+from jasperwalk.scheduling.upload_admission import UploadAdmission
+
+DEFAULT_WINDOW_BYTES = 20_000
+DEFAULT_RESEND_SECONDS = 0.2
+
+BulkSender = Callable[[bytes, int, bytes, SocketAddress], None]
+"""Sends a bulk datagram: the key of its flow, the number of its data, the datagram, to whom."""
 
 
 @dataclass(eq=False, repr=False)
@@ -43,14 +50,20 @@
     search_latency: LatencyCounts = field(default_factory=LatencyCounts)
     delegates_searches: bool = False
     """True to let agents search on this balancer's behalf."""
-    uploads_limit: int | None = None
-    """Uploads at once, None where the link does not limit them."""
+    link: LinkPacer | None = None
+    """What waits for this process's link, None where the link limits nothing."""
+    send_bulk: BulkSender | None = None
+    """Sends data of uploads through `link`, None where that is None."""
+    caller_window_bytes: int = DEFAULT_WINDOW_BYTES
+    caller_resend_seconds: float = DEFAULT_RESEND_SECONDS
     _flows: dict[bytes, Flow] = field(default_factory=dict)
     _early: EarlyPackets = field(default_factory=EarlyPackets)
 
     def __post_init__(self) -> None:
         """Prepare the parts; they share the table of flows, the agents, counters and log."""
-        self.uploads = BulkAdmission(self.codec, self.uploads_limit)
+        self.uploads = UploadAdmission(
+            self.codec, self.link, self.caller_window_bytes, self.caller_resend_seconds
+        )
         self.searches = FlowSearches(
             codec=self.codec,
             pool=self.pool,
@@ -135,7 +148,15 @@
             if possible:
                 self._search(key, packet, opening.route, now, possible)
                 return
-        self.send(flow.target.carry_head + packet, flow.target.address)
+        self._carry(key, flow, packet)
+
+    def _carry(self, key: bytes, flow: Flow, packet: bytes) -> None:
+        """Send a packet to its flow's agent; data of an upload in its turn."""
+        frame = flow.target.carry_head + packet
+        if flow.is_bulk and self.send_bulk is not None and self.codec.payload_bytes(packet):
+            self.send_bulk(key, self.codec.data_number(packet), frame, flow.target.address)
+        else:
+            self.send(frame, flow.target.address)
 
     def open(self, packet: bytes, arrived_at: float, now: float) -> None:
         """Take an opening packet that came a while ago."""
@@ -170,13 +191,14 @@
         for key, upload in self.uploads.take_late(now):
             self.reject(key, upload.packet, "link-full")
         for key, upload in self.uploads.take_due(now):
-            active, waiting = self.uploads.counts()
+            loading, waiting = self.uploads.counts()
             self.log.note(
                 "upload-admitted",
                 flow=self.codec.describe(key),
                 waited_ms=round(1000 * (now - upload.arrived_at)),
-                under_way=active,
+                loading=loading,
                 waiting=waiting,
+                backlog_ms=0 if self.link is None else round(1000 * self.link.backlog_seconds()),
             )
             self.opener.open(key, upload.packet, upload.route, upload.arrived_at, now)
 
@@ -260,9 +282,9 @@
     ) -> None:
         route = self.routes.find(self.codec.listener_of(key))
         is_bulk = route is not None and route.route.is_bulk
-        self._flows[key] = Flow(holder, now, is_bulk=is_bulk)
+        flow = self._flows[key] = Flow(holder, now, is_bulk=is_bulk)
         for packet in packets:
-            self.send(holder.carry_head + packet, holder.address)
+            self._carry(key, flow, packet)
 
     def _take_verdict(self, helper: Target, reply: AgentReply, now: float) -> None:
         """Take what an agent found that has searched on this balancer's behalf."""
--- /dev/null
+++ b/src/jasperwalk/balancer/datagrams/paced_link.py
@@ -0,0 +1,44 @@
+"""Runs a link's pacer on the event loop: a timer only while something waits for the link."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from jasperwalk.flows.codec import SocketAddress
+from jasperwalk.scheduling.link_pacer import LinkPacer
+
+LEAST_PAUSE_SECONDS = 0.008
+"""Shortest pause between two looks: each costs a small machine some of its processor."""
+
+
+class PacedLink:
+    """Sends through a pacer and releases what waits."""
+
+    def __init__(self, pacer: LinkPacer) -> None:
+        self._pacer = pacer
+        self._scheduled = False
+
+    def send(self, datagram: bytes, address: SocketAddress) -> None:
+        """Send a small datagram before those of bulk flows."""
+        self._pacer.send(datagram, address, time.monotonic())
+        self._keep_up()
+
+    def send_bulk(
+        self, flow_key: bytes, number: int, datagram: bytes, address: SocketAddress
+    ) -> None:
+        """Send a datagram of a bulk flow in its turn."""
+        self._pacer.send_bulk(flow_key, number, datagram, address, time.monotonic())
+        self._keep_up()
+
+    def _keep_up(self) -> None:
+        pause_seconds = None if self._scheduled else self._pacer.pause()
+        if pause_seconds is not None:
+            self._scheduled = True
+            delay_seconds = max(pause_seconds, LEAST_PAUSE_SECONDS)
+            asyncio.get_running_loop().call_later(delay_seconds, self._release)
+
+    def _release(self) -> None:
+        self._scheduled = False
+        self._pacer.release(time.monotonic())
+        self._keep_up()
--- a/src/jasperwalk/balancer/datagrams/process.py
+++ b/src/jasperwalk/balancer/datagrams/process.py
@@ -12,8 +12,8 @@
 import structlog
 
 from jasperwalk.addresses import Endpoint
-from jasperwalk.balancer.datagrams.bulk_admission import uploads_at_once
 from jasperwalk.balancer.datagrams.flow_balancer import FlowBalancer
+from jasperwalk.balancer.datagrams.paced_link import PacedLink
 from jasperwalk.balancer.datagrams.packet_intake import PacketIntake
 from jasperwalk.fleet.bound_sockets import BalancerSockets, bind_balancer
 from jasperwalk.fleet.figures import ProcessFigures, metrics_server
@@ -35,6 +35,7 @@
 from jasperwalk.flows.routes import FlowRoute, RouteSet, RouteTable
 from jasperwalk.flows.sockets import DatagramSocket
 from jasperwalk.observability.decisions import DecisionLog, affordable_lines_per_second
+from jasperwalk.scheduling.link_pacer import PACED_SHARE, LinkPacer, link_bytes_per_second
 from jasperwalk.transport.http_server import HttpServer, serving
 
 SWEEP_SECONDS = 4.0
@@ -45,11 +46,12 @@
 logger = structlog.get_logger(__name__)
 
 
-def _uploads_limit(settings: BalancerNodeSettings) -> int | None:
-    """Return how many uploads the link carries at once, None where nothing limits them."""
-    if not settings.policies.bulk_admission:
+def _pacer(settings: BalancerNodeSettings, frames: DatagramSocket) -> LinkPacer | None:
+    """Return the pacer of the link, None where its rate is not known or not to be kept to."""
+    if not settings.policies.link_pacing or settings.link_megabits <= 0:
         return None
-    return uploads_at_once(settings.link_megabits, settings.caller_window_bytes)
+    rate = PACED_SHARE * link_bytes_per_second(settings.link_megabits)
+    return LinkPacer(rate, frames.send)
 
 
 class BalancerProcess:
@@ -81,15 +83,20 @@
         self._decisions = DecisionLog(
             time.monotonic, affordable_lines_per_second(settings.processors)
         )
+        self._pacer = _pacer(settings, self._frames)
+        paced = None if self._pacer is None else PacedLink(self._pacer)
         self.core = FlowBalancer(
             codec=codec,
             routes=self.routes,
             pool=self.pool,
-            send=self._frames.send,
+            send=self._frames.send if paced is None else paced.send,
             reset=self._send_to_caller,
             log=self._decisions,
             delegates_searches=settings.policies.delegated_search,
-            uploads_limit=_uploads_limit(settings),
+            link=self._pacer,
+            send_bulk=None if paced is None else paced.send_bulk,
+            caller_window_bytes=settings.caller_window_bytes,
+            caller_resend_seconds=settings.caller_resend_ms / 1000,
         )
         self._intake = PacketIntake(self.core)
         self._taking_in = False
@@ -101,8 +108,12 @@
 
         figures = ProcessFigures(
             process="balancer",
-            counters=lambda: vars(self.core.counters),
+            counters=self._counts,
             gauges={
+                "link_backlog_bytes": lambda: (
+                    0 if self._pacer is None else self._pacer.backlog_bytes()
+                ),
+                "uploads_waiting": lambda: self.core.uploads.counts()[1],
                 "flows": lambda: len(self.core),
                 "agents": lambda: len(self.pool),
                 "zones_revision": lambda: self.pool.drained.revision,
@@ -117,6 +128,10 @@
         )
         self._metrics = metrics_server(settings.metrics_listen, settings.metrics_path, figures)
 
+    def _counts(self) -> dict[str, int]:
+        pacing = {} if self._pacer is None else vars(self._pacer.counters)
+        return {**vars(self.core.counters), **pacing}
+
     def _record(self) -> NodeRecord:
         return NodeRecord(
             name=self._settings.name,
--- a/src/jasperwalk/fleet/settings.py
+++ b/src/jasperwalk/fleet/settings.py
@@ -36,8 +36,8 @@
 
     delegated_search: bool = True
     """Agents search flows on behalf of balancers."""
-    bulk_admission: bool = True
-    """A balancer opens only as many uploads at once as its link drains in a moment."""
+    link_pacing: bool = True
+    """A balancer sends no faster than its link carries, and opens uploads as the link has room."""
 
 
 class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -72,6 +72,8 @@
     """The link's rate in megabits a second, 0 where it is not known."""
     caller_window_bytes: int = 20_000
     """What a caller may have under way on one flow."""
+    caller_resend_ms: int = 200
+    """When a caller sends again what was not acknowledged, milliseconds."""
     readiness_listen: str
     frames_listen: str
     replica_port: int
--- a/tests/balancer/datagrams/thin_link_model.py
+++ b/tests/balancer/datagrams/thin_link_model.py
@@ -1,8 +1,9 @@
 """A model of one balancer on a thin link under uploads, on virtual time and from one seed.
 
-Each upload's packets cross the link twice, in and out, first come first served. A caller has a
-bounded number of packets under way, and sends a packet again that was not acknowledged in time,
-as callers do that cannot tell a queue from a loss. The product's own admission decides.
+Each upload's packets cross the link twice, in and out, first come first served; on the way out
+the link keeps few of them and loses the others. A caller has a bounded number of packets under
+way, and sends a packet again that was not acknowledged in time, as callers do that cannot tell a
+queue from a loss. The product's own admission and pacer decide.
 """
 
 from __future__ import annotations
@@ -12,7 +13,8 @@
 from dataclasses import dataclass, field
 
 from jasperwalk.addresses import Endpoint
-from jasperwalk.balancer.datagrams.bulk_admission import BulkAdmission, uploads_at_once
+from jasperwalk.scheduling.link_pacer import PACED_SHARE, LinkPacer, link_bytes_per_second
+from jasperwalk.scheduling.upload_admission import UploadAdmission
 from tests.flows.support import ENDING, PlainCodec, from_caller
 
 PACKET_BYTES = 1232
@@ -24,6 +26,10 @@
 OBJECTIVE_SECONDS = 1.0
 TRIES = 3
 TICK_SECONDS = 0.02
+RELEASE_SECONDS = 0.008
+BUFFER_SECONDS = 0.04
+"""What the link keeps of what is sent faster than it carries."""
+AGENT = ("10.0.0.1", 7602)
 
 
 @dataclass(eq=False)
@@ -48,13 +54,17 @@
 
 
 class ThinLink:
-    """Plays uploads through one balancer; `limited` switches the admission on."""
+    """Plays uploads through one balancer; `limited` switches pacer and admission on."""
 
     def __init__(self, seed, megabits, limited):
         self.random = random.Random(seed)
-        self.bytes_per_second = megabits * 1e6 / 8
-        limit = uploads_at_once(megabits, WINDOW * PACKET_BYTES) if limited else None
-        self.admission = BulkAdmission(PlainCodec(), limit)
+        self.bytes_per_second = link_bytes_per_second(megabits)
+        paced_rate = PACED_SHARE * self.bytes_per_second
+        self.pacer = LinkPacer(paced_rate, self.leave) if limited else None
+        self.admission = UploadAdmission(
+            PlainCodec(), self.pacer, WINDOW * PACKET_BYTES, FIRST_RETRY_SECONDS
+        )
+        self.under_way = {}
         self.now, self.events, self.order = 0.0, [], 0
         self.free_at = {"in": 0.0, "out": 0.0}
         self.uploads = []
@@ -71,6 +81,7 @@
             at += self.random.expovariate(rate_at(at))
             self.later(at, self.arrive)
         self.later(TICK_SECONDS, self.tick)
+        self.later(RELEASE_SECONDS, self.release)
         while self.events and self.events[0][0] < seconds + 8.0:
             self.now, _, action = heapq.heappop(self.events)
             action()
@@ -82,6 +93,11 @@
             self.send_more(self.open[key])
         self.later(TICK_SECONDS, self.tick)
 
+    def release(self):
+        if self.pacer is not None:
+            self.pacer.release(self.now)
+        self.later(RELEASE_SECONDS, self.release)
+
     def arrive(self):
         upload = Upload(len(self.uploads), self.now)
         self.uploads.append(upload)
@@ -117,7 +133,17 @@
 
     def carry(self, upload, position):
         self.admission.note_packet(upload.key(), upload.packet(), self.now)
-        self.cross("out", lambda: self.acknowledge(upload, position))
+        frame = position.to_bytes(2, "big") + upload.key()
+        self.under_way[frame] = lambda: self.acknowledge(upload, position)
+        frame = frame.ljust(PACKET_BYTES, b".")
+        if self.pacer is None:
+            self.leave(frame, AGENT)
+        else:
+            self.pacer.send_bulk(upload.key(), position, frame, AGENT, self.now)
+
+    def leave(self, frame, _address):
+        if self.free_at["out"] - self.now <= BUFFER_SECONDS:
+            self.cross("out", self.under_way[frame.rstrip(b".")])
 
     def acknowledge(self, upload, position):
         upload.acknowledged.add(position)
