--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -16,8 +16,8 @@
 from jasperwalk.agent.datagrams.balancer_answers import BalancerAnswers
 from jasperwalk.agent.datagrams.counters import AgentCounters
 from jasperwalk.agent.datagrams.flow_knowledge import FlowKnowledge
-from jasperwalk.agent.datagrams.half_open import HalfOpenFlows
 from jasperwalk.agent.datagrams.held_flow import NO_BALANCER, HeldFlow
+from jasperwalk.agent.datagrams.held_flows import HeldFlows
 from jasperwalk.agent.datagrams.host import HostState
 from jasperwalk.agent.datagrams.host_response import SILENT_LOAD_FACTOR
 from jasperwalk.agent.datagrams.host_watch import HostWatch
@@ -36,8 +36,6 @@
 from jasperwalk.observability.decisions import DecisionLog
 from jasperwalk.observability.latency import LatencyCounts
 
-LIFETIME_SLACK_SECONDS = 10.0
-
 
 @dataclass(eq=False, repr=False)
 class FlowAgent:
@@ -61,14 +59,13 @@
     wait_latency: LatencyCounts = field(default_factory=LatencyCounts)
     flow_idle_seconds: float = float("inf")
     """Longest rest of a flow that is kept."""
-    _flows: dict[bytes, HeldFlow] = field(default_factory=dict)
-    _half_open: HalfOpenFlows = field(default_factory=HalfOpenFlows)
 
     def __post_init__(self) -> None:
         """Prepare what every frame needs."""
         self._tag = service_tag(self.service)
         self.answers = BalancerAnswers(self._tag, self.host, self._load, self.to_balancer)
         self.meter = LoadMeter(self.started_at)
+        self.table = HeldFlows(self.meter, self.flow_lifetime_seconds)
         self.queue = AdmissionQueue(self.started_at)
         self.watch = HostWatch(self.host, self.log)
         self.warm_up = WarmUpLimit(self.warm_up_floor, self.started_at)
@@ -88,7 +85,7 @@
 
     def __len__(self) -> int:
         """Return the number of flows in the table."""
-        return len(self._flows)
+        return len(self.table)
 
     def receive_frame(self, data: bytes, sender: SocketAddress, now: float) -> None:
         """Take a balancer's frame."""
@@ -120,7 +117,7 @@
         self.answers.reply_all(kinds, sender, now)
 
     def _answer(self, key: bytes, tag: int, sender: SocketAddress, now: float) -> FrameKind:
-        flow = self._flows.get(key)
+        flow = self.table.get(key)
         if tag != self._tag:
             return FrameKind.NOT_HELD
         if flow is None:
@@ -148,9 +145,7 @@
         """
         self.knowledge.host_started_here = True
         self.watch.note_replaced()
-        for flow in self._flows.values():
-            self._set_busy(flow, False, now)
-            flow.confirmed = False
+        self.table.doubt_all(now)
 
     def _carry(self, packet: bytes, tag: int, sender: SocketAddress, now: float) -> None:
         key = self.codec.flow_key(packet)
@@ -159,12 +154,12 @@
             self.counters.other_service_drops += 1
             self.answers.reply(FrameKind.RETURNED, 0, key, sender, now, packet)
             return
-        flow = self._flows.get(key)
+        flow = self.table.get(key)
         if flow is None:
             if self.knowledge.knows_all_flows(self.flow_idle_seconds, now):
                 self.answers.reply(FrameKind.RETURNED, 0, key, sender, now, packet)
                 return
-            flow = self._flows[key] = HeldFlow(sender, now, now, confirmed=False)
+            flow = self.table.add_unconfirmed(key, sender, now)
         elif (
             not flow.followed_up
             and flow.answer_numbers
@@ -176,7 +171,7 @@
         flow.balancer = sender
         flow.seen_at = now
         flow.followed_up = True
-        self._half_open.note_followed_up(key, now)
+        self.table.half_open.note_followed_up(key, now)
         self._note_caller_packet(flow, packet, now)
         self.counters.packets_in += 1
         self.to_host(packet)
@@ -184,7 +179,7 @@
     def _confirm(self, packet: bytes, tag: int, sender: SocketAddress, now: float) -> None:
         """Tell whether a caller has followed this host's answer up; pass its packet on if so."""
         key = self.codec.flow_key(packet)
-        flow = self._flows.get(key)
+        flow = self.table.get(key)
         if flow is None or flow.followed_up or tag != self._tag:
             answer = self._answer(key, tag, sender, now)
         elif flow.is_followed(packet, self.codec):
@@ -209,37 +204,22 @@
     def _let_go(self, key: bytes, flow: HeldFlow, now: float) -> None:
         """Forget a half-open flow whose caller chose another host."""
         self.counters.flows_opened_elsewhere += 1
-        self._drop(key, flow, now)
-
-    def _drop(self, key: bytes, flow: HeldFlow, now: float) -> None:
-        self._set_busy(flow, False, now)
-        self._half_open.discard(key)
-        del self._flows[key]
+        self.table.drop(key, flow, now)
 
     def _note_caller_packet(self, flow: HeldFlow, packet: bytes, now: float) -> None:
         if self.codec.payload_bytes(packet) and flow.is_new_data(self.codec.data_number(packet)):
             flow.asked_at = now
-            self._set_busy(flow, True, now)
+            self.table.set_busy(flow, True, now)
         if self.codec.is_ending(packet) or self.codec.is_reset(packet):
             flow.caller_ended = True
         if self.codec.is_reset(packet):
             flow.host_ended = True
-            self._set_busy(flow, False, now)
-
-    def _expire_half_open(self, now: float) -> None:
-        """Stop counting flows whose callers had given up before they were admitted."""
-        for flow in self._half_open.take_abandoned(now):
-            self._set_busy(flow, False, now)
-
-    def _set_busy(self, flow: HeldFlow, busy: bool, now: float) -> None:
-        if flow.busy != busy:
-            flow.busy = busy
-            self.meter.change(1 if busy else -1, now)
+            self.table.set_busy(flow, False, now)
 
     def _open(self, packet: bytes, flags: int, tag: int, sender: SocketAddress, now: float) -> None:
         key = self.codec.flow_key(packet)
-        self._expire_half_open(now)
-        flow = self._flows.get(key)
+        self.table.expire_half_open(now)
+        flow = self.table.get(key)
         is_copy = flow is not None and not flow.has_ended()
         reason = self._refusal(tag, now)
         reason = None if is_copy and reason in COPIES_PASS else reason
@@ -258,7 +238,7 @@
 
     def admit_waiting(self, now: float) -> None:
         """Admit waiting flows while the host has room; refuse those that waited too long."""
-        self._expire_half_open(now)
+        self.table.expire_half_open(now)
         if not self.queue:
             return
         self.waiting.refuse_hopeless(now)
@@ -294,14 +274,7 @@
     def _admit(
         self, key: bytes, sender: SocketAddress, now: float, waited_seconds: float = 0.0
     ) -> None:
-        old = self._flows.get(key)
-        if old is not None:
-            self._set_busy(old, False, now)
-        flow = HeldFlow(sender, now, now, followed_up=False)
-        self._flows[key] = flow
-        # Its first request is on the way.
-        self._set_busy(flow, True, now)
-        self._half_open.add(key, flow)
+        self.table.admit(key, sender, now)
         self.watch.response.note_asked(now)
         self.counters.flows_accepted += 1
         self.log.note(
@@ -330,7 +303,7 @@
             self._host_returned(self.codec.restore_returned(packet), now)
             return
         key = self.codec.reverse_flow_key(packet)
-        flow = self._flows.get(key)
+        flow = self.table.get(key)
         if flow is not None:
             self._note_host_packet(key, flow, packet, now)
         self.counters.packets_out += 1
@@ -351,22 +324,22 @@
             if flow.busy:
                 self.queue.completions.note(now)
                 self.host_latency.observe(now - flow.asked_at)
-            self._set_busy(flow, False, now)
+            self.table.set_busy(flow, False, now)
         if self.codec.is_ending(packet) or self.codec.is_reset(packet):
             flow.host_ended = True
-            self._set_busy(flow, False, now)
+            self.table.set_busy(flow, False, now)
         if self.codec.is_reset(packet):
             flow.caller_ended = True
 
     def _host_returned(self, packet: bytes, now: float) -> None:
         """Give a packet that the host does not hold back to the balancer."""
         key = self.codec.flow_key(packet)
-        flow = self._flows.get(key)
+        flow = self.table.get(key)
         is_opening = self.codec.is_opening(packet)
         # A copy of an opening that the host has answered: it holds the flow half open.
         if flow is None or (is_opening and flow.answer_numbers):
             return
-        self._drop(key, flow, now)
+        self.table.drop(key, flow, now)
         if is_opening:
             self.watch.note_opening_returned(now)
         self.counters.packets_returned += 1
@@ -390,10 +363,4 @@
         """Forget flows that ended or cannot be alive any longer; call every second."""
         self.watch.check(now)
         self.admit_waiting(now)
-        longest = self.flow_lifetime_seconds + LIFETIME_SLACK_SECONDS
-        for key, flow in list(self._flows.items()):
-            if flow.is_stuck(now):
-                self._set_busy(flow, False, now)
-            if flow.is_over(now, longest):
-                self._set_busy(flow, False, now)
-                del self._flows[key]
+        self.table.sweep(now)
--- /dev/null
+++ b/src/jasperwalk/agent/datagrams/held_flows.py
@@ -0,0 +1,85 @@
+"""The flows at the host, and how many requests they make: what `FlowAgent` decides by.
+
+Sans-IO; times are seconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from jasperwalk.agent.datagrams.half_open import HalfOpenFlows
+from jasperwalk.agent.datagrams.held_flow import HeldFlow
+from jasperwalk.agent.datagrams.load import LoadMeter
+from jasperwalk.flows.codec import SocketAddress
+
+LIFETIME_SLACK_SECONDS = 10.0
+
+
+@dataclass(eq=False, repr=False)
+class HeldFlows:
+    """Owns the flows; `meter` counts those with a request under way.
+
+    `lifetime_seconds` is how long a flow may last.
+    """
+
+    meter: LoadMeter
+    lifetime_seconds: float
+    half_open: HalfOpenFlows = field(default_factory=HalfOpenFlows)
+    _flows: dict[bytes, HeldFlow] = field(default_factory=dict)
+
+    def __len__(self) -> int:
+        """Return the number of flows."""
+        return len(self._flows)
+
+    def get(self, key: bytes) -> HeldFlow | None:
+        """Return a flow, None where it is not known."""
+        return self._flows.get(key)
+
+    def add_unconfirmed(self, key: bytes, sender: SocketAddress, now: float) -> HeldFlow:
+        """Add a flow that only a balancer believes to be at the host."""
+        flow = self._flows[key] = HeldFlow(sender, now, now, confirmed=False)
+        return flow
+
+    def admit(self, key: bytes, sender: SocketAddress, now: float) -> None:
+        """Add a flow whose opening packet goes to the host; its first request is on the way."""
+        old = self._flows.get(key)
+        if old is not None:
+            self.set_busy(old, False, now)
+        flow = self._flows[key] = HeldFlow(sender, now, now, followed_up=False)
+        self.set_busy(flow, True, now)
+        self.half_open.add(key, flow)
+
+    def set_busy(self, flow: HeldFlow, busy: bool, now: float) -> None:
+        """Note whether a flow has a request under way."""
+        if flow.busy != busy:
+            flow.busy = busy
+            self.meter.change(1 if busy else -1, now)
+
+    def drop(self, key: bytes, flow: HeldFlow, now: float) -> None:
+        """Forget a flow."""
+        self.set_busy(flow, False, now)
+        self.half_open.discard(key)
+        del self._flows[key]
+
+    def doubt_all(self, now: float) -> None:
+        """Count no flow as confirmed: another host may be there, and a packet will tell."""
+        for flow in self._flows.values():
+            self.set_busy(flow, False, now)
+            flow.confirmed = False
+
+    def expire_half_open(self, now: float) -> int:
+        """Stop counting flows whose callers had given up; return how many there were."""
+        abandoned = self.half_open.take_abandoned(now)
+        for flow in abandoned:
+            self.set_busy(flow, False, now)
+        return len(abandoned)
+
+    def sweep(self, now: float) -> None:
+        """Forget flows that ended or cannot be alive any longer."""
+        longest = self.lifetime_seconds + LIFETIME_SLACK_SECONDS
+        for key, flow in list(self._flows.items()):
+            if flow.is_stuck(now):
+                self.set_busy(flow, False, now)
+            if flow.is_over(now, longest):
+                self.set_busy(flow, False, now)
+                del self._flows[key]
