--- a/src/jasperwalk/agent/datagrams/admission_queue.py
+++ b/src/jasperwalk/agent/datagrams/admission_queue.py
@@ -24,7 +24,7 @@
 that works for a caller who has left works for nobody."""
 WAITING_PER_SLOT = 7.2
 """Flows that wait for each of a host's slots at most. A queue that followed the host's measured
-pace (what it ends in 0.6 s, 15 a slot at 38 ms a request) made callers wait longer and served fewer:
+pace (what it ends in 0.6 s, 15 a slot at 38 ms each) made callers wait longer and served fewer:
 of 1,212 requests in the two seconds after a loss of all power 826 to 860 failed (three runs), 740
 and 759 with a queue of this length (two runs)."""
 COLD_WAIT_SECONDS = 0.6
