An upload that stands still says nothing of its host

Cause, by reading: a caller who leaves in the middle of an upload leaves a request that is never answered; three of them after a balancer's restart would have judged a healthy host as failing. Only requests that came in one packet count as unanswered now. The line request-unanswered names its flow and host. Tests: failed before (three orders of packets), pass now; a copy still counts as one packet.

--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -391,8 +391,13 @@
         """Forget flows that ended or cannot be alive any longer; call every second."""
         self.watch.check(now)
         self.admit_waiting(now)
-        for flow in self.table.take_unanswered(now):
+        for key, flow in self.table.take_unanswered(now):
             self.counters.requests_unanswered += 1
             self.watch.note_failed(now)
-            self.log.note("request-unanswered", asked_ms=round(1000 * (now - flow.asked_at)))
+            self.log.note(
+                "request-unanswered",
+                flow=self.codec.describe(key),
+                asked_ms=round(1000 * (now - flow.asked_at)),
+                host=self.host.host_id,
+            )
         self.table.sweep(now)
--- a/src/jasperwalk/agent/datagrams/held_flow.py
+++ b/src/jasperwalk/agent/datagrams/held_flow.py
@@ -36,6 +36,9 @@
     busy: bool = False
     asked_at: float = 0.0
     """When the caller last sent data."""
+    is_long_request: bool = False
+    """True once the request under way has come in more than one packet: its caller may have left
+    in the middle of it, so that a missing answer says nothing of the host."""
     unanswered_noted: bool = False
     """True once the request under way was counted against the host."""
     confirmed: bool = True
@@ -53,8 +56,11 @@
         A copy of a request may come after the answer, where balancers are late: the host does
         not answer it again.
         """
+        if not self.busy:
+            self.is_long_request = False
         if self.data_number is not None:
             ahead = (number - self.data_number) % NUMBER_SPAN
+            self.is_long_request |= self.busy and ahead != 0
             if ahead == 0 or ahead >= NUMBER_SPAN // 2:
                 return False
         self.data_number = number
@@ -76,7 +82,7 @@
 
     def is_unanswered(self, now: float) -> bool:
         """Tell whether the host leaves a request unanswered that was not noted yet."""
-        if self.unanswered_noted or not self.has_request_under_way():
+        if self.unanswered_noted or self.is_long_request or not self.has_request_under_way():
             return False
         return now - self.asked_at > UNANSWERED_SECONDS
 
--- a/src/jasperwalk/agent/datagrams/held_flows.py
+++ b/src/jasperwalk/agent/datagrams/held_flows.py
@@ -74,10 +74,10 @@
             self.set_busy(flow, False, now)
         return len(abandoned)
 
-    def take_unanswered(self, now: float) -> list[HeldFlow]:
+    def take_unanswered(self, now: float) -> list[tuple[bytes, HeldFlow]]:
         """Return the flows whose host has left a request unanswered for long, each once."""
-        unanswered = [flow for flow in self._flows.values() if flow.is_unanswered(now)]
-        for flow in unanswered:
+        unanswered = [each for each in self._flows.items() if each[1].is_unanswered(now)]
+        for _, flow in unanswered:
             flow.unanswered_noted = True
         return unanswered
 
--- a/tests/agent/datagrams/test_failing_host.py
+++ b/tests/agent/datagrams/test_failing_host.py
@@ -72,6 +72,25 @@
     assert bench.agent.counters.requests_unanswered == 1
 
 
+@pytest.mark.parametrize("order", [b"abc", b"cab", b"cba"])
+def test_an_upload_that_stands_still_says_nothing_of_the_host(order):
+    bench = Bench()
+    assert bench.open(1.0, caller(1)).kind is FrameKind.ACCEPTED
+    for number in order:
+        part = from_caller(0, bytes((number,)), caller=caller(1))
+        bench.frame(FrameKind.CARRY, part, 1.0)
+    bench.agent.sweep(1.5 + UNANSWERED_SECONDS)
+    assert bench.agent.counters.requests_unanswered == 0
+
+
+def test_a_copy_of_a_request_does_not_make_it_long():
+    bench = Bench()
+    requested(bench, 1, 1.0)
+    bench.frame(FrameKind.CARRY, from_caller(0, b"request", caller=caller(1)), 1.2)
+    bench.agent.sweep(1.5 + UNANSWERED_SECONDS)
+    assert bench.agent.counters.requests_unanswered == 1
+
+
 def test_resets_of_flows_without_a_request_do_not_count():
     bench = Bench()
     for port in range(1, 10):
