--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -24,7 +24,14 @@
 DAY = re.compile(
     r"^sweep-(?P<machines>\d+) +\d+/\d+ +[\d.]+ +(?P<worth>[\d.]+) +(?P<served>[\d.]+)"
 )
-TARGET = re.compile(r"power +at (?P<machines>\d+)$", re.MULTILINE)
+TARGET = re.compile(r"power +at (?P<machines>\d+|null)$", re.MULTILINE)
+NO_TARGET = "null"
+"""What a sweep prints of a site that names no target."""
+TARGET_MACHINES = 14_750
+"""Own machines at letter 1's size, as the sites name them that do."""
+LEAST_POWER, HIGHEST_POWER = 0.0, 2.0
+"""Powers with which a figure is carried on, as the bench does it."""
+SIGNIFICANT_DIGITS = 3
 BROKEN = "BROKEN"
 
 
@@ -129,21 +136,36 @@
 def read_sweep(entry: str, site: str, digest: str) -> Sweep:
     """Read what a sweep printed; raises `UnreadableSweep`."""
     target = TARGET.search(digest)
-    figures = tuple(_figures(digest.splitlines()))
-    if target is None or not figures:
-        raise UnreadableSweep(f"{entry}: no table of figures in its digest")
     days = sorted(_days(digest.splitlines()), key=lambda day: day.machines)
-    return Sweep(entry, site, int(target["machines"]), tuple(days), figures)
+    if target is None or not days:
+        raise UnreadableSweep(f"{entry}: no table of figures in its digest")
+    figures = tuple(_figures(digest.splitlines(), days[-1].machines))
+    if not figures:
+        raise UnreadableSweep(f"{entry}: no figures in its table")
+    named = target["machines"]
+    machines = TARGET_MACHINES if named == NO_TARGET else int(named)
+    return Sweep(entry, site, machines, tuple(days), figures)
+
+
+def carry_on(busiest: float, power: float, machines: int) -> float:
+    """Return a figure at the target's size from the one at the largest size played."""
+    bounded_power = min(max(power, LEAST_POWER), HIGHEST_POWER)
+    carried = busiest * (TARGET_MACHINES / machines) ** bounded_power
+    return float(f"{carried:.{SIGNIFICANT_DIGITS}g}")
 
 
-def _figures(lines: Iterable[str]) -> Iterable[SweptFigure]:
+def _figures(lines: Iterable[str], largest: int) -> Iterable[SweptFigure]:
+    """Yield the table's rows; `largest` is the number of machines of its last column."""
     for line in lines:
         row = ROW.match(line.rstrip())
         if row is None:
             continue
         numbers = row["rest"].split()
         busiest = tuple(float(pair.split(" / ")[1]) for pair in re.findall(PAIR, row["pairs"]))
-        yield SweptFigure(row["name"], busiest, float(numbers[0]), float(numbers[1]))
+        power, at_target = float(numbers[0]), numbers[1]
+        is_told = at_target != "-"
+        carried = float(at_target) if is_told else carry_on(busiest[-1], power, largest)
+        yield SweptFigure(row["name"], busiest, power, carried)
 
 
 def _days(lines: Iterable[str]) -> Iterable[SweptDay]:
