--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from jasperwalk.agent.datagrams.admission import COPIES_PASS, MAY_WAIT, HostAdmission
+from jasperwalk.agent.datagrams.admission import COPIES_PASS, MAY_WAIT, WAITED, HostAdmission
 from jasperwalk.agent.datagrams.admission_queue import AdmissionQueue
 from jasperwalk.agent.datagrams.balancer_answers import BalancerAnswers
 from jasperwalk.agent.datagrams.counters import AgentCounters
@@ -38,9 +38,6 @@
 from jasperwalk.observability.decisions import DecisionLog
 from jasperwalk.observability.latency import LatencyCounts
 
-WAITED = OpeningTerms(waits=True, repeatable=False, age_seconds=0.0)
-"""Terms of a flow that has waited here: no other agent had room for it."""
-
 
 @dataclass(eq=False, repr=False)
 class FlowAgent:
