Tests that fail: cancellations lost by wait_for, in each step of the event loop

Cause, so far as these tests show it: Python 3.11's asyncio.wait_for returns the result where the awaited work ends in the step in which the cancellation comes. Ruled out: dial_first and PeerLink.run pass at every step (both cancel again what they wait for), run_together itself (it waits for the part that goes on).

--- /dev/null
+++ b/tests/transport/steps.py
@@ -0,0 +1,50 @@
+"""Cancelling work after a number of steps of the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+
+PATIENCE_SECONDS = 10.0
+"""Bound of every wait; a cancelled task here ends within a few steps."""
+SURVIVAL_SECONDS = 0.5
+"""A task that runs this long after a cancellation that it took has lost it."""
+
+
+async def cancel_after(task, steps):
+    """Cancel a task after some steps; it has to end as cancelled unless it ended before."""
+    for _ in range(steps):
+        await asyncio.sleep(0)
+    if not task.cancel():
+        return
+    done, _ = await asyncio.wait({task}, timeout=PATIENCE_SECONDS)
+    assert done, "still running after its cancellation"
+    assert task.cancelled(), "went on as if it had not been cancelled"
+
+
+async def survivors(make, most_steps):
+    """Return after how many steps a cancellation was lost: the work went on, or ended normally."""
+    alive = []
+    for steps in range(most_steps):
+        task = asyncio.ensure_future(make())
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        if not task.cancel():
+            _drop(task)
+            continue
+        done, _ = await asyncio.wait({task}, timeout=SURVIVAL_SECONDS)
+        if not done or not task.cancelled():
+            alive.append(steps)
+        while not task.done():
+            task.cancel()
+            await asyncio.wait({task}, timeout=SURVIVAL_SECONDS)
+        if not task.cancelled():
+            _drop(task)
+    return alive
+
+
+def _drop(task):
+    """Close what a task opened that ended before its cancellation."""
+    if task.exception() is None:
+        connection = getattr(task.result(), "connection", task.result())
+        if connection is not None:
+            connection.abort()
