A cancellation is never lost: time limits by asyncio.timeout, ends that wait can be cancelled

Cause: Python 3.11's asyncio.wait_for drops a cancellation that comes in the step in which the awaited work ends. FleetReplica._join waited so in connect and exchange_hello; run_together then waited for it for ever. Shown by the printed drops: the task that dropped one was each time the task found asleep.

Mended where it lies: connect, exchange_hello and close use asyncio.timeout, which raises what came. The same fault elsewhere, found by reading every wait that suppresses or catches a cancellation: agent.tasks.cancel and relay_server.run_until_closed swallowed the caller's own (both now wait without awaiting the task), the soak's _cancel and the supervisor of the lab. Left as they are, after reading: gate, borrower, server, client (they raise on).

run_together held a cancellation back until the last part had taken it (asyncio.gather does), so nothing could be said meanwhile; it now waits for the parts itself and names each that outlasts its cancellation by 2 s (`cancelled-part-still-runs part=... cancellations=...`): that line would have named the cause in the first hang. _until_stopped leaked one task a kill.

--- a/src/jasperwalk/agent/relay_server.py
+++ b/src/jasperwalk/agent/relay_server.py
@@ -24,6 +24,7 @@
     ResponseSink,
     Unknown,
 )
+from jasperwalk.agent.tasks import cancel
 from jasperwalk.messages.codec import encode
 from jasperwalk.transport.errors import TransportError
 from jasperwalk.transport.framed import FramedConnection
@@ -72,10 +73,9 @@
         if running.done():
             await send_outcome(connection, running.result())
     finally:
-        for task in (running, ended):
-            task.cancel()
-        with contextlib.suppress(asyncio.CancelledError, CallerGone):
-            await running
+        ended.cancel()
+        with contextlib.suppress(CallerGone):
+            await cancel(running)
 
 
 async def until_closed(connection: FramedConnection) -> None:
--- a/src/jasperwalk/agent/tasks.py
+++ b/src/jasperwalk/agent/tasks.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Awaitable
+from typing import Any
 
 
 async def first_of(*awaitables: Awaitable[object]) -> None:
@@ -17,8 +17,13 @@
             task.cancel()
 
 
-async def cancel(task: asyncio.Future[None]) -> None:
-    """Cancel a task and wait for its end; raise what it failed with."""
+async def cancel(task: asyncio.Future[Any]) -> None:
+    """Cancel a task and wait for its end; raise what it failed with.
+
+    Awaiting the task itself and suppressing its cancellation would swallow one that is meant for
+    the caller.
+    """
     task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
+    await asyncio.wait((task,))
+    if not task.cancelled():
+        task.result()
--- a/src/jasperwalk/concurrency.py
+++ b/src/jasperwalk/concurrency.py
@@ -3,15 +3,43 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine, Iterable
+from collections.abc import Coroutine, Iterable, Sequence
+
+import structlog
+
+LATE_END_SECONDS = 2.0
+"""Time after its cancellation from which a part is reported as still running. Closing a connection,
+the longest thing that a part does at its end, takes a second at most."""
+
+logger = structlog.get_logger(__name__)
 
 
 async def run_together(jobs: Iterable[Coroutine[None, None, None]]) -> None:
-    """Run jobs until all have ended; the first failure, or cancellation, ends the others."""
+    """Run jobs until all have ended; the first failure, or cancellation, ends the others.
+
+    A job that does not end when it is cancelled holds its process: it is named in the log again and
+    again until it ends.
+    """
     tasks = [asyncio.create_task(job) for job in jobs]
     try:
-        await asyncio.gather(*tasks)
+        # `asyncio.gather` would hold a cancellation back until the last job has taken it.
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_EXCEPTION)
+        for task in done:
+            task.result()
     finally:
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await _until_ended(tasks)
+
+
+async def _until_ended(tasks: Sequence[asyncio.Task[None]]) -> None:
+    """Wait for cancelled tasks."""
+    running = set(tasks)
+    while running:
+        _, running = await asyncio.wait(running, timeout=LATE_END_SECONDS)
+        for task in running:
+            logger.warning(
+                "cancelled-part-still-runs",
+                part=getattr(task.get_coro(), "__qualname__", task.get_name()),
+                cancellations=task.cancelling(),
+            )
--- a/src/jasperwalk/control/fleet/process.py
+++ b/src/jasperwalk/control/fleet/process.py
@@ -122,8 +122,10 @@
 
     async def _until_stopped(self, stop: asyncio.Event, lives: asyncio.Task[None]) -> None:
         stopped = asyncio.create_task(stop.wait())
-        await asyncio.wait((lives, stopped), return_when=asyncio.FIRST_COMPLETED)
-        stopped.cancel()
+        try:
+            await asyncio.wait((lives, stopped), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            stopped.cancel()
         if lives.done():
             lives.result()
         if self._replica is not None:
--- a/src/jasperwalk/transport/client.py
+++ b/src/jasperwalk/transport/client.py
@@ -33,10 +33,10 @@
     """
     context = None if tls is None else tls.client_context()
     try:
-        reader, writer = await asyncio.wait_for(
-            asyncio.open_connection(endpoint.host, endpoint.port, ssl=context),
-            timeout=connect_timeout_seconds,
-        )
+        async with asyncio.timeout(connect_timeout_seconds):
+            reader, writer = await asyncio.open_connection(
+                endpoint.host, endpoint.port, ssl=context
+            )
     except TimeoutError as error:
         raise ConnectFailed(endpoint=str(endpoint), reason="timed out") from error
     except ssl.SSLError as error:
--- a/src/jasperwalk/transport/framed.py
+++ b/src/jasperwalk/transport/framed.py
@@ -129,9 +129,8 @@
         """
         self.write(codec.encode(hello))
         try:
-            payload = await asyncio.wait_for(
-                self._receive(MAXIMUM_HELLO_BYTES), timeout=timeout_seconds
-            )
+            async with asyncio.timeout(timeout_seconds):
+                payload = await self._receive(MAXIMUM_HELLO_BYTES)
         except TimeoutError as error:
             raise HelloTimeout(timeout_seconds=timeout_seconds) from error
         self.peer = check_hello(HELLO_DECODER.decode(payload), hello.cluster_id)
@@ -145,7 +144,8 @@
         """Close after sending what waits; drop the connection if that takes too long."""
         self._writer.close()
         try:
-            await asyncio.wait_for(self._writer.wait_closed(), timeout=timeout_seconds)
+            async with asyncio.timeout(timeout_seconds):
+                await self._writer.wait_closed()
         except (OSError, TimeoutError):
             with contextlib.suppress(OSError):
                 self._writer.transport.abort()
--- a/src/jasperwalk_lab/soak/run.py
+++ b/src/jasperwalk_lab/soak/run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
 import time
 from collections import Counter
@@ -200,5 +199,4 @@
 async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
     for task in tasks:
         task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await asyncio.gather(*tasks, return_exceptions=True)
+    await asyncio.gather(*tasks, return_exceptions=True)
--- a/src/jasperwalk_lab/supervisor.py
+++ b/src/jasperwalk_lab/supervisor.py
@@ -124,7 +124,8 @@
         process = self._processes.pop(name)
         _signal(process, signal.SIGTERM)
         try:
-            return await asyncio.wait_for(process.wait(), timeout)
+            async with asyncio.timeout(timeout):
+                return await process.wait()
         except TimeoutError:
             log.warning("process_did_not_stop", process=name)
             _signal(process, signal.SIGKILL)
