Hosts that start again under their ID; announcements of other writers name no host

What was missing: a host may start again under its ID. It knows nothing of before, its call numbers begin anew, and its heartbeat tells when it started. The agent knew a host by its ID alone, so each call of the new start was "late" until its numbers passed the old ones, a start after a drain was refused for ever, and the flows of the old start counted as held. Announcements may also come from other writers; some were taken with a value that nobody sent (capacity true as 1, "4" as 4, NaN and infinite slow starts, numbers of 400 digits that make each later call a late one), and the service and address of an announcement were not looked at.

Now a start is known by ID and time (HostStart). A later time takes the place at once and doubts all flows; an earlier one counts only while the present one is silent and has not said that it leaves; calls without a time belong to the start that is known. Heartbeats are decoded by a typed, bounded schema in platform/; one that is unreadable, or of another service or address than the agent's settings name, changes nothing and is counted (host_announcements_refused) with a bounded line host-announcement-refused. HostDesk has a module of its own; what is remembered of former hosts is bounded (64).

A test was wrong: test_a_flow_is_served_and_a_leaving_host_gets_no_more failed once in a run beside others. Its agent's log: `flow-admitted ...40003` at 43.863222, `zone-drained` at 43.863536. The test repeats the opening of one flow until it is reset, and that flow had been admitted 0.3 ms before the order came, so copies of it pass. Each try is another flow now, and each has to end in its reset or at the host: as strict. Its heartbeats carry an address, as the users' hosts' do.

--- a/src/jasperwalk/agent/datagrams/host.py
+++ b/src/jasperwalk/agent/datagrams/host.py
@@ -1,27 +1,40 @@
 """What an agent knows of the host beside it, from the host's own announcements.
 
-Announcements may come late and out of order; each carries a number that rises with every
-call. A host that has said that it leaves never becomes ready again: every start of a host has
-an ID of its own. An announcement of an earlier start may come after the present host has announced
-itself; a host that was taken for replaced and goes on announcing itself counts again. An agent
-that has just started knows nothing, and admits nothing until the host has spoken.
+Announcements may come late and out of order; each carries a number that rises with every call of
+one start of a host. A start that has said that it leaves never becomes ready again. A host may
+start again under its ID: it knows nothing of before, and its numbers begin anew; the time at which
+it started tells its starts apart. An announcement of an earlier start may come after the present
+host has announced itself; a host that was taken for replaced and goes on announcing itself counts
+again. An agent that has just started knows nothing, and admits nothing until the host has spoken.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Any
 
 import msgspec
 
+from jasperwalk.addresses import Endpoint
 from jasperwalk.fleet.messages import HostPhase
 
+MOST_FORMER_HOSTS = 64
+"""Starts of hosts that are remembered as gone or replaced: announcements are late by seconds, and a
+machine has few starts of its host in that time."""
 RETURN_SECONDS = 2.0
 """Silence of the present host after which one that it replaced may take its place again. Hosts
 announce themselves about once a second, so a living one is not replaced by a late announcement."""
 
 
+class HostStart(msgspec.Struct, frozen=True):
+    """One start of a host; `unix_ms` is when it started by its own clock, 0 where not known."""
+
+    host_id: str = ""
+    unix_ms: int = 0
+
+
 class HostAnnouncement(msgspec.Struct, frozen=True):
-    """One announcement. `call_number` rises with each call of the same host."""
+    """One announcement. `call_number` rises with each call of the same start of the host."""
 
     host_id: str
     phase: HostPhase
@@ -30,12 +43,18 @@
     call_number: int
     zone: str = ""
     """Where the host is, empty where it does not say."""
+    started_unix_ms: int = 0
+    """When the host started, by its own clock; 0 where it does not say."""
+    service: str = ""
+    """What the host serves, empty where it does not say."""
+    address: Endpoint | None = None
+    """Where the host takes packets, None where it does not say."""
 
 
 class HostSummary(msgspec.Struct, frozen=True):
     """What others learn of a host; a change of it is announced at once."""
 
-    host_id: str
+    start: HostStart
     phase: HostPhase
     zone: str
     is_cold: bool
@@ -46,6 +65,9 @@
     """The host as last announced."""
 
     host_id: str = ""
+    """The present host, empty where none has spoken."""
+    started_unix_ms: int = 0
+    """When it started, by its own clock; 0 where not known."""
     phase: HostPhase = HostPhase.UNKNOWN
     capacity: int = 1
     zone: str = ""
@@ -54,26 +76,30 @@
     """The same, of all announcements the one that was least late."""
     call_number: int = -1
     announced_at: float = 0.0
-    _left: set[str] = field(default_factory=set)
-    """Hosts that have said that they leave."""
-    _replaced: dict[str, int] = field(default_factory=dict)
-    """Hosts whose place another one has taken, and the number of their last call."""
+    _left: dict[str, int] = field(default_factory=dict)
+    """Hosts that have said that they leave, and when the last of their starts that did so began."""
+    _replaced: dict[HostStart, int] = field(default_factory=dict)
+    """Starts whose place another one has taken, and the number of their last call."""
+
+    @property
+    def start(self) -> HostStart:
+        """The present host's start."""
+        return HostStart(self.host_id, self.started_unix_ms)
 
     def announce(self, news: HostAnnouncement, now: float) -> bool:
         """Take an announcement; return False for one that newer knowledge has overtaken."""
-        if news.host_id in self._left:
+        start = self._start_of(news)
+        if self._is_of_left(start):
             return False
-        if news.host_id == self.host_id:
-            if news.call_number <= self.call_number:
-                return False
-            if self.phase is HostPhase.DRAINING and news.phase is HostPhase.READY:
+        if self._is_present(start):
+            if not self._is_newer_call(news):
                 return False
         elif self.host_id:
-            if not self._may_replace(news, now):
+            if not self._may_replace(start, news.call_number, now):
                 return False
             self._note_replaced()
             self._slow_until_at_most = 0.0
-        self.host_id = news.host_id
+        self.host_id, self.started_unix_ms = start.host_id, start.unix_ms
         self.phase = news.phase
         self.capacity = max(news.capacity, 1)
         self.zone = news.zone
@@ -82,6 +108,26 @@
         self.announced_at = now
         return True
 
+    def _start_of(self, news: HostAnnouncement) -> HostStart:
+        """Return the start that speaks; one that names no time is taken for the known one."""
+        if news.host_id == self.host_id and not news.started_unix_ms:
+            return self.start
+        return HostStart(news.host_id, news.started_unix_ms)
+
+    def _is_present(self, start: HostStart) -> bool:
+        is_same_host = start.host_id == self.host_id
+        return is_same_host and self.started_unix_ms in (0, start.unix_ms)
+
+    def _is_of_left(self, start: HostStart) -> bool:
+        """Tell whether this start of the host, or a later one, has said that it leaves."""
+        left = self._left.get(start.host_id)
+        return left is not None and (left == 0 or start.unix_ms <= left)
+
+    def _is_newer_call(self, news: HostAnnouncement) -> bool:
+        """Tell whether the present host's call is newer than its last one."""
+        is_back = self.phase is HostPhase.DRAINING and news.phase is HostPhase.READY
+        return news.call_number > self.call_number and not is_back
+
     def _note_slow_start(self, news: HostAnnouncement, now: float) -> None:
         self.slow_until = now + news.slow_start_seconds
         if news.slow_start_seconds:
@@ -97,31 +143,50 @@
             return None
         return self._slow_until_at_most - slow_start_seconds
 
-    def _may_replace(self, news: HostAnnouncement, now: float) -> bool:
-        """Tell whether an announcement of another host is newer than the present one's."""
-        last_call_number = self._replaced.get(news.host_id)
-        if last_call_number is None:
+    def _may_replace(self, start: HostStart, call_number: int, now: float) -> bool:
+        """Tell whether an announcement of another start is newer than the present one's.
+
+        A start that was replaced, or that began earlier, speaks late: it counts only where it goes
+        on speaking while the present one is silent. Its clock may have been set back since.
+        """
+        last_call_number = self._replaced.get(start)
+        is_earlier = 0 < start.unix_ms < self.started_unix_ms
+        if last_call_number is None and not is_earlier:
             return True
+        if is_earlier and self.phase is HostPhase.DRAINING:
+            return False
         is_silent = now - self.announced_at > RETURN_SECONDS
-        return is_silent and news.call_number > last_call_number
+        return is_silent and (last_call_number is None or call_number > last_call_number)
 
     def _note_replaced(self) -> None:
         if self.phase is HostPhase.DRAINING:
-            self._left.add(self.host_id)
-        self._replaced[self.host_id] = self.call_number
+            self._note_left(self.start)
+        self._replaced[self.start] = self.call_number
+        _forget_oldest(self._replaced)
+
+    def _note_left(self, start: HostStart) -> None:
+        self._left[start.host_id] = start.unix_ms
+        _forget_oldest(self._left)
 
     def leave(self, host_id: str) -> bool:
         """Note that a host is ending; return False where it is not the present one."""
-        self._left.add(host_id)
         if self.host_id not in ("", host_id):
+            self._note_left(self._last_replaced(host_id))
             return False
-        self.host_id = host_id
+        if not self.host_id:
+            self.host_id = host_id
+        self._note_left(self.start)
         self.phase = HostPhase.DRAINING
         return True
 
+    def _last_replaced(self, host_id: str) -> HostStart:
+        """Return the last known start of a host whose place another one has taken."""
+        times = [each.unix_ms for each in self._replaced if each.host_id == host_id]
+        return HostStart(host_id, max(times, default=0))
+
     def has_left(self) -> bool:
         """Tell whether the present host has said that it is gone."""
-        return self.host_id in self._left
+        return self._is_of_left(self.start)
 
     def is_leaving(self) -> bool:
         """Tell whether the host drains and has not deregistered yet."""
@@ -134,8 +199,14 @@
 
     def summary(self, now: float) -> HostSummary:
         """Return what is announced."""
-        return HostSummary(self.host_id, self.phase, self.zone, now < self.slow_until)
+        return HostSummary(self.start, self.phase, self.zone, now < self.slow_until)
 
     def slow_start_seconds(self, now: float) -> float:
         """Return how much longer the host is slow from its start."""
         return max(0.0, self.slow_until - now)
+
+
+def _forget_oldest(former: dict[Any, int]) -> None:
+    """Keep a record of former hosts within its bound."""
+    while len(former) > MOST_FORMER_HOSTS:
+        del former[next(iter(former))]
--- /dev/null
+++ b/src/jasperwalk/agent/datagrams/host_desk.py
@@ -0,0 +1,98 @@
+"""Takes what hosts announce at an agent: the host beside it counts, and no other."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+import structlog
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.agent.datagrams.host import HostAnnouncement, HostState
+
+OTHER_SERVICE = "another service"
+OTHER_ADDRESS = "another address"
+
+logger = structlog.get_logger(__name__)
+
+
+class BoundedLog(Protocol):
+    """Writes lines while there is budget for them (see `DecisionLog`)."""
+
+    def note(self, event: str, **fields: object) -> None:
+        """Write one line."""
+
+
+class HostDesk:
+    """Takes the announcements of the host beside the agent; answers hold at once."""
+
+    def __init__(
+        self,
+        host: HostState,
+        service: str,
+        address: Endpoint,
+        log: BoundedLog,
+        on_change: Callable[[], None],
+        on_new_host: Callable[[], None],
+    ) -> None:
+        """`service` and `address` are those of the host beside this agent, by its settings.
+
+        `log` takes the lines that anybody who reaches the agent could multiply. `on_new_host` is
+        called when another host, or another start of the same one, has taken a known one's place.
+        """
+        self._host = host
+        self._service = service
+        self._address = address
+        self._bounded_log = log
+        self._on_change = on_change
+        self._on_new_host = on_new_host
+        self.refused = 0
+        """Announcements that were unreadable or of a host that is not beside this agent."""
+
+    def announce(self, news: HostAnnouncement) -> bool:
+        """Take an announcement; return False for one that was overtaken or is not the host's."""
+        reason = self._reason_to_refuse(news)
+        if reason:
+            self.refuse(news.host_id, reason)
+            return False
+        now = time.monotonic()
+        before, known = self._host.summary(now), self._host.start
+        taken = self._host.announce(news, now)
+        if known.host_id and known != self._host.start:
+            self._on_new_host()
+        if before != self._host.summary(now):
+            self._log("host-announced", news.call_number)
+            self._on_change()
+        elif not taken:
+            self._log("host-announcement-late", news.call_number)
+        return taken
+
+    def leave(self, host_id: str) -> bool:
+        """Take a host's deregistration."""
+        taken = self._host.leave(host_id)
+        self._log("host-leaves", self._host.call_number)
+        self._on_change()
+        return taken
+
+    def refuse(self, host_id: str, reason: str) -> None:
+        """Note an announcement that names no host to use; what is known of the host holds."""
+        self.refused += 1
+        self._bounded_log.note("host-announcement-refused", host=host_id, reason=reason)
+
+    def _reason_to_refuse(self, news: HostAnnouncement) -> str:
+        if news.service not in ("", self._service):
+            return OTHER_SERVICE
+        if news.address not in (None, self._address):
+            return OTHER_ADDRESS
+        return ""
+
+    def _log(self, event: str, call_number: int) -> None:
+        host = self._host
+        logger.info(
+            event,
+            host=host.host_id,
+            phase=host.phase.value,
+            host_call=call_number,
+            host_started_unix_ms=host.started_unix_ms,
+        )
--- a/src/jasperwalk/agent/datagrams/process.py
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -13,7 +13,8 @@
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.agent.datagrams.flow_agent import FlowAgent
-from jasperwalk.agent.datagrams.host import HostAnnouncement, HostState
+from jasperwalk.agent.datagrams.host import HostState
+from jasperwalk.agent.datagrams.host_desk import HostDesk
 from jasperwalk.agent.datagrams.host_presence import is_host_absent
 from jasperwalk.agent.datagrams.planned_stop import outlast_leaving_host
 from jasperwalk.agent.datagrams.search_helper import SearchHelper
@@ -50,43 +51,6 @@
 logger = structlog.get_logger(__name__)
 
 
-class HostDesk:
-    """Takes the announcements of the host beside the agent; answers hold at once."""
-
-    def __init__(
-        self, host: HostState, on_change: Callable[[], None], on_new_host: Callable[[], None]
-    ) -> None:
-        """`on_new_host` is called when another host has taken the place of a known one."""
-        self._host = host
-        self._on_change = on_change
-        self._on_new_host = on_new_host
-
-    def announce(self, news: HostAnnouncement) -> bool:
-        """Take an announcement; return False for one that was overtaken."""
-        now = time.monotonic()
-        before = self._host.summary(now)
-        taken = self._host.announce(news, now)
-        if before.host_id not in ("", self._host.host_id):
-            self._on_new_host()
-        if before != self._host.summary(now):
-            self._log("host-announced", news.call_number)
-            self._on_change()
-        elif not taken:
-            self._log("host-announcement-late", news.call_number)
-        return taken
-
-    def leave(self, host_id: str) -> bool:
-        """Take a host's deregistration."""
-        taken = self._host.leave(host_id)
-        self._log("host-leaves", self._host.call_number)
-        self._on_change()
-        return taken
-
-    def _log(self, event: str, call_number: int) -> None:
-        host = self._host
-        logger.info(event, host=host.host_id, phase=host.phase.value, host_call=call_number)
-
-
 HostInterface = Callable[[HostDesk], HttpHandler]
 """Makes the handler of the host's calls."""
 
@@ -143,7 +107,14 @@
         self._link = HomeLink(
             self._record, lambda: reload().replicas(), self._news, self._linked, self._random
         )
-        desk = HostDesk(self.host, self._link.announce, self._host_changed)
+        desk = HostDesk(
+            self.host,
+            settings.service,
+            self._host_endpoint,
+            decisions,
+            self._link.announce,
+            self._host_changed,
+        )
         self._host_calls = HttpServer(
             Endpoint.parse(settings.host_calls_listen), host_interface(desk)
         )
@@ -153,7 +124,11 @@
 
         figures = ProcessFigures(
             process="agent",
-            counters=lambda: {**vars(self.core.counters), **vars(self.helper.counters)},
+            counters=lambda: {
+                **vars(self.core.counters),
+                **vars(self.helper.counters),
+                "host_announcements_refused": desk.refused,
+            },
             gauges={
                 "flows": lambda: len(self.core),
                 "requests_under_way": lambda: self.core.meter.busy,
--- a/tests/agent/datagrams/test_host.py
+++ b/tests/agent/datagrams/test_host.py
@@ -1,6 +1,11 @@
 import pytest
 
-from jasperwalk.agent.datagrams.host import RETURN_SECONDS, HostAnnouncement, HostState
+from jasperwalk.agent.datagrams.host import (
+    MOST_FORMER_HOSTS,
+    RETURN_SECONDS,
+    HostAnnouncement,
+    HostState,
+)
 from jasperwalk.fleet.messages import HostPhase
 
 READY, DRAINING = HostPhase.READY, HostPhase.DRAINING
@@ -90,3 +95,79 @@
     state.announce(call(7, DRAINING, "old"), 0.0)
     state.announce(call(1, host="new"), 1.0)
     assert not state.announce(call(8, host="old"), 100.0)
+
+
+BORN, BORN_AGAIN = 1_700_000_000_000, 1_700_000_009_000
+
+
+def start(number, born, phase=READY, host="h1"):
+    return HostAnnouncement(host, phase, 4, 0.0, number, started_unix_ms=born)
+
+
+def test_a_host_that_starts_again_under_its_id_counts_from_its_first_call():
+    state = state_after(start(9, BORN))
+    assert state.announce(start(1, BORN_AGAIN), 10.5)
+    assert (state.started_unix_ms, state.call_number) == (BORN_AGAIN, 1)
+
+
+@pytest.mark.parametrize(
+    "before", [[start(9, BORN, DRAINING)], [start(9, BORN), "h1"]], ids=["drained", "left"]
+)
+def test_a_host_that_starts_again_under_its_id_takes_work_though_it_had_left(before):
+    state = state_after(*before)
+    assert state.announce(start(1, BORN_AGAIN), 10.5)
+    assert state.phase is READY
+    assert not state.has_left()
+
+
+@pytest.mark.parametrize("phase", [READY, DRAINING])
+def test_a_late_call_of_an_earlier_start_under_the_same_id_changes_nothing(phase):
+    state = state_after(start(1, BORN_AGAIN))
+    assert not state.announce(start(70, BORN, phase), 10.5)
+    assert (state.phase, state.started_unix_ms) == (READY, BORN_AGAIN)
+
+
+@pytest.mark.parametrize("host", ["h1", "old"])
+def test_a_late_call_of_a_start_that_this_agent_never_knew_changes_nothing(host):
+    """The agent was restarted, so it does not know that the earlier start was replaced."""
+    state = state_after(start(3, BORN_AGAIN))
+    assert not state.announce(start(70, BORN, host=host), 10.5)
+    assert (state.host_id, state.phase) == ("h1", READY)
+
+
+@pytest.mark.parametrize("host", ["h1", "old"])
+def test_a_late_call_of_an_earlier_start_does_not_revive_a_host_that_drained(host):
+    state = state_after(start(1, BORN_AGAIN), start(2, BORN_AGAIN, DRAINING))
+    assert not state.announce(start(70, BORN, host=host), 100.0)
+    assert state.phase is DRAINING
+
+
+def test_a_start_whose_clock_was_set_back_counts_once_the_one_before_is_silent():
+    state = state_after(start(3, BORN_AGAIN))
+    assert not state.announce(start(1, BORN), 10.5)
+    assert state.announce(start(4, BORN), 10.1 + RETURN_SECONDS)
+    assert state.started_unix_ms == BORN
+
+
+@pytest.mark.parametrize(("known", "said"), [(0, BORN), (BORN, 0)])
+def test_calls_without_a_time_of_start_are_of_the_start_that_is_known(known, said):
+    state = state_after(start(5, known))
+    assert not state.announce(start(4, said), 10.5)
+    assert state.announce(start(6, said), 10.5)
+    assert state.started_unix_ms == BORN
+
+
+def test_a_new_start_shows_in_the_summary_that_is_announced():
+    state = state_after(start(9, BORN))
+    before = state.summary(10.0)
+    state.announce(start(1, BORN_AGAIN), 10.5)
+    assert state.summary(10.5) != before
+
+
+def test_former_hosts_are_remembered_within_a_bound():
+    state = HostState()
+    for number in range(3 * MOST_FORMER_HOSTS):
+        state.announce(call(1, host=f"h{number}"), float(number))
+        state.leave(f"other-{number}")
+    assert len(state._left) <= MOST_FORMER_HOSTS
+    assert len(state._replaced) <= MOST_FORMER_HOSTS
--- a/tests/platform_adapter/test_http_calls.py
+++ b/tests/platform_adapter/test_http_calls.py
@@ -33,6 +33,10 @@
 class Desk:
     def __init__(self):
         self.heard = []
+        self.refused = []
+
+    def refuse(self, host_id, reason):
+        self.refused.append((host_id, reason))
 
     def announce(self, news):
         self.heard.append(news)
@@ -68,6 +72,77 @@
     assert (desk.heard[0].phase, desk.heard[1]) == (HostPhase.DRAINING, "i-1")
 
 
+def test_a_heartbeat_tells_when_the_host_started():
+    desk = Desk()
+    beat = json.dumps({**HEARTBEAT, "born": 1_700_000_000_123}).encode()
+    assert ask(host_calls(desk), "PUT", "/instances/i-1", beat).status == 200
+    assert desk.heard[0].started_unix_ms == 1_700_000_000_123
+
+
+def test_a_heartbeat_without_what_may_be_left_out():
+    desk = Desk()
+    lean = {k: v for k, v in HEARTBEAT.items() if k not in ("zone", "coldLeftMs", "version")}
+    assert ask(host_calls(desk), "PUT", "/instances/i-1", json.dumps(lean).encode()).status == 200
+    (news,) = desk.heard
+    assert (news.started_unix_ms, news.slow_start_seconds, news.zone) == (0, 0.0, "")
+
+
+OTHER_WRITERS = [
+    *[
+        {k: v for k, v in HEARTBEAT.items() if k != missing}
+        for missing in ("service", "address", "capacity", "state", "callSeq")
+    ],
+    {**HEARTBEAT, "service": 7},
+    {**HEARTBEAT, "service": ""},
+    {**HEARTBEAT, "service": ["web"]},
+    {**HEARTBEAT, "address": 7},
+    {**HEARTBEAT, "address": "nowhere"},
+    {**HEARTBEAT, "zone": {"name": "a"}},
+    {**HEARTBEAT, "capacity": True},
+    {**HEARTBEAT, "capacity": "3"},
+    {**HEARTBEAT, "capacity": 2.5},
+    {**HEARTBEAT, "capacity": 0},
+    {**HEARTBEAT, "capacity": -1},
+    {**HEARTBEAT, "capacity": 10**30},
+    {**HEARTBEAT, "state": "starting"},
+    {**HEARTBEAT, "state": "READY"},
+    {**HEARTBEAT, "state": ["ready"]},
+    {**HEARTBEAT, "state": None},
+    {**HEARTBEAT, "coldLeftMs": "1500"},
+    {**HEARTBEAT, "coldLeftMs": float("nan")},
+    {**HEARTBEAT, "coldLeftMs": float("inf")},
+    {**HEARTBEAT, "coldLeftMs": 1e300},
+    {**HEARTBEAT, "coldLeftMs": -1},
+    {**HEARTBEAT, "callSeq": "4"},
+    {**HEARTBEAT, "callSeq": True},
+    {**HEARTBEAT, "callSeq": -4},
+    {**HEARTBEAT, "callSeq": 10**400},
+    {**HEARTBEAT, "born": "yesterday"},
+    {**HEARTBEAT, "born": -1},
+    {**HEARTBEAT, "born": 1.5},
+    {**HEARTBEAT, "born": True},
+]
+UNREADABLE = [
+    json.dumps(HEARTBEAT).encode()[:-5],
+    json.dumps(HEARTBEAT).encode("utf-16"),
+    json.dumps(HEARTBEAT).encode().replace(b'"a"', b'"\xff\xfe"'),
+    b"\x00" * 100,
+    b"null",
+    b'"ready"',
+    b"4",
+]
+
+
+@pytest.mark.parametrize(
+    "body", [*(json.dumps(each).encode() for each in OTHER_WRITERS), *UNREADABLE]
+)
+def test_a_heartbeat_of_another_writer_names_no_host(body):
+    desk = Desk()
+    assert ask(host_calls(desk), "PUT", "/instances/i-1", body).status == 400
+    assert desk.heard == []
+    assert len(desk.refused) == 1
+
+
 @pytest.mark.parametrize(
     ("method", "path", "body", "status"),
     [
@@ -89,6 +164,15 @@
     assert desk.heard == []
 
 
+@pytest.mark.parametrize("name", ["x" * 300, "%ff", "a b", "i-1/state"])
+def test_an_odd_name_is_no_hosts(name):
+    desk = Desk()
+    body = json.dumps(HEARTBEAT).encode()
+    assert ask(host_calls(desk), "PUT", f"/instances/{name}", body).status == 404
+    assert ask(host_calls(desk), "DELETE", f"/instances/{name}").status == 404
+    assert desk.heard == []
+
+
 class Service:
     def __init__(self, result):
         self.result = result
--- a/tests/platform_adapter/test_processes.py
+++ b/tests/platform_adapter/test_processes.py
@@ -4,7 +4,6 @@
 test is the operator, the fabric, the host and the caller.
 """
 
-import contextlib
 import json
 import os
 import socket
@@ -25,6 +24,8 @@
 """Bound of every wait; nothing is asserted about how long things take."""
 CODEC = PlatformCodec()
 CONTROL_HOSTS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
+FIRST_TURNED_AWAY_PORT = 41000
+POLL_SECONDS = 0.1
 BALANCER_HOST, AGENT_HOST, CALLER_HOST = "127.0.2.1", "127.0.3.1", "127.0.4.1"
 HOSTS = (*CONTROL_HOSTS, BALANCER_HOST, AGENT_HOST, CALLER_HOST)
 SYN, ACK = 4, 16
@@ -146,22 +147,52 @@
     return made
 
 
-def until_reset(fabric, client, opening, ingress):
-    """Open a flow until it is reset: the order is in force a moment after it is acknowledged."""
-    client.settimeout(0.1)
+def assert_flows_are_reset_soon(fabric, client, host, listener, ingress):
+    """Open flows until one is reset: the order is in force a moment after it is acknowledged.
+
+    Each try is another flow, for copies of one that was admitted in that moment belong to it. In
+    the end each opening has been answered by a reset of its own or is with the host.
+    """
+    openings = {}
+    for attempt in range(int(PATIENCE_SECONDS / POLL_SECONDS)):
+        opening = packet((CALLER_HOST, FIRST_TURNED_AWAY_PORT + attempt), listener, SYN)
+        openings[CODEC.reset_for(opening)] = opening
+        fabric.sendto(opening, ingress)
+        reset = received_soon(client)
+        if reset is not None:
+            break
+    del openings[reset]
+    deadline = time.monotonic() + PATIENCE_SECONDS
+    while openings and time.monotonic() < deadline:
+        reset, admitted = received_soon(client), received_soon(host)
+        if reset is not None:
+            del openings[reset]
+        if admitted is not None:
+            del openings[CODEC.reset_for(admitted)]
+    assert openings == {}
+
+
+def received_soon(receiver):
+    """Return the next datagram, None where none comes within a moment."""
+    receiver.settimeout(POLL_SECONDS)
     try:
-        for _ in range(int(PATIENCE_SECONDS / 0.1)):
-            fabric.sendto(opening, ingress)
-            with contextlib.suppress(TimeoutError):
-                return client.recv(2048)
+        return receiver.recv(2048)
+    except TimeoutError:
+        return None
     finally:
-        client.settimeout(PATIENCE_SECONDS)
-    raise AssertionError("the flow was not reset")
+        receiver.settimeout(PATIENCE_SECONDS)
 
 
-def heartbeat(state, number):
+def heartbeat(fleet, state, number):
     return json.dumps(
-        {"service": "web", "capacity": 4, "state": state, "coldLeftMs": 0, "callSeq": number}
+        {
+            "service": "web",
+            "address": f"{AGENT_HOST}:{fleet.ports['app']}",
+            "capacity": 4,
+            "state": state,
+            "coldLeftMs": 0,
+            "callSeq": number,
+        }
     ).encode()
 
 
@@ -185,7 +216,7 @@
     fleet.until("PUT", CONTROL_HOSTS[0], "operators", "/config", body)
     assert fleet.until("GET", CONTROL_HOSTS[1], "operators", "/config") == body
     assert fleet.call("PUT", CONTROL_HOSTS[2], "operators", "/config", b"{")[0] == 400
-    fleet.until("PUT", AGENT_HOST, "calls", "/instances/h1", heartbeat("ready", 1))
+    fleet.until("PUT", AGENT_HOST, "calls", "/instances/h1", heartbeat(fleet, "ready", 1))
     fleet.until("GET", BALANCER_HOST, "ready", "/readiness")
 
     ports = fleet.ports
@@ -208,14 +239,13 @@
 
         evacuation = ("operators", "/evacuations/a")
         fleet.until("POST", CONTROL_HOSTS[1], *evacuation)
-        turned_away = packet((CALLER_HOST, 40003), listener, SYN)
-        assert until_reset(fabric, client, turned_away, ingress) == CODEC.reset_for(turned_away)
+        assert_flows_are_reset_soon(fabric, client, host, listener, ingress)
         assert fleet.call("POST", CONTROL_HOSTS[0], "operators", "/evacuations/elsewhere")[0] == 404
         fleet.until("DELETE", CONTROL_HOSTS[2], *evacuation)
         fleet.until("POST", CONTROL_HOSTS[0], *evacuation)
         fleet.until("DELETE", CONTROL_HOSTS[0], *evacuation)
 
-        fleet.until("PUT", AGENT_HOST, "calls", "/instances/h1", heartbeat("draining", 2))
+        fleet.until("PUT", AGENT_HOST, "calls", "/instances/h1", heartbeat(fleet, "draining", 2))
         other = (CALLER_HOST, 40002)
         refused = packet(other, listener, SYN)
         fabric.sendto(refused, ingress)
