A reload signal does not end a process that is only starting

Cause: a process answers SIGHUP from the moment at which its event loop runs; until then (some 0.2 s of imports and settings) the system's default ends it. Ruled out: an error of its own (nothing in the log, no status but the signal's), the kill of the other fault (that one the supervisor notes).

Mend: the signal is ignored from the program's first line on; the loop's handler replaces that.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -7,6 +7,7 @@
 
 import gc
 import marshal
+import signal
 import sys
 from _frozen_importlib import ModuleSpec
 from _frozen_importlib_external import ExtensionFileLoader
@@ -66,6 +67,8 @@
 
 
 if __name__ == "__main__":
+    # The default would end a process that is told of new settings before its event loop runs.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Modules make no garbage while they load; the process turns collection on again.
     gc.disable()
     sys.path[0] = f"{ROOT}/platform"
