--- a/src/jasperwalk/agent/datagrams/host_desk.py
+++ b/src/jasperwalk/agent/datagrams/host_desk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -17,6 +18,16 @@
 logger = structlog.get_logger(__name__)
 
 
+class AnnouncementOutcome(enum.Enum):
+    """What became of an announcement."""
+
+    TAKEN = "taken"
+    LATE = "late"
+    """Newer knowledge of the host has overtaken it: acknowledged, without effect."""
+    REFUSED = "refused"
+    """It is not of the host beside this agent."""
+
+
 class BoundedLog(Protocol):
     """Writes lines while there is budget for them (see `DecisionLog`)."""
 
@@ -50,12 +61,12 @@
         self.refused = 0
         """Announcements that were unreadable or of a host that is not beside this agent."""
 
-    def announce(self, news: HostAnnouncement) -> bool:
-        """Take an announcement; return False for one that was overtaken or is not the host's."""
+    def announce(self, news: HostAnnouncement) -> AnnouncementOutcome:
+        """Take an announcement."""
         reason = self._reason_to_refuse(news)
         if reason:
             self.refuse(news.host_id, reason)
-            return False
+            return AnnouncementOutcome.REFUSED
         now = time.monotonic()
         before, known = self._host.summary(now), self._host.start
         taken = self._host.announce(news, now)
@@ -66,7 +77,7 @@
             self._on_change()
         elif not taken:
             self._log("host-announcement-late", news.call_number)
-        return taken
+        return AnnouncementOutcome.TAKEN if taken else AnnouncementOutcome.LATE
 
     def leave(self, host_id: str) -> bool:
         """Take a host's deregistration."""
--- a/src/jasperwalk_lab/commands/soak.py
+++ b/src/jasperwalk_lab/commands/soak.py
@@ -13,6 +13,7 @@
 from jasperwalk_lab.chaos.run import run_chaos
 from jasperwalk_lab.commands.options import example_option, runs_option
 from jasperwalk_lab.commands.running import run_stoppable
+from jasperwalk_lab.soak.fleet import SIZES
 from jasperwalk_lab.soak.kept_seeds import read_kept_seeds
 from jasperwalk_lab.soak.report import SoakReport, describe
 from jasperwalk_lab.soak.run import run_soak
@@ -35,6 +36,14 @@
 @click.option("--seed", type=int, default=None, help="Seed of the schedule; drawn if left out.")
 @click.option("--plane", type=click.Choice(PLANES), default=PLANES[0], show_default=True)
 @click.option("--kept", is_flag=True, help="Play the seeds that once failed first.")
+@click.option(
+    "--size",
+    type=click.Choice(sorted(SIZES)),
+    default="small",
+    show_default=True,
+    help="How many processes run (datagram plane).",
+)
+@click.option("--seeds", type=click.IntRange(min=1), default=1, help="Seeds played, one by one.")
 @example_option
 @runs_option
 @click.option("--json", "as_json", is_flag=True, help="Print the verdict as one JSON object.")
@@ -43,6 +52,8 @@
     seed: int | None,
     plane: str,
     kept: bool,
+    size: str,
+    seeds: int,
     example: str,
     runs: Path,
     as_json: bool,
@@ -57,10 +68,12 @@
     if plane == PLANES[1]:
         sys.exit(_soak_http3(example, minutes, drawn_seed, runs, as_json))
     runs_to_play = [(each.seconds, each.seed) for each in read_kept_seeds()] if kept else []
-    runs_to_play.append((minutes * SECONDS_PER_MINUTE, drawn_seed))
+    seconds = minutes * SECONDS_PER_MINUTE
+    runs_to_play.extend((seconds, drawn_seed + offset) for offset in range(seeds))
     broken = False
-    for seconds, each_seed in runs_to_play:
-        report = run_stoppable(run_soak(seconds, each_seed, runs, _tell))
+    for run_seconds, each_seed in runs_to_play:
+        soaking = run_soak(run_seconds, each_seed, runs, _tell, SIZES[size])
+        report = run_stoppable(soaking)
         _print(report, as_json)
         broken = broken or bool(report.violations)
     sys.exit(EXIT_PROMISE_BROKEN if broken else 0)
--- a/src/jasperwalk_lab/soak/callers.py
+++ b/src/jasperwalk_lab/soak/callers.py
@@ -1,7 +1,8 @@
 """Stand-in callers and the router before the balancers.
 
 The router asks every balancer twice a second whether it is ready; two misses put it out. It picks
-by rendezvous hash of the flow, as the users' routers do: only a lost balancer's flows move.
+by rendezvous hash of the flow, as the users' routers do: only a lost balancer's flows move. A flow
+that is open goes on through its balancer until that process is gone, also while it stops.
 """
 
 from __future__ import annotations
@@ -20,7 +21,7 @@
     SoakHistory,
 )
 from jasperwalk_lab.soak.hosts import ANSWER_MARK, REQUEST_MARK, SoakHost
-from jasperwalk_lab.soak.http_calls import call
+from jasperwalk_lab.soak.http_calls import HttpCaller
 from jasperwalk_lab.soak.relays import Address, DatagramReceiver
 from jasperwalk_lab.soak.wire import ACK, FIN, READY_PATH, RST, SYN, Packet, decode
 
@@ -52,8 +53,14 @@
     """Hands packets to balancers."""
 
     balancers: list[BalancerPlace]
+    exists: Callable[[str], bool]
+    """Whether a balancer's process is there, also one that is on its way to its end."""
     _misses: dict[str, int] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        """Prepare the calls."""
+        self._caller = HttpCaller()
+
     async def run(self) -> None:
         """Ask the balancers until cancelled."""
         while True:
@@ -61,12 +68,17 @@
             await asyncio.sleep(READY_POLL_SECONDS)
 
     async def _ask(self, place: BalancerPlace) -> None:
-        answer = await call(place.ready, "GET", READY_PATH, seconds=READY_POLL_SECONDS)
+        answer = await self._caller.call(place.ready, "GET", READY_PATH, seconds=READY_POLL_SECONDS)
         is_ready = answer.status == OK_STATUS
         self._misses[place.name] = 0 if is_ready else self._misses.get(place.name, 0) + 1
 
-    def choose(self, key: bytes) -> BalancerPlace:
-        """Return the balancer of a flow: of those that are in, or of all if none is."""
+    def choose(self, key: bytes, last: BalancerPlace | None) -> BalancerPlace:
+        """Return the balancer of a flow: of those that are in, or of all if none is.
+
+        `last` is the one that carries the flow if it is open.
+        """
+        if last is not None and self.exists(last.name):
+            return last
         inside = [each for each in self.balancers if self._misses.get(each.name, 0) < MISSES_OUT]
         return max(inside or self.balancers, key=lambda each: crc32(key + each.name.encode()))
 
@@ -82,6 +94,8 @@
     acknowledged: int | None = None
     """Number that the host's answer to the opening packet leads to, None before it came."""
     was_reset: bool = False
+    balancer: BalancerPlace | None = None
+    """The balancer that carries the flow, None while it is not open."""
     answer: bytes = b""
     expected: int = 0
     """What an answer to the present request acknowledges; copies of earlier ones say less."""
@@ -217,7 +231,8 @@
         self._flows.pop((flow.endpoint, flow.listener), None)
 
     def _send(self, flow: CallerFlow, packet: Packet) -> None:
-        place = self._router.choose(flow.key())
+        place = self._router.choose(flow.key(), flow.balancer)
+        flow.balancer = place if flow.acknowledged is not None else None
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(packet.encode(), (place.callers.host, place.callers.port))
 
@@ -244,7 +259,7 @@
             held = host.flows.get((flow.endpoint, flow.listener))
             if host.is_alive and held is not None and held.is_open:
                 name = f"{flow.endpoint}>{flow.listener}"
-                self._history.resets.append(OpenFlowReset(self._clock(), name, host.host_id))
+                self._history.resets.append(OpenFlowReset(self._clock(), name, host.start_id))
 
 
 def _answered_id(flow: CallerFlow) -> str:
--- a/src/jasperwalk_lab/soak/checks.py
+++ b/src/jasperwalk_lab/soak/checks.py
@@ -47,6 +47,8 @@
     PLANNED_WORK = "planned work resets no open flow"
     BACK_IN_TIME = "service is back in time after the last fault"
     NO_EXIT = "no process ends by itself"
+    STOPS_IN_TIME = "a process ends within the grace of its stop signal"
+    OTHER_WRITERS = "an announcement that names no host is not taken"
     RESOURCES = "memory and descriptors return to where they were"
 
 
@@ -179,6 +181,17 @@
         yield SoakViolation(SoakPromise.NO_EXIT, history.ends_at, name)
 
 
+def _stops_in_time(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
+    for killed in history.killed_at_stop:
+        yield SoakViolation(SoakPromise.STOPS_IN_TIME, killed.at, killed.process)
+
+
+def _other_writers(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
+    for taken in history.unusable_taken:
+        detail = f"{taken.agent} took {taken.body!r}"
+        yield SoakViolation(SoakPromise.OTHER_WRITERS, taken.at, detail)
+
+
 def _resources(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
     for use in history.uses:
         most_bytes = use.first_bytes * MOST_MEMORY_GROWTH + MEMORY_SLACK_BYTES
@@ -203,5 +216,7 @@
     _planned_work,
     _back_in_time,
     _no_exit,
+    _stops_in_time,
+    _other_writers,
     _resources,
 )
--- a/src/jasperwalk_lab/soak/faults.py
+++ b/src/jasperwalk_lab/soak/faults.py
@@ -46,6 +46,16 @@
     HOST_TURNS_AWAY = "host-turns-away"
     ZONE_DRAINED = "zone-drained"
     ALL_KILLED = "all-killed"
+    CONTROL_RESTARTED_OFTEN = "control-restarted-often"
+    BALANCER_RESTARTED_OFTEN = "balancer-restarted-often"
+    AGENT_RESTARTED_OFTEN = "agent-restarted-often"
+    CONTROL_SIGNALLED = "control-signalled"
+    BALANCER_SIGNALLED = "balancer-signalled"
+    AGENT_SIGNALLED = "agent-signalled"
+    HOST_STARTED_AGAIN = "host-started-again"
+    HOST_IMPERSONATED = "host-impersonated"
+    CONFIGURATION_STORM = "configuration-storm"
+    ZONE_ORDERS_IN_A_ROW = "zone-orders-in-a-row"
 
 
 class FaultShape(msgspec.Struct, frozen=True):
@@ -83,6 +93,16 @@
     FaultKind.HOST_TURNS_AWAY: FaultShape(TargetGroup.HOST, 1.0, 3.0),
     FaultKind.ZONE_DRAINED: FaultShape(TargetGroup.ZONE, 6.0, 9.0, is_planned=True),
     FaultKind.ALL_KILLED: FaultShape(TargetGroup.ALL, 0.2, 0.8),
+    FaultKind.CONTROL_RESTARTED_OFTEN: FaultShape(TargetGroup.CONTROL, 1.0, 3.0),
+    FaultKind.BALANCER_RESTARTED_OFTEN: FaultShape(TargetGroup.BALANCER, 1.0, 3.0),
+    FaultKind.AGENT_RESTARTED_OFTEN: FaultShape(TargetGroup.AGENT, 1.0, 3.0),
+    FaultKind.CONTROL_SIGNALLED: FaultShape(TargetGroup.CONTROL, 0.5, 1.5, is_planned=True),
+    FaultKind.BALANCER_SIGNALLED: FaultShape(TargetGroup.BALANCER, 0.5, 1.5, is_planned=True),
+    FaultKind.AGENT_SIGNALLED: FaultShape(TargetGroup.AGENT, 0.5, 1.5, is_planned=True),
+    FaultKind.HOST_STARTED_AGAIN: FaultShape(TargetGroup.HOST, 0.5, 2.0),
+    FaultKind.HOST_IMPERSONATED: FaultShape(TargetGroup.HOST, 0.5, 1.5, is_planned=True),
+    FaultKind.CONFIGURATION_STORM: FaultShape(TargetGroup.CONTROL, 1.0, 2.0, is_planned=True),
+    FaultKind.ZONE_ORDERS_IN_A_ROW: FaultShape(TargetGroup.ZONE, 1.0, 2.0, is_planned=True),
 }
 
 
--- a/src/jasperwalk_lab/soak/fleet.py
+++ b/src/jasperwalk_lab/soak/fleet.py
@@ -6,9 +6,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import random
 import shutil
+import signal
+import socket
 import sys
 from dataclasses import dataclass
 from pathlib import Path
@@ -29,9 +32,10 @@
 RUN_SCRIPT = ROOT / "platform" / "run.py"
 ZONES = ("north", "south")
 SERVICES = ("web", "export")
-CONTROLS = 3
-BALANCERS = 3
-AGENTS = 6
+CLAIM_PORT = 47_011
+"""A run holds this port at one address of its block, so that no other run takes the block."""
+BLOCKS = range(40, 120)
+"""Second numbers of the loopback addresses that runs may use."""
 STOP_SECONDS = 8.0
 """From SIGTERM to SIGKILL: an agent may wait for a host that leaves."""
 WARM_UP_FLOOR = 5
@@ -39,6 +43,28 @@
 STORAGE_FAULT_FILE = "storage-fault"
 
 
+@dataclass(frozen=True)
+class SoakSize:
+    """How many processes and callers a run has."""
+
+    controls: int
+    balancers: int
+    agents: int
+    long_callers: int
+    short_requests_per_second: float
+
+
+SIZES = {
+    "small": SoakSize(3, 3, 6, 16, 20.0),
+    # Some 160 processes: 40 MB each leave half of a machine of 24 GB untouched.
+    "large": SoakSize(5, 30, 120, 120, 100.0),
+}
+
+
+class NoFreeBlock(Exception):
+    """Every block of loopback addresses is taken by another run."""
+
+
 class ProcessNotRunning(Exception):
     """A process that was to be struck does not run."""
 
@@ -66,21 +92,50 @@
         self._check_runs()
         await self.supervisor.kill(self.name)
 
-    async def stop(self) -> None:
-        """End it with SIGTERM, after a while with SIGKILL; raises `ProcessNotRunning`."""
+    async def stop(self) -> bool:
+        """End it with SIGTERM, after a while with SIGKILL; raises `ProcessNotRunning`.
+
+        Returns whether it ended in time; while it stands still its time does not run.
+        """
         self._check_runs()
-        await self.supervisor.stop(self.name, STOP_SECONDS)
+        status = await self.supervisor.stop(self.name, STOP_SECONDS)
+        return status != -signal.SIGKILL
 
     async def pause(self, seconds: float) -> None:
         """Let it stand still; raises `ProcessNotRunning`."""
         self._check_runs()
-        self.supervisor.freeze(self.name)
-        await asyncio.sleep(seconds)
-        self._check_runs()
-        self.supervisor.thaw(self.name)
+        paused = psutil.Process(self.supervisor.process_id(self.name))
+        paused.suspend()
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            # It may be stopping meanwhile, or have been killed.
+            with contextlib.suppress(psutil.NoSuchProcess):
+                paused.resume()
+
+    def reload(self) -> None:
+        """Tell it that its settings have changed; raises `ProcessNotRunning`.
+
+        A process whose interpreter has not come to the program's first line cannot take the signal
+        yet: that is the system's to bear, and it is passed over.
+        """
+        process_id = self.supervisor.process_id(self.name)
+        if process_id is None:
+            raise ProcessNotRunning(self.name)
+        with contextlib.suppress(ProcessLookupError):
+            if _takes_reload_signal(process_id):
+                os.kill(process_id, signal.SIGHUP)
+
+    def runs(self) -> bool:
+        """Tell whether it runs and was not told to end."""
+        return self.supervisor.process_id(self.name) is not None
+
+    def exists(self) -> bool:
+        """Tell whether it is there at all, also while it is on its way to its end."""
+        return self.supervisor.exists(self.name)
 
     def _check_runs(self) -> None:
-        if self.supervisor.process_id(self.name) is None:
+        if not self.runs():
             raise ProcessNotRunning(self.name)
 
     def use(self) -> tuple[int, int]:
@@ -98,15 +153,16 @@
 class SoakFleet:
     """Lays the processes out; use it as an asynchronous context."""
 
-    def __init__(self, folder: Path, drawn: random.Random) -> None:
+    def __init__(self, folder: Path, drawn: random.Random, size: SoakSize) -> None:
+        """Lay the processes out on addresses of their own; raises `NoFreeBlock`."""
         self.folder = folder
-        self._block = random.SystemRandom().randrange(40, 120)
+        self._claim, self._block = _claim_block()
         self._drawn = drawn
-        self._control_hosts = self._hosts(1, CONTROLS)
-        self._control_relays = self._hosts(2, CONTROLS)
-        self._balancer_hosts = self._hosts(3, BALANCERS)
-        self._agent_hosts = self._hosts(4, AGENTS)
-        self._agent_relays = self._hosts(5, AGENTS)
+        self._control_hosts = self._hosts(1, size.controls)
+        self._control_relays = self._hosts(2, size.controls)
+        self._balancer_hosts = self._hosts(3, size.balancers)
+        self._agent_hosts = self._hosts(4, size.agents)
+        self._agent_relays = self._hosts(5, size.agents)
         every = [
             *self._control_hosts,
             *self._control_relays,
@@ -257,3 +313,29 @@
             await tcp.close()
         for udp in self.agent_relays.values():
             udp.close()
+        self._claim.close()
+
+
+def _takes_reload_signal(process_id: int) -> bool:
+    """Tell whether a process ignores the reload signal or has a handler of it."""
+    try:
+        status = Path(f"/proc/{process_id}/status").read_text(encoding="ascii")
+    except FileNotFoundError:
+        return False
+    masks = dict(line.split(":\t") for line in status.splitlines() if line.startswith("Sig"))
+    bit = 1 << (signal.SIGHUP - 1)
+    return bool((int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)) & bit)
+
+
+def _claim_block() -> tuple[socket.socket, int]:
+    """Return a block of addresses that no other run uses, and what claims it."""
+    for block in random.SystemRandom().sample(BLOCKS, len(BLOCKS)):
+        claim = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            claim.bind((f"127.{block}.9.254", CLAIM_PORT))
+            claim.listen(1)
+        except OSError:
+            claim.close()
+            continue
+        return claim, block
+    raise NoFreeBlock("all blocks are taken")
--- a/src/jasperwalk_lab/soak/history.py
+++ b/src/jasperwalk_lab/soak/history.py
@@ -19,7 +19,10 @@
 
 
 class OpeningTaken(msgspec.Struct, frozen=True):
-    """An opening packet that reached a host; `route_service` is whose listener it named."""
+    """An opening packet that reached a host; `route_service` is whose listener it named.
+
+    Here and below `host_id` names one start of a host.
+    """
 
     at: float
     host_id: str
@@ -71,6 +74,14 @@
     ends_at: float
 
 
+class UnusableTaken(msgspec.Struct, frozen=True):
+    """An announcement that names no host to use, and that an agent acknowledged."""
+
+    at: float
+    agent: str
+    body: bytes
+
+
 class ZoneOrdered(msgspec.Struct, frozen=True):
     """An order for a zone: when it was sent first, and acknowledged (None where it was not)."""
 
@@ -104,6 +115,13 @@
     last_descriptors: int
 
 
+class ProcessKilledAtStop(msgspec.Struct, frozen=True):
+    """A process that did not end within the grace of its stop signal."""
+
+    at: float
+    process: str
+
+
 @dataclass
 class SoakHistory:
     """Everything recorded; times are seconds of the run."""
@@ -114,10 +132,12 @@
     resets: list[OpenFlowReset] = field(default_factory=list)
     drained: list[HostDrained] = field(default_factory=list)
     cold: list[HostCold] = field(default_factory=list)
+    unusable_taken: list[UnusableTaken] = field(default_factory=list)
     zones: list[ZoneOrdered] = field(default_factory=list)
     acknowledged: list[ConfigurationAcknowledged] = field(default_factory=list)
     reads: list[ConfigurationRead] = field(default_factory=list)
     faults: list[HappenedFault] = field(default_factory=list)
     ended_processes: list[str] = field(default_factory=list)
+    killed_at_stop: list[ProcessKilledAtStop] = field(default_factory=list)
     uses: list[ProcessUse] = field(default_factory=list)
     ends_at: float = 0.0
--- a/src/jasperwalk_lab/soak/hosts.py
+++ b/src/jasperwalk_lab/soak/hosts.py
@@ -5,12 +5,20 @@
 import asyncio
 import contextlib
 import random
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from jasperwalk.addresses import Endpoint
-from jasperwalk_lab.soak.history import HostCold, HostDrained, OpeningTaken, RequestRun, SoakHistory
-from jasperwalk_lab.soak.http_calls import call
+from jasperwalk_lab.soak.history import (
+    HostCold,
+    HostDrained,
+    OpeningTaken,
+    RequestRun,
+    SoakHistory,
+    UnusableTaken,
+)
+from jasperwalk_lab.soak.http_calls import HttpCaller
 from jasperwalk_lab.soak.relays import Address, DatagramReceiver
 from jasperwalk_lab.soak.wire import ACK, FIN, RST, SYN, Heartbeat, Packet, bounced, decode
 
@@ -49,10 +57,14 @@
 
 @dataclass
 class SoakHost:
-    """One start of a host; a crash ends it, and another start has another ID."""
+    """One start of a host; a crash ends it. Another start may have its ID, and then knows nothing.
+
+    `start_id` names the start in the history: `host_id` alone may be that of several.
+    """
 
     place: HostPlace
     number: int
+    generation: int
     clock: Callable[[], float]
     history: SoakHistory
     service_of: Callable[[Endpoint], str]
@@ -65,6 +77,9 @@
     def __post_init__(self) -> None:
         """Name this start."""
         self.host_id = f"i-{self.place.name}-{self.number}"
+        self.start_id = f"{self.host_id}.{self.generation}"
+        self.started_unix_ms = 0
+        self._caller = HttpCaller()
         self.is_alive = False
         self.started_at = 0.0
         self._calls = 0
@@ -82,9 +97,10 @@
         )
         self.is_alive = True
         self.started_at = self.clock()
+        self.started_unix_ms = round(1000 * time.time())
         if self.is_cold:
             ends_at = self.started_at + COLD_SECONDS
-            self.history.cold.append(HostCold(self.host_id, self.started_at, ends_at))
+            self.history.cold.append(HostCold(self.start_id, self.started_at, ends_at))
         self._announcing = asyncio.create_task(self._announce_again())
 
     async def crash(self) -> None:
@@ -97,6 +113,7 @@
             self._transport.close()
         if self._server is not None:
             self._server.close()
+        self._caller.close()
         await asyncio.sleep(0)
 
     async def drain(self, seconds: float) -> None:
@@ -107,7 +124,7 @@
                 while not await self._announce():
                     await asyncio.sleep(RETRY_SECONDS)
         await asyncio.sleep(seconds)
-        await call(self.place.calls, "DELETE", f"/instances/{self.host_id}")
+        await self._caller.call(self.place.calls, "DELETE", f"/instances/{self.host_id}")
         await self.crash()
 
     async def _announce_again(self) -> None:
@@ -118,27 +135,42 @@
 
     async def _announce(self) -> bool:
         self._calls += 1
-        left = max(0.0, self.started_at + COLD_SECONDS - self.clock()) if self.is_cold else 0.0
         is_draining = self.is_draining
-        heartbeat = Heartbeat(
+        heartbeat = self._heartbeat()
+        answer = await self._caller.call(
+            self.place.calls, "PUT", heartbeat.path(), heartbeat.body()
+        )
+        is_taken = answer.status == OK_STATUS
+        if is_taken and is_draining and self.is_alive:
+            self._note_drained()
+        return is_taken
+
+    def _heartbeat(self) -> Heartbeat:
+        left = max(0.0, self.started_at + COLD_SECONDS - self.clock()) if self.is_cold else 0.0
+        return Heartbeat(
             host_id=self.host_id,
             service=self.place.service,
             address=self.place.app,
             zone=self.place.zone,
             capacity=CAPACITY,
-            is_draining=is_draining,
+            is_draining=self.is_draining,
             cold_seconds=left,
             call_number=self._calls,
+            started_unix_ms=self.started_unix_ms,
         )
-        answer = await call(self.place.calls, "PUT", heartbeat.path(), heartbeat.body())
-        is_taken = answer.status == OK_STATUS
-        if is_taken and is_draining and self.is_alive:
-            self._note_drained()
-        return is_taken
+
+    async def announce_like_other_writers(self) -> None:
+        """Send announcements that name no host to use, under this host's name."""
+        heartbeat = self._heartbeat()
+        for body in heartbeat.bodies_of_other_writers():
+            answer = await self._caller.call(self.place.calls, "PUT", heartbeat.path(), body)
+            if answer.status == OK_STATUS:
+                taken = UnusableTaken(self.clock(), self.place.name, body[:200])
+                self.history.unusable_taken.append(taken)
 
     def _note_drained(self) -> None:
-        if all(each.host_id != self.host_id for each in self.history.drained):
-            self.history.drained.append(HostDrained(self.clock(), self.host_id))
+        if all(each.host_id != self.start_id for each in self.history.drained):
+            self.history.drained.append(HostDrained(self.clock(), self.start_id))
 
     # Packets
 
@@ -169,7 +201,7 @@
     ) -> None:
         opening = OpeningTaken(
             self.clock(),
-            self.host_id,
+            self.start_id,
             self.place.service,
             self.service_of(packet.target),
             self.place.zone,
@@ -198,7 +230,7 @@
         run = RequestRun(
             self.clock(),
             request_id,
-            self.host_id,
+            self.start_id,
             self.place.service,
             self.service_of(packet.target),
         )
--- a/src/jasperwalk_lab/soak/http_calls.py
+++ b/src/jasperwalk_lab/soak/http_calls.py
@@ -1,8 +1,14 @@
-"""Plain HTTP calls of the stand-ins, bounded in time."""
+"""Plain HTTP calls of the stand-ins, bounded in time, on connections that are kept.
+
+A caller goes on using an open connection until the other side closes it: a process that stops gets
+further calls on it meanwhile.
+"""
 
 from __future__ import annotations
 
 import asyncio
+from collections import defaultdict
+from dataclasses import dataclass
 
 import msgspec
 
@@ -24,26 +30,71 @@
 NO_ANSWER = CallAnswer(0)
 
 
-async def call(
-    endpoint: Endpoint, method: str, path: str, body: bytes = b"", seconds: float = CALL_SECONDS
-) -> CallAnswer:
-    """Make one call on a connection of its own; a failure is an answer without a status."""
-    try:
-        async with asyncio.timeout(seconds):
-            return await _call(endpoint, method, path, body)
-    except (TimeoutError, OSError, ValueError, asyncio.IncompleteReadError):
-        return NO_ANSWER
-
-
-async def _call(endpoint: Endpoint, method: str, path: str, body: bytes) -> CallAnswer:
-    reader, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
-    try:
-        head = f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
-        writer.write(head.encode() + body)
-        lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-        headers = dict(line.lower().split(": ", 1) for line in lines[1:] if ": " in line)
-        length = min(int(headers.get("content-length", "0")), MOST_BYTES)
-        answer = await reader.readexactly(length)
-        return CallAnswer(int(lines[0].split()[1]), answer, headers.get("location", ""))
-    finally:
-        writer.transport.abort()
+@dataclass(frozen=True)
+class KeptConnection:
+    """An open connection with no call on it."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    def is_usable(self) -> bool:
+        """Tell whether the other side has not closed it."""
+        return not self.writer.is_closing() and not self.reader.at_eof()
+
+
+class HttpCaller:
+    """Makes the calls of one stand-in."""
+
+    def __init__(self) -> None:
+        self._kept: dict[Endpoint, list[KeptConnection]] = defaultdict(list)
+
+    async def call(
+        self,
+        endpoint: Endpoint,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        seconds: float = CALL_SECONDS,
+    ) -> CallAnswer:
+        """Make one call; a failure is an answer without a status."""
+        try:
+            async with asyncio.timeout(seconds):
+                return await self._call(endpoint, method, path, body)
+        except (TimeoutError, OSError, ValueError, asyncio.IncompleteReadError):
+            return NO_ANSWER
+
+    def close(self) -> None:
+        """Drop the connections."""
+        for connections in self._kept.values():
+            for each in connections:
+                each.writer.transport.abort()
+        self._kept.clear()
+
+    async def _connection(self, endpoint: Endpoint) -> KeptConnection:
+        kept = self._kept[endpoint]
+        while kept:
+            connection = kept.pop()
+            if connection.is_usable():
+                return connection
+        reader, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+        return KeptConnection(reader, writer)
+
+    async def _call(self, endpoint: Endpoint, method: str, path: str, body: bytes) -> CallAnswer:
+        connection = await self._connection(endpoint)
+        try:
+            head = f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+            connection.writer.write(head.encode() + body)
+            answer = await _read_answer(connection.reader)
+        except BaseException:
+            connection.writer.transport.abort()
+            raise
+        self._kept[endpoint].append(connection)
+        return answer
+
+
+async def _read_answer(reader: asyncio.StreamReader) -> CallAnswer:
+    lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    headers = dict(line.lower().split(": ", 1) for line in lines[1:] if ": " in line)
+    length = min(int(headers.get("content-length", "0")), MOST_BYTES)
+    body = await reader.readexactly(length)
+    return CallAnswer(int(lines[0].split()[1]), body, headers.get("location", ""))
--- a/src/jasperwalk_lab/soak/injector.py
+++ b/src/jasperwalk_lab/soak/injector.py
@@ -9,7 +9,7 @@
 
 from jasperwalk_lab.soak.faults import SHAPES, FaultKind, HappenedFault, PlannedFault
 from jasperwalk_lab.soak.fleet import ProcessNotRunning, SoakFleet, SoakProcess
-from jasperwalk_lab.soak.history import SoakHistory
+from jasperwalk_lab.soak.history import ProcessKilledAtStop, SoakHistory
 from jasperwalk_lab.soak.hosts import SoakHost
 from jasperwalk_lab.soak.operators import Operators
 from jasperwalk_lab.soak.relays import LinkCondition
@@ -22,11 +22,26 @@
 Clock = Callable[[], float]
 Progress = Callable[[str], None]
 
+RESTARTS_IN_A_ROW = 3
+SIGNALS_IN_A_ROW = 5
+STORM_CHANGES_AT_ONCE = 4
+STARTS_AGAIN_MOST = 3
+
 KILLS = frozenset((FaultKind.CONTROL_KILLED, FaultKind.BALANCER_KILLED, FaultKind.AGENT_KILLED))
 PAUSES = frozenset((FaultKind.CONTROL_PAUSED, FaultKind.BALANCER_PAUSED, FaultKind.AGENT_PAUSED))
 STOPS = frozenset(
     (FaultKind.CONTROL_TERMINATED, FaultKind.BALANCER_TERMINATED, FaultKind.AGENT_TERMINATED)
 )
+RESTARTED_OFTEN = frozenset(
+    (
+        FaultKind.CONTROL_RESTARTED_OFTEN,
+        FaultKind.BALANCER_RESTARTED_OFTEN,
+        FaultKind.AGENT_RESTARTED_OFTEN,
+    )
+)
+SIGNALLED = frozenset(
+    (FaultKind.CONTROL_SIGNALLED, FaultKind.BALANCER_SIGNALLED, FaultKind.AGENT_SIGNALLED)
+)
 LINKS = {
     FaultKind.CONTROL_LINKS_SILENT: LinkCondition(silent_forth=True, silent_back=True),
     FaultKind.CONTROL_LINKS_ONE_WAY: LinkCondition(silent_back=True),
@@ -42,13 +57,18 @@
 }
 
 
+MakeHost = Callable[[str, int, int, bool], SoakHost]
+"""Builds the host beside an agent: its number (part of its ID), which start of all this is, and
+whether it starts cold."""
+
+
 class RunningHosts:
     """The hosts that run now, by the agent beside them; each start has the next number."""
 
-    def __init__(self, make: Callable[[str, int, bool], SoakHost]) -> None:
-        """`make` builds the host beside an agent: its number, and whether it starts cold."""
+    def __init__(self, make: MakeHost) -> None:
         self._make = make
         self._numbers: dict[str, int] = {}
+        self._generations: dict[str, int] = {}
         self._hosts: dict[str, SoakHost] = {}
 
     def all(self) -> list[SoakHost]:
@@ -60,9 +80,19 @@
         return self._hosts[agent]
 
     async def start(self, agent: str, is_cold: bool) -> None:
-        """Start another host there."""
-        number = self._numbers[agent] = self._numbers.get(agent, 0) + 1
-        host = self._hosts[agent] = self._make(agent, number, is_cold)
+        """Start another host there, if none runs: faults may overlap."""
+        self._numbers[agent] = self._numbers.get(agent, 0) + 1
+        await self._start(agent, is_cold)
+
+    async def start_again(self, agent: str) -> None:
+        """Start the host that was there under the ID that it had, if none runs."""
+        await self._start(agent, is_cold=True)
+
+    async def _start(self, agent: str, is_cold: bool) -> None:
+        if agent in self._hosts and self._hosts[agent].is_alive:
+            return
+        generation = self._generations[agent] = self._generations.get(agent, 0) + 1
+        host = self._hosts[agent] = self._make(agent, self._numbers[agent], generation, is_cold)
         await host.start()
 
 
@@ -116,6 +146,10 @@
             await self._kill([self._fleet.processes[target]], fault.seconds)
         elif kind in STOPS:
             await self._stop(self._fleet.processes[target], fault.seconds)
+        elif kind in RESTARTED_OFTEN:
+            await self._restart_often(self._fleet.processes[target], fault.seconds)
+        elif kind in SIGNALLED:
+            await self._signal_often(self._fleet.processes[target], fault.seconds)
         elif kind in PAUSES:
             await self._fleet.processes[target].pause(fault.seconds)
         elif kind in LINKS:
@@ -131,10 +165,31 @@
         await asyncio.gather(*(each.start() for each in processes))
 
     async def _stop(self, process: SoakProcess, seconds: float) -> None:
-        await process.stop()
+        await self._end_by_signal(process)
         await asyncio.sleep(seconds)
         await process.start()
 
+    async def _end_by_signal(self, process: SoakProcess) -> None:
+        is_in_time = await process.stop()
+        if not is_in_time:
+            self._history.killed_at_stop.append(ProcessKilledAtStop(self._clock(), process.name))
+
+    async def _restart_often(self, process: SoakProcess, seconds: float) -> None:
+        """End and start a process again and again, also in the middle of its start."""
+        for _ in range(RESTARTS_IN_A_ROW):
+            if self._drawn.choice((True, False)):
+                await self._end_by_signal(process)
+            else:
+                await process.kill()
+            await process.start()
+            await asyncio.sleep(self._drawn.uniform(0.0, seconds / RESTARTS_IN_A_ROW))
+
+    async def _signal_often(self, process: SoakProcess, seconds: float) -> None:
+        """Tell a process again and again that its settings have changed."""
+        for _ in range(SIGNALS_IN_A_ROW):
+            process.reload()
+            await asyncio.sleep(self._drawn.uniform(0.0, 2 * seconds / SIGNALS_IN_A_ROW))
+
     async def _spoil_links(self, target: str, condition: LinkCondition, seconds: float) -> None:
         tcp, udp = self._fleet.control_relays.get(target), self._fleet.agent_relays.get(target)
         relay = tcp or udp
@@ -182,7 +237,32 @@
         await self._operators.drain_zone(fault.target, drained=False)
 
     async def _kill_all(self, fault: PlannedFault) -> None:
-        await self._kill(list(self._fleet.processes.values()), fault.seconds)
+        running = [each for each in self._fleet.processes.values() if each.runs()]
+        await self._kill(running, fault.seconds)
+
+    async def _start_host_again(self, fault: PlannedFault) -> None:
+        """Let the host crash and start again under its ID, once or in a row."""
+        for _ in range(self._drawn.randint(1, STARTS_AGAIN_MOST)):
+            await self._hosts.beside(fault.target).crash()
+            await asyncio.sleep(fault.seconds * self._drawn.uniform(0.0, 0.5))
+            await self._hosts.start_again(fault.target)
+            await asyncio.sleep(fault.seconds * self._drawn.uniform(0.0, 0.5))
+
+    async def _impersonate_host(self, fault: PlannedFault) -> None:
+        await self._hosts.beside(fault.target).announce_like_other_writers()
+
+    async def _storm_of_changes(self, fault: PlannedFault) -> None:
+        ends_at = self._clock() + fault.seconds
+        while self._clock() < ends_at:
+            changes = [self._operators.configure() for _ in range(STORM_CHANGES_AT_ONCE)]
+            await asyncio.gather(*changes)
+
+    async def _order_zone_in_a_row(self, fault: PlannedFault) -> None:
+        """Drain and restore a zone without a pause; the last order restores it."""
+        ends_at = self._clock() + fault.seconds
+        while self._clock() < ends_at:
+            await self._operators.drain_zone(fault.target, drained=True)
+            await self._operators.drain_zone(fault.target, drained=False)
 
     _handlers: ClassVar[
         dict[FaultKind, Callable[[SoakInjector, PlannedFault], Awaitable[None]]]
@@ -194,10 +274,15 @@
         FaultKind.HOST_TURNS_AWAY: _turn_away,
         FaultKind.ZONE_DRAINED: _drain_zone,
         FaultKind.ALL_KILLED: _kill_all,
+        FaultKind.HOST_STARTED_AGAIN: _start_host_again,
+        FaultKind.HOST_IMPERSONATED: _impersonate_host,
+        FaultKind.CONFIGURATION_STORM: _storm_of_changes,
+        FaultKind.ZONE_ORDERS_IN_A_ROW: _order_zone_in_a_row,
     }
 
 
 def covers_every_kind() -> bool:
     """Tell whether each kind of fault can be brought about."""
-    known = KILLS | PAUSES | STOPS | LINKS.keys() | STORAGE.keys() | SoakInjector._handlers.keys()
+    on_processes = KILLS | PAUSES | STOPS | RESTARTED_OFTEN | SIGNALLED
+    known = on_processes | LINKS.keys() | STORAGE.keys() | SoakInjector._handlers.keys()
     return known == SHAPES.keys()
--- a/src/jasperwalk_lab/soak/operators.py
+++ b/src/jasperwalk_lab/soak/operators.py
@@ -13,7 +13,7 @@
     SoakHistory,
     ZoneOrdered,
 )
-from jasperwalk_lab.soak.http_calls import CallAnswer, call
+from jasperwalk_lab.soak.http_calls import CallAnswer, HttpCaller
 from jasperwalk_lab.soak.wire import CONFIG_PATH, SoakConfiguration, evacuation_path, version_of
 
 REPEAT_SECONDS = 6.0
@@ -47,6 +47,7 @@
         self._history = history
         self._drawn = drawn
         self._version = 0
+        self._caller = HttpCaller()
 
     async def configure(self) -> None:
         """Send the next configuration until it is acknowledged."""
@@ -79,7 +80,7 @@
 
     async def _read(self, replica: Endpoint) -> bool:
         asked_at = self._clock()
-        answer = await call(replica, "GET", CONFIG_PATH)
+        answer = await self._caller.call(replica, "GET", CONFIG_PATH)
         if answer.status == OK_STATUS:
             self._history.reads.append(ConfigurationRead(asked_at, version_of(answer.body)))
         return answer.status == OK_STATUS
@@ -105,11 +106,11 @@
         return False
 
     async def _follow(self, replica: Endpoint, method: str, path: str, body: bytes) -> CallAnswer:
-        answer = await call(replica, method, path, body)
+        answer = await self._caller.call(replica, method, path, body)
         for _ in range(REDIRECTS):
             if answer.status != REDIRECT_STATUS:
                 break
             host, _, rest = answer.location.removeprefix("http://").partition(":")
             port = rest.partition("/")[0]
-            answer = await call(Endpoint(host, int(port)), method, path, body)
+            answer = await self._caller.call(Endpoint(host, int(port)), method, path, body)
         return answer
--- a/src/jasperwalk_lab/soak/run.py
+++ b/src/jasperwalk_lab/soak/run.py
@@ -16,14 +16,14 @@
 from jasperwalk_lab.fleet import make_run_folder
 from jasperwalk_lab.soak.callers import Callers, Router
 from jasperwalk_lab.soak.checks import check_all
-from jasperwalk_lab.soak.fleet import SERVICES, SoakFleet
+from jasperwalk_lab.soak.fleet import SERVICES, SIZES, SoakFleet, SoakSize
 from jasperwalk_lab.soak.history import ProcessUse, SoakHistory
 from jasperwalk_lab.soak.hosts import COLD_SECONDS, SoakHost
-from jasperwalk_lab.soak.http_calls import call
+from jasperwalk_lab.soak.http_calls import HttpCaller
 from jasperwalk_lab.soak.injector import RunningHosts, SoakInjector
 from jasperwalk_lab.soak.operators import Operators
 from jasperwalk_lab.soak.report import SoakReport, make_report, write_page
-from jasperwalk_lab.soak.schedule import plan_soak
+from jasperwalk_lab.soak.schedule import LAST_FAULT_BEFORE_END_SECONDS, plan_run
 from jasperwalk_lab.soak.wire import READY_PATH, SoakConfiguration, SoakRoute
 
 LISTENERS = {
@@ -33,9 +33,7 @@
 COLD_FLOWS_PER_SECOND = 8.0
 MOST_COLD_FLOWS = 8
 """What the agents keep to; the check counts what reaches the hosts."""
-LONG_CALLERS = 16
 LONG_PAUSE_SECONDS = 0.6
-SHORT_PER_SECOND = 20.0
 READY_SECONDS = 60.0
 FIRST_USE_SECONDS = 1.5
 PROGRESS_SECONDS = 5.0
@@ -45,12 +43,14 @@
 Progress = Callable[[str], None]
 
 
-async def run_soak(seconds: float, seed: int, runs: Path, progress: Progress) -> SoakReport:
+async def run_soak(
+    seconds: float, seed: int, runs: Path, progress: Progress, size: SoakSize = SIZES["small"]
+) -> SoakReport:
     """Play one soak; what it leaves stands in a folder of `runs`."""
     folder = make_run_folder(runs, f"soak-{seed}")
     progress(f"run folder {folder}, seed {seed}")
-    async with SoakFleet(folder, random.Random(f"links {seed}")) as fleet:
-        soak = Soak(fleet, seconds, seed, progress)
+    async with SoakFleet(folder, random.Random(f"links {seed}"), size) as fleet:
+        soak = Soak(fleet, size, seconds, seed, progress)
         await soak.run()
         progress("stopping the processes")
     violations = check_all(soak.history, MOST_COLD_FLOWS)
@@ -65,16 +65,19 @@
 class Soak:
     """The parts of a run on processes that were started."""
 
-    def __init__(self, fleet: SoakFleet, seconds: float, seed: int, progress: Progress) -> None:
+    def __init__(
+        self, fleet: SoakFleet, size: SoakSize, seconds: float, seed: int, progress: Progress
+    ) -> None:
         self._fleet = fleet
+        self._size = size
         self._seconds = seconds
         self._progress = progress
-        self._planned = plan_soak(fleet.names(), seconds, seed)
+        self._planned = plan_run(fleet.names(), seconds, seed)
         self._began_at = time.monotonic()
         self._drawn = random.Random(f"traffic {seed}")
         self.history = SoakHistory()
         self._hosts = RunningHosts(self._make_host)
-        self._router = Router(fleet.balancers)
+        self._router = Router(fleet.balancers, fleet.supervisor.exists)
         self._callers = Callers(
             fleet.callers, self._router, self._clock, self.history, self._hosts.all, self._drawn
         )
@@ -89,10 +92,11 @@
     def _clock(self) -> float:
         return time.monotonic() - self._began_at
 
-    def _make_host(self, agent: str, number: int, is_cold: bool) -> SoakHost:
+    def _make_host(self, agent: str, number: int, generation: int, is_cold: bool) -> SoakHost:
         return SoakHost(
             self._fleet.hosts[agent],
             number,
+            generation,
             self._clock,
             self.history,
             _service_of,
@@ -122,7 +126,9 @@
         ]
         try:
             await self._injector.run(self._planned)
-            await asyncio.sleep(max(0.0, self._seconds - self._clock()))
+            # Long enough for the check that the service is back, also after a late end.
+            quiet_seconds = LAST_FAULT_BEFORE_END_SECONDS
+            await asyncio.sleep(max(quiet_seconds, self._seconds - self._clock()))
         finally:
             await _cancel(background)
         self.history.ends_at = self._clock()
@@ -139,16 +145,17 @@
             host.started_at = -COLD_SECONDS
 
     async def _until_ready(self) -> None:
+        caller = HttpCaller()
         async with asyncio.timeout(READY_SECONDS):
             for place in self._fleet.balancers:
-                while (await call(place.ready, "GET", READY_PATH)).status != OK_STATUS:
+                while (await caller.call(place.ready, "GET", READY_PATH)).status != OK_STATUS:
                     await asyncio.sleep(0.1)
 
     def _long_requests(self) -> list[Coroutine[Any, Any, None]]:
         listeners = list(LISTENERS.values())
         return [
             self._callers.request_now_and_then(listeners[number % 2], LONG_PAUSE_SECONDS)
-            for number in range(LONG_CALLERS)
+            for number in range(self._size.long_callers)
         ]
 
     async def _short_requests(self) -> None:
@@ -156,7 +163,7 @@
             while True:
                 listener = self._drawn.choice(list(LISTENERS.values()))
                 tasks.create_task(self._callers.request_once(listener))
-                await asyncio.sleep(self._drawn.expovariate(SHORT_PER_SECOND))
+                await asyncio.sleep(self._drawn.expovariate(self._size.short_requests_per_second))
 
     async def _watch(self) -> None:
         """Note processes that end by themselves, and tell how the run goes."""
--- a/src/jasperwalk_lab/soak/schedule.py
+++ b/src/jasperwalk_lab/soak/schedule.py
@@ -1,4 +1,8 @@
-"""Draws the faults of a soak from its seed: the same seed and names give the same schedule."""
+"""Draws the faults of a soak from its seed: the same seed and names give the same schedule.
+
+Most of the time no more is out of order at once than the system has to bear. In between there are
+rushes: many faults begin within a second and overlap, also on the same target.
+"""
 
 from __future__ import annotations
 
@@ -20,6 +24,17 @@
 SETTLE_SECONDS = 3.0
 """Time after a fault before the same target is struck again, and before all are killed."""
 EVERYTHING = "everything"
+RUSH_EVERY_SECONDS = (9.0, 15.0)
+"""Shortest and longest time between the beginnings of two rushes."""
+RUSH_SECONDS = 1.0
+"""Time within which the faults of a rush begin."""
+RUSH_FAULTS = (4, 8)
+"""Fewest and most faults of a rush in the smallest fleet."""
+RUSH_NEVER_STRIKES = frozenset((FaultKind.CONTROL_WIPED, FaultKind.ALL_KILLED))
+"""A lost disk beside dead replicas may be more than has to be borne."""
+DISK_CALM_SECONDS = 8.0
+"""No disk is lost this near to a rush: the lost replica's successor has to hold the log first."""
+SMALLEST_AGENTS = 6
 
 
 class SoakNames(msgspec.Struct, frozen=True):
@@ -52,19 +67,74 @@
 }
 
 
+def most_out(names: SoakNames, group: TargetGroup) -> int:
+    """Return how many targets of a group may be out at once: the same share in every fleet."""
+    if group is TargetGroup.CONTROL:
+        return (len(names.controls) - 1) // 2
+    if group is TargetGroup.BALANCER:
+        return max(BALANCERS_OUT_AT_ONCE, len(names.balancers) // 3)
+    if group in (TargetGroup.AGENT, TargetGroup.HOST):
+        return max(AGENTS_OUT_AT_ONCE, len(names.agents) // 3)
+    return MOST_OUT[group]
+
+
+def plan_rushes(names: SoakNames, seconds: float, seed: int) -> list[PlannedFault]:
+    """Plan the rushes of a run of `seconds`, in the order of their beginning."""
+    drawn = random.Random(f"rushes {seed}")
+    kinds = [kind for kind in FaultKind if kind not in RUSH_NEVER_STRIKES]
+    scale = max(1, len(names.agents) // SMALLEST_AGENTS)
+    latest = seconds - LAST_FAULT_BEFORE_END_SECONDS
+    planned: list[PlannedFault] = []
+    at = drawn.uniform(*RUSH_EVERY_SECONDS)
+    while at < latest:
+        for _ in range(scale * drawn.randint(*RUSH_FAULTS)):
+            kind = drawn.choice(kinds)
+            shape = SHAPES[kind]
+            begins_at = round(at + drawn.uniform(0.0, RUSH_SECONDS), 2)
+            length = round(drawn.uniform(shape.shortest, shape.longest), 2)
+            if begins_at + length <= latest + 1.0:
+                target = drawn.choice(names.of(shape.group))
+                planned.append(PlannedFault(begins_at, kind, target, length))
+        at += drawn.uniform(*RUSH_EVERY_SECONDS)
+    return sorted(planned, key=lambda each: each.at)
+
+
+def plan_run(names: SoakNames, seconds: float, seed: int) -> list[PlannedFault]:
+    """Plan everything that a run brings about, in the order of its beginning."""
+    rushes = plan_rushes(names, seconds, seed)
+    steady = [each for each in plan_soak(names, seconds, seed) if not _risks_a_disk(each, rushes)]
+    return sorted([*steady, *rushes], key=lambda each: each.at)
+
+
+def _risks_a_disk(fault: PlannedFault, rushes: list[PlannedFault]) -> bool:
+    """Tell whether a disk would be lost near a rush that strikes other replicas."""
+    if fault.kind not in RUSH_NEVER_STRIKES:
+        return False
+    return any(
+        fault.at < each.ends_at + DISK_CALM_SECONDS and each.at < fault.ends_at + DISK_CALM_SECONDS
+        for each in rushes
+        if SHAPES[each.kind].group is TargetGroup.CONTROL
+    )
+
+
 def plan_soak(names: SoakNames, seconds: float, seed: int) -> list[PlannedFault]:
     """Plan the faults of a run of `seconds`, in the order of their beginning."""
     drawn = random.Random(f"soak {seed}")
     planned: list[PlannedFault] = []
     deck: list[FaultKind] = []
     at = FIRST_FAULT_SECONDS
+    gap = max(1.0, len(names.agents) / SMALLEST_AGENTS)
     while at < seconds - LAST_FAULT_BEFORE_END_SECONDS:
         if not deck:
             deck = drawn.sample(list(FaultKind), len(FaultKind))
-        fault = _draw(deck.pop(), names, planned, at, drawn)
+        kind = deck.pop()
+        if SHAPES[kind].group is TargetGroup.ALL:
+            # Everything is killed only while nothing else is out of order.
+            at = max([at, *(each.ends_at + SETTLE_SECONDS for each in planned)])
+        fault = _draw(kind, names, planned, at, drawn)
         if fault is not None and fault.ends_at <= seconds - LAST_FAULT_BEFORE_END_SECONDS + 1.0:
             planned.append(fault)
-        at += drawn.uniform(*GAP_SECONDS)
+        at += drawn.uniform(*GAP_SECONDS) / gap
     return planned
 
 
@@ -86,7 +156,7 @@
     if any(SHAPES[each.kind].group is TargetGroup.ALL for each in near):
         return None
     same_group = {each.target for each in near if SHAPES[each.kind].group is shape.group}
-    is_too_much = target in same_group or len(same_group) >= MOST_OUT[shape.group]
+    is_too_much = target in same_group or len(same_group) >= most_out(names, shape.group)
     return None if is_too_much else fault
 
 
--- a/src/jasperwalk_lab/soak/wire.py
+++ b/src/jasperwalk_lab/soak/wire.py
@@ -19,6 +19,22 @@
 """Environment variable with the path of a process's settings file."""
 CONFIG_PATH = "/config"
 READY_PATH = "/readiness"
+NEEDED_FIELDS = ("service", "address", "capacity", "state", "callSeq")
+OTHER_VALUES: tuple[tuple[str, object], ...] = (
+    ("service", 7),
+    ("service", "unnamed"),
+    ("address", "198.51.100.9:1"),
+    ("address", None),
+    ("capacity", "4"),
+    ("capacity", 10**30),
+    ("state", "starting"),
+    ("state", ["ready"]),
+    ("callSeq", 10**400),
+    ("callSeq", True),
+    ("coldLeftMs", float("inf")),
+    ("born", "yesterday"),
+)
+"""Fields of other types, unnamed states and services, absurd numbers."""
 
 
 class Packet(msgspec.Struct, frozen=True):
@@ -83,14 +99,15 @@
     is_draining: bool
     cold_seconds: float
     call_number: int
+    started_unix_ms: int = 0
 
     def path(self) -> str:
         """Return the path of the call."""
         return f"/instances/{self.host_id}"
 
-    def body(self) -> bytes:
-        """Return the body of the call."""
-        document = {
+    def document(self) -> dict[str, object]:
+        """Return the body of the call as a document."""
+        return {
             "service": self.service,
             "address": str(self.address),
             "zone": self.zone,
@@ -99,8 +116,20 @@
             "state": "draining" if self.is_draining else "ready",
             "coldLeftMs": round(1000 * self.cold_seconds),
             "callSeq": self.call_number,
+            "born": self.started_unix_ms,
         }
-        return json.dumps(document).encode()
+
+    def body(self) -> bytes:
+        """Return the body of the call."""
+        return json.dumps(self.document()).encode()
+
+    def bodies_of_other_writers(self) -> list[bytes]:
+        """Return bodies like this one that name no host to use: each has one fault."""
+        document, whole = self.document(), self.body()
+        without = [{k: v for k, v in document.items() if k != name} for name in NEEDED_FIELDS]
+        changed = [{**document, name: value} for name, value in OTHER_VALUES]
+        unreadable = [b"", b"[]", whole[:-3], whole.replace(b"ready", b"\xff\xfe"), b"\x00" * 64]
+        return [*(json.dumps(each).encode() for each in (*without, *changed)), *unreadable]
 
 
 class SoakRoute(msgspec.Struct, frozen=True):
--- a/tests/agent/datagrams/test_host_desk.py
+++ b/tests/agent/datagrams/test_host_desk.py
@@ -4,7 +4,7 @@
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.agent.datagrams.host import HostAnnouncement, HostState
-from jasperwalk.agent.datagrams.host_desk import HostDesk
+from jasperwalk.agent.datagrams.host_desk import AnnouncementOutcome, HostDesk
 from jasperwalk.fleet.messages import HostPhase
 
 HOST = Endpoint("10.0.0.9", 8080)
@@ -40,7 +40,8 @@
 
 def test_the_host_beside_the_agent_is_taken():
     desk, state, told = desk_and_state()
-    assert desk.announce(news())
+    assert desk.announce(news()) is AnnouncementOutcome.TAKEN
+    assert desk.announce(news()) is AnnouncementOutcome.LATE
     assert state.phase is HostPhase.READY
     assert told.changes == 1
 
@@ -53,7 +54,7 @@
 def test_what_another_host_says_of_itself_changes_nothing(foreign):
     desk, state, told = desk_and_state()
     desk.announce(news())
-    assert not desk.announce(foreign)
+    assert desk.announce(foreign) is AnnouncementOutcome.REFUSED
     assert (state.host_id, state.phase) == ("h1", HostPhase.READY)
     assert told.lines[-1][0] == "host-announcement-refused"
     assert desk.refused == 1
--- a/tests/lab/soak/test_soak_checks.py
+++ b/tests/lab/soak/test_soak_checks.py
@@ -19,11 +19,13 @@
     HostDrained,
     OpenFlowReset,
     OpeningTaken,
+    ProcessKilledAtStop,
     ProcessUse,
     RequestEnded,
     RequestOutcome,
     RequestRun,
     SoakHistory,
+    UnusableTaken,
     ZoneOrdered,
 )
 
@@ -105,6 +107,8 @@
         "faults": [fault(FaultKind.ALL_KILLED, 40.0, 49.0 - BACK_SECONDS)],
     },
     SoakPromise.NO_EXIT: {"ended_processes": ["agent-1"]},
+    SoakPromise.STOPS_IN_TIME: {"killed_at_stop": [ProcessKilledAtStop(9.0, "agent-1")]},
+    SoakPromise.OTHER_WRITERS: {"unusable_taken": [UnusableTaken(9.0, "agent-1", b"{}")]},
     SoakPromise.RESOURCES: {"uses": [ProcessUse("agent-0", 30 << 20, 90 << 20, 20, 20)]},
 }
 
--- a/tests/lab/soak/test_soak_schedule.py
+++ b/tests/lab/soak/test_soak_schedule.py
@@ -9,7 +9,12 @@
 from jasperwalk_lab.soak.schedule import (
     LAST_FAULT_BEFORE_END_SECONDS,
     MOST_OUT,
+    RUSH_FAULTS,
+    RUSH_NEVER_STRIKES,
     SoakNames,
+    most_out,
+    plan_run,
+    plan_rushes,
     plan_soak,
 )
 
@@ -69,3 +74,49 @@
 
 def test_the_kept_seeds_of_the_repository_can_be_read():
     assert all(each.cause for each in read_kept_seeds())
+
+
+LARGE = SoakNames(
+    tuple(f"control-{number}" for number in range(5)),
+    tuple(f"balancer-{number}" for number in range(30)),
+    tuple(f"agent-{number}" for number in range(120)),
+    ("north", "south"),
+)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_faults_of_a_rush_overlap(seed):
+    rushes = plan_rushes(NAMES, 120.0, seed)
+    at_once = [sum(each.at <= fault.at < each.ends_at for each in rushes) for fault in rushes]
+    assert max(at_once) >= RUSH_FAULTS[0] - 1
+    assert not {fault.kind for fault in rushes} & RUSH_NEVER_STRIKES
+
+
+def test_rushes_strike_one_target_more_than_once_at_a_time():
+    met = [
+        (one, other)
+        for seed in range(20)
+        for one in plan_rushes(NAMES, 120.0, seed)
+        for other in plan_rushes(NAMES, 120.0, seed)
+        if one is not other and one.target == other.target and one.at <= other.at < one.ends_at
+    ]
+    assert met
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_disk_is_lost_while_a_rush_strikes_other_replicas(seed):
+    planned = plan_run(NAMES, 120.0, seed)
+    rushes = [
+        each
+        for each in plan_rushes(NAMES, 120.0, seed)
+        if SHAPES[each.kind].group is TargetGroup.CONTROL
+    ]
+    for fault in planned:
+        if fault.kind is FaultKind.CONTROL_WIPED:
+            assert not [e for e in rushes if e.at < fault.ends_at and fault.at < e.ends_at]
+
+
+def test_a_large_fleet_bears_the_same_share():
+    assert [most_out(LARGE, group) for group in (TargetGroup.CONTROL, TargetGroup.AGENT)] == [2, 40]
+    assert {group: most_out(NAMES, group) for group in TargetGroup} == MOST_OUT
+    assert len(plan_run(LARGE, 60.0, 1)) > 5 * len(plan_run(NAMES, 60.0, 1))
--- a/tests/platform_adapter/test_http_calls.py
+++ b/tests/platform_adapter/test_http_calls.py
@@ -6,6 +6,7 @@
 from operator_calls import operator_calls
 
 from jasperwalk.addresses import Endpoint
+from jasperwalk.agent.datagrams.host_desk import AnnouncementOutcome
 from jasperwalk.control.fleet.committing import AskLeader, Unavailable
 from jasperwalk.control.fleet.configurations import Acknowledged
 from jasperwalk.control.fleet.versioned_state import HeldConfiguration
@@ -34,13 +35,14 @@
     def __init__(self):
         self.heard = []
         self.refused = []
+        self.outcome = AnnouncementOutcome.TAKEN
 
     def refuse(self, host_id, reason):
         self.refused.append((host_id, reason))
 
     def announce(self, news):
         self.heard.append(news)
-        return True
+        return self.outcome
 
     def leave(self, host_id):
         self.heard.append(host_id)
@@ -72,6 +74,17 @@
     assert (desk.heard[0].phase, desk.heard[1]) == (HostPhase.DRAINING, "i-1")
 
 
+@pytest.mark.parametrize(
+    ("outcome", "status"),
+    [(AnnouncementOutcome.LATE, 200), (AnnouncementOutcome.REFUSED, 400)],
+)
+def test_only_a_heartbeat_of_the_host_beside_the_agent_is_acknowledged(outcome, status):
+    desk = Desk()
+    desk.outcome = outcome
+    body = json.dumps(HEARTBEAT).encode()
+    assert ask(host_calls(desk), "PUT", "/instances/i-1", body).status == status
+
+
 def test_a_heartbeat_tells_when_the_host_started():
     desk = Desk()
     beat = json.dumps({**HEARTBEAT, "born": 1_700_000_000_123}).encode()
