--- a/src/jasperwalk/control/platform_poller.py
+++ b/src/jasperwalk/control/platform_poller.py
@@ -61,6 +61,14 @@
                 response.raise_for_status()
                 body = await _read_bounded(response.content)
             fetched = parse_platform_list(body)
+            if fetched.unreadable_entries:
+                logger.warning(
+                    "platform-list-entries-unreadable",
+                    url=self._url,
+                    entries=fetched.unreadable_entries,
+                    of=fetched.unreadable_entries + len(fetched.machines),
+                    reason=fetched.first_reason,
+                )
             self._latest = fetched if self._wanted else None
         except (aiohttp.ClientError, TimeoutError, OSError, JasperwalkError) as error:
             # The list may be away for a while; what was set before stays in force.
--- a/src/jasperwalk/membership/platform.py
+++ b/src/jasperwalk/membership/platform.py
@@ -53,10 +53,12 @@
 
 @dataclass(frozen=True)
 class PlatformList:
-    """One version of the list."""
+    """One version of the list; `first_reason` is why the first unreadable entry was left out."""
 
     version: int
     machines: list[PlatformMachine]
+    unreadable_entries: int = 0
+    first_reason: str = ""
 
 
 class _MachineDocument(msgspec.Struct, frozen=True):
@@ -67,22 +69,42 @@
 
 
 class _ListDocument(msgspec.Struct, frozen=True):
-    machines: list[_MachineDocument]
+    machines: list[msgspec.Raw]
     version: int
 
 
+MACHINE_DECODER = msgspec.json.Decoder(_MachineDocument)
+
+
 def parse_platform_list(data: bytes) -> PlatformList:
-    """Parse the list's JSON; raise `InvalidPlatformList` for anything that does not fit."""
+    """Parse the list's JSON; raise `InvalidPlatformList` for one that does not fit.
+
+    Entries may come from several writers. One that is unreadable, lacks a field or names an unknown
+    state is left out and counted, and the others hold. A list that has entries, of which none can
+    be read, is broken as a whole.
+    """
     if len(data) > MAXIMUM_LIST_BYTES:
         raise InvalidPlatformList(reason=f"over {MAXIMUM_LIST_BYTES} bytes")
     try:
         document = msgspec.json.decode(data, type=_ListDocument)
-        machines = [_machine(each) for each in document.machines]
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise InvalidPlatformList(reason=str(error)) from error
-    except InvalidAddress as error:
-        raise InvalidPlatformList(reason=error.describe()) from error
-    return PlatformList(version=document.version, machines=machines)
+    machines, reasons = [], []
+    for entry in document.machines:
+        try:
+            machines.append(_machine(MACHINE_DECODER.decode(entry)))
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            reasons.append(str(error))
+        except InvalidAddress as error:
+            reasons.append(error.describe())
+    if reasons and not machines:
+        raise InvalidPlatformList(reason=reasons[0])
+    return PlatformList(
+        version=document.version,
+        machines=machines,
+        unreadable_entries=len(reasons),
+        first_reason=reasons[0] if reasons else "",
+    )
 
 
 def _machine(document: _MachineDocument) -> PlatformMachine:
--- a/tests/membership/test_platform.py
+++ b/tests/membership/test_platform.py
@@ -61,6 +61,30 @@
         parse_platform_list(data)
 
 
+@pytest.mark.parametrize(
+    "entry",
+    [
+        json.dumps(machine("h2", state="gone")).encode(),
+        json.dumps(machine("h2", address="nowhere:1")).encode(),
+        json.dumps({"host": "h2"}).encode(),
+        json.dumps({**machine("h2"), "zone": 7}).encode(),
+        json.dumps({**machine("h2"), "state": None}).encode(),
+        json.dumps(machine("h2")).encode().replace(b"h2", b"\xff\xfe"),
+        b"7",
+        b"null",
+        b'"h2"',
+        b"[]",
+    ],
+)
+def test_an_entry_that_cannot_be_read_names_no_host_and_the_others_hold(entry: bytes) -> None:
+    good = [json.dumps(machine(host)).encode() for host in ("h1", "h3")]
+    data = b'{"version": 4, "machines": [%s, %s, %s]}' % (good[0], entry, good[1])
+    parsed = parse_platform_list(data)
+    assert [each.host for each in parsed.machines] == ["h1", "h3"]
+    assert parsed.unreadable_entries == 1
+    assert parsed.first_reason
+
+
 POLLS = {
     "leaving drains at once": (
         [(1, "h1 h2 h3 h4"), (2, "-h1 h2 h3 h4")],
