Agents of the HTTP/3 plane end within a grace that their settings name

The logs of the four say `agent-stopping open_requests=0`: they waited for callers that had gone to acknowledge their last answers, for 5 s at most, which is also what the lab's supervisor waits before it kills; nothing in an agent's settings bounded the whole stop. (In the next demo all ended by themselves: it depends on what the last callers acknowledged.)

Mend: stop_grace_ms (0: no bound, as before). When it is over, what still runs is cut, the callers' flows are closed and told so, and agent-stopped says how many requests were cut. The lab sets 4 s, below its 5.

--- a/src/jasperwalk/agent/planned_end.py
+++ b/src/jasperwalk/agent/planned_end.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from jasperwalk.agent.datagram_port import DatagramPort
@@ -36,15 +37,21 @@
         self._port = port
         self._clock = clock
 
-    async def wait_until_idle(self) -> None:
-        """Wait until no request is open, and callers have the answers or are silent."""
-        patient_until = self._clock() + LONGEST_DELIVERY_SECONDS
+    async def wait_until_idle(self, grace_seconds: float = math.inf) -> bool:
+        """Wait until no request is open, and callers have the answers or are silent.
+
+        Returns False where that was not so within `grace_seconds`.
+        """
+        began_at = self._clock()
+        patient_until = began_at + LONGEST_DELIVERY_SECONDS
         while True:
             now = self._clock()
+            if now - began_at >= grace_seconds:
+                return False
             if self._dispatcher.open_requests + self._open_for_others():
                 patient_until = now + LONGEST_DELIVERY_SECONDS
             elif not self._endpoint.has_undelivered_answers or now >= patient_until:
-                return
+                return True
             await asyncio.sleep(IDLE_POLL_SECONDS)
 
     def cut_requests(self) -> None:
--- a/src/jasperwalk/agent/process.py
+++ b/src/jasperwalk/agent/process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import os
 import random
 from collections.abc import Coroutine
@@ -231,12 +232,17 @@
         self._current.begin_stop()
         follower.healthy = False
         logger.info("agent-stopping", open_requests=dispatcher.open_requests)
-        # A planned stop cuts no request in progress; a second signal ends the wait.
+        # Within its grace a planned stop cuts no request; a second signal ends the wait.
         signalled.clear()
-        await first_of(signalled.wait(), planned_end.wait_until_idle())
+        await first_of(signalled.wait(), planned_end.wait_until_idle(self._stop_grace_seconds()))
+        cut = dispatcher.open_requests
         planned_end.cut_requests()
         planned_end.close_flows()
-        logger.info("agent-stopped", open_requests=dispatcher.open_requests)
+        logger.info("agent-stopped", requests_cut=cut)
+
+    def _stop_grace_seconds(self) -> float:
+        grace_ms = self._settings.stop_grace_ms
+        return grace_ms / 1000 if grace_ms else math.inf
 
 
 async def run_agent(settings: AgentSettings) -> None:
--- a/src/jasperwalk/settings/models.py
+++ b/src/jasperwalk/settings/models.py
@@ -201,6 +201,12 @@
         default=True,
         description="hand new flows on while the own slots are taken and the other candidate's not",
     )
+    stop_grace_ms: int = Field(
+        default=0,
+        ge=0,
+        description="longest time from a stop signal to the end, in ms; what still runs is then "
+        "cut, and its callers told. 0 waits for requests without a bound",
+    )
 
     def listeners(self) -> list[Listener]:
         """List the forwarding port (UDP), the relay port (TCP, same number) and admin port."""
--- a/src/jasperwalk_lab/fleet_settings.py
+++ b/src/jasperwalk_lab/fleet_settings.py
@@ -13,9 +13,11 @@
 from jasperwalk_lab.certificates import CertificateFiles, LinkCertificates
 from jasperwalk_lab.fleet_options import DEFAULT_OPTIONS, FleetOptions, FlowPlacement
 from jasperwalk_lab.layout import BalancerPlace, ControlPlace, Layout, MemberPlace
-from jasperwalk_lab.supervisor import ProcessPlan, health_url
+from jasperwalk_lab.supervisor import STOP_TIMEOUT_SECONDS, ProcessPlan, health_url
 
 CLUSTER_ID = "lab"
+AGENT_STOP_GRACE_MS = round(0.8 * 1000 * STOP_TIMEOUT_SECONDS)
+"""An agent ends its callers' flows itself before the supervisor kills it."""
 COMMANDS_FOLDER = Path(sys.executable).parent
 PLATFORM_LIST = "platform-list"
 FABRIC = "fabric"
@@ -109,6 +111,7 @@
             "control": self._control_endpoints(),
             "backend": str(place.backend),
             "fabric": str(self._layout.fabric_return),
+            "stop_grace_ms": AGENT_STOP_GRACE_MS,
             "certificate_file": str(self._certificates.certificate_file),
             "private_key_file": str(self._certificates.private_key_file),
             **self._tls(ProcessRole.AGENT, place.host),
--- a/tests/agent/test_process.py
+++ b/tests/agent/test_process.py
@@ -171,9 +171,10 @@
 class Fleet:
     """Two agents, each with its back end."""
 
-    def __init__(self, kit, certificate):
+    def __init__(self, kit, certificate, settings):
         self.kit = kit
         self.certificate = certificate
+        self.settings = settings
         self.control = FakeControl(kit)
         self.agents = []
         self.backends = []
@@ -216,6 +217,7 @@
             fabric=fabric_address,
             certificate_file=Path(self.certificate.certificate),
             private_key_file=Path(self.certificate.private_key),
+            **self.settings,
         )
         agent = Agent(settings)
         task = asyncio.ensure_future(agent.run())
@@ -244,10 +246,10 @@
         return self.fabric.caller(addresses[first], addresses[1 - first])
 
 
-def run_with_fleet(kit, certificate, scenario, slots=2):
+def run_with_fleet(kit, certificate, scenario, slots=2, **settings):
     async def main():
         async with contextlib.AsyncExitStack() as stack:
-            fleet = Fleet(kit, certificate)
+            fleet = Fleet(kit, certificate, settings)
             await fleet.start(stack, slots)
             await scenario(fleet, fleet.fabric.ask)
 
@@ -483,6 +485,21 @@
     run_with_fleet(kit, certificate, scenario)
 
 
+def test_a_stop_with_a_grace_ends_within_it_and_tells_its_callers(kit, certificate):
+    """A supervisor that kills after its patience would cut the request without a word."""
+
+    async def scenario(fleet, ask):
+        caller = fleet.caller()
+        stream = caller.responses[caller.request("GET", "/stream")]
+        await fleet.fabric.until(lambda: stream.body == b"first,")
+        fleet.agents[0].stop()
+        await fleet.fabric.until(lambda: fleet.tasks[0].done() and caller.terminated is not None)
+        assert fleet.backends[0].cancelled == {"/stream": 1}
+        assert not stream.ended
+
+    run_with_fleet(kit, certificate, scenario, stop_grace_ms=300)
+
+
 @pytest.mark.parametrize("how", ["lent", "relayed"])
 def test_a_planned_stop_cuts_no_request_of_another_agent(kit, certificate, how):
     async def scenario(fleet, ask):
