Soak: hosts are back in use, stalls of the machine are told; unreadable bytes in unread fields count

New promise: every host gets new flows again after the last fault. Hosts of a run have a module of their own.

--- a/src/jasperwalk_lab/soak/checks.py
+++ b/src/jasperwalk_lab/soak/checks.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from jasperwalk_lab.soak.history import (
+    HostAtEnd,
     OpeningTaken,
     RequestOutcome,
     RequestRun,
@@ -29,6 +30,9 @@
 """Share of the requests after that which have to be answered: one in a hundred may meet its end
 of the run."""
 LEAST_REQUESTS_AFTER = 20
+LEAST_FLOWS_A_HOST = 10.0
+"""New flows a host of a service on average from which one without any is left out: with flows
+chosen at random that happens once in twenty thousand."""
 MOST_MEMORY_GROWTH = 1.5
 MEMORY_SLACK_BYTES = 24 << 20
 DESCRIPTOR_SLACK = 24
@@ -46,12 +50,27 @@
     CONFIGURATION_KEPT = "an acknowledged configuration is read back"
     PLANNED_WORK = "planned work resets no open flow"
     BACK_IN_TIME = "service is back in time after the last fault"
+    HOSTS_BACK_IN_USE = "every host gets new flows again after the last fault"
     NO_EXIT = "no process ends by itself"
     STOPS_IN_TIME = "a process ends within the grace of its stop signal"
     OTHER_WRITERS = "an announcement that names no host is not taken"
     RESOURCES = "memory and descriptors return to where they were"
 
 
+TIMED_PROMISES = frozenset(
+    (
+        SoakPromise.HOST_DRAINED,
+        SoakPromise.ZONE_DRAINED,
+        SoakPromise.WARM_UP,
+        SoakPromise.CONFIGURATION_KEPT,
+        SoakPromise.BACK_IN_TIME,
+        SoakPromise.HOSTS_BACK_IN_USE,
+        SoakPromise.STOPS_IN_TIME,
+    )
+)
+"""Promises with a time in them: a machine that stands still for seconds can break them."""
+
+
 class SoakViolation(msgspec.Struct, frozen=True):
     """A broken promise: when, and what was seen."""
 
@@ -176,6 +195,23 @@
         yield SoakViolation(SoakPromise.BACK_IN_TIME, last + BACK_SECONDS, detail)
 
 
+def _hosts_back_in_use(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
+    last = max((each.ended_at or each.began_at for each in history.faults), default=0.0)
+    since = last + BACK_SECONDS
+    counts = Counter(each.host_id for each in history.openings if each.at > since)
+    by_service: dict[str, list[HostAtEnd]] = defaultdict(list)
+    for host in history.hosts_at_end:
+        by_service[host.service].append(host)
+    for hosts in by_service.values():
+        flows = sum(counts[host.host_id] for host in hosts)
+        if flows < LEAST_FLOWS_A_HOST * len(hosts):
+            continue
+        for host in hosts:
+            if host.started_at <= last and not counts[host.host_id]:
+                detail = f"{host.host_id}: 0 of {flows} new flows on {len(hosts)} hosts"
+                yield SoakViolation(SoakPromise.HOSTS_BACK_IN_USE, since, detail)
+
+
 def _no_exit(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
     for name in history.ended_processes:
         yield SoakViolation(SoakPromise.NO_EXIT, history.ends_at, name)
@@ -215,6 +251,7 @@
     _configuration_kept,
     _planned_work,
     _back_in_time,
+    _hosts_back_in_use,
     _no_exit,
     _stops_in_time,
     _other_writers,
--- a/src/jasperwalk_lab/soak/history.py
+++ b/src/jasperwalk_lab/soak/history.py
@@ -66,6 +66,21 @@
     host_id: str
 
 
+class MachineStall(msgspec.Struct, frozen=True):
+    """The run's own event loop, and so the machine, stood still for `seconds` before `at`."""
+
+    at: float
+    seconds: float
+
+
+class HostAtEnd(msgspec.Struct, frozen=True):
+    """A host that was ready when the run ended."""
+
+    host_id: str
+    service: str
+    started_at: float
+
+
 class HostCold(msgspec.Struct, frozen=True):
     """A host is cold from its start on."""
 
@@ -140,4 +155,6 @@
     ended_processes: list[str] = field(default_factory=list)
     killed_at_stop: list[ProcessKilledAtStop] = field(default_factory=list)
     uses: list[ProcessUse] = field(default_factory=list)
+    stalls: list[MachineStall] = field(default_factory=list)
+    hosts_at_end: list[HostAtEnd] = field(default_factory=list)
     ends_at: float = 0.0
--- a/src/jasperwalk_lab/soak/injector.py
+++ b/src/jasperwalk_lab/soak/injector.py
@@ -10,9 +10,9 @@
 from jasperwalk_lab.soak.faults import SHAPES, FaultKind, HappenedFault, PlannedFault
 from jasperwalk_lab.soak.fleet import ProcessNotRunning, SoakFleet, SoakProcess
 from jasperwalk_lab.soak.history import ProcessKilledAtStop, SoakHistory
-from jasperwalk_lab.soak.hosts import SoakHost
 from jasperwalk_lab.soak.operators import Operators
 from jasperwalk_lab.soak.relays import LinkCondition
+from jasperwalk_lab.soak.running_hosts import RunningHosts
 
 LOSS = 0.3
 SLOW_LINK_SECONDS = 0.15
@@ -57,45 +57,6 @@
 }
 
 
-MakeHost = Callable[[str, int, int, bool], SoakHost]
-"""Builds the host beside an agent: its number (part of its ID), which start of all this is, and
-whether it starts cold."""
-
-
-class RunningHosts:
-    """The hosts that run now, by the agent beside them; each start has the next number."""
-
-    def __init__(self, make: MakeHost) -> None:
-        self._make = make
-        self._numbers: dict[str, int] = {}
-        self._generations: dict[str, int] = {}
-        self._hosts: dict[str, SoakHost] = {}
-
-    def all(self) -> list[SoakHost]:
-        """Return the hosts that were started last."""
-        return list(self._hosts.values())
-
-    def beside(self, agent: str) -> SoakHost:
-        """Return the host beside an agent."""
-        return self._hosts[agent]
-
-    async def start(self, agent: str, is_cold: bool) -> None:
-        """Start another host there, if none runs: faults may overlap."""
-        self._numbers[agent] = self._numbers.get(agent, 0) + 1
-        await self._start(agent, is_cold)
-
-    async def start_again(self, agent: str) -> None:
-        """Start the host that was there under the ID that it had, if none runs."""
-        await self._start(agent, is_cold=True)
-
-    async def _start(self, agent: str, is_cold: bool) -> None:
-        if agent in self._hosts and self._hosts[agent].is_alive:
-            return
-        generation = self._generations[agent] = self._generations.get(agent, 0) + 1
-        host = self._hosts[agent] = self._make(agent, self._numbers[agent], generation, is_cold)
-        await host.start()
-
-
 class SoakInjector:
     """Runs a schedule; faults that cannot be brought about are recorded with the reason."""
 
@@ -241,9 +202,16 @@
         await self._kill(running, fault.seconds)
 
     async def _start_host_again(self, fault: PlannedFault) -> None:
-        """Let the host crash and start again under its ID, once or in a row."""
+        """Let the host end and start again under its ID, once or in a row.
+
+        It crashes, or it says first that it leaves.
+        """
         for _ in range(self._drawn.randint(1, STARTS_AGAIN_MOST)):
-            await self._hosts.beside(fault.target).crash()
+            host = self._hosts.beside(fault.target)
+            if self._drawn.choice((True, False)):
+                await host.drain(DRAIN_SECONDS)
+            else:
+                await host.crash()
             await asyncio.sleep(fault.seconds * self._drawn.uniform(0.0, 0.5))
             await self._hosts.start_again(fault.target)
             await asyncio.sleep(fault.seconds * self._drawn.uniform(0.0, 0.5))
--- a/src/jasperwalk_lab/soak/report.py
+++ b/src/jasperwalk_lab/soak/report.py
@@ -36,6 +36,8 @@
     median_milliseconds: float
     configurations_acknowledged: int
     zone_orders: int
+    stalls: int
+    longest_stall_seconds: float
 
 
 def make_report(
@@ -59,6 +61,8 @@
         median_milliseconds=round(1000 * statistics.median(answered), 1) if answered else 0.0,
         configurations_acknowledged=len(history.acknowledged),
         zone_orders=len(history.zones),
+        stalls=len(history.stalls),
+        longest_stall_seconds=max((each.seconds for each in history.stalls), default=0.0),
     )
 
 
@@ -71,6 +75,7 @@
         f"median           {report.median_milliseconds} ms",
         f"configurations   {report.configurations_acknowledged} acknowledged",
         f"zone orders      {report.zone_orders}",
+        f"machine stalls   {report.stalls}, the longest {report.longest_stall_seconds} s",
         f"violations       {len(report.violations)}",
     ]
     shown = report.violations[:SHOWN_VIOLATIONS]
--- a/src/jasperwalk_lab/soak/run.py
+++ b/src/jasperwalk_lab/soak/run.py
@@ -15,15 +15,16 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk_lab.fleet import make_run_folder
 from jasperwalk_lab.soak.callers import Callers, Router
-from jasperwalk_lab.soak.checks import check_all
+from jasperwalk_lab.soak.checks import BACK_SECONDS, check_all
 from jasperwalk_lab.soak.fleet import SERVICES, SIZES, SoakFleet, SoakSize
-from jasperwalk_lab.soak.history import ProcessUse, SoakHistory
+from jasperwalk_lab.soak.history import MachineStall, ProcessUse, SoakHistory
 from jasperwalk_lab.soak.hosts import COLD_SECONDS, SoakHost
 from jasperwalk_lab.soak.http_calls import HttpCaller
-from jasperwalk_lab.soak.injector import RunningHosts, SoakInjector
+from jasperwalk_lab.soak.injector import SoakInjector
 from jasperwalk_lab.soak.operators import Operators
 from jasperwalk_lab.soak.report import SoakReport, make_report, write_page
-from jasperwalk_lab.soak.schedule import LAST_FAULT_BEFORE_END_SECONDS, plan_run
+from jasperwalk_lab.soak.running_hosts import RunningHosts
+from jasperwalk_lab.soak.schedule import plan_run
 from jasperwalk_lab.soak.wire import READY_PATH, SoakConfiguration, SoakRoute
 
 LISTENERS = {
@@ -38,6 +39,10 @@
 FIRST_USE_SECONDS = 1.5
 PROGRESS_SECONDS = 5.0
 WATCH_SECONDS = 0.2
+STALL_SECONDS = 0.5
+"""Lateness of the run's own watch that is told as a stall of the machine."""
+QUIET_SECONDS = BACK_SECONDS + 4.0
+"""Time after the last fault in which it is seen whether requests are answered and hosts used."""
 OK_STATUS = 200
 
 Progress = Callable[[str], None]
@@ -126,12 +131,12 @@
         ]
         try:
             await self._injector.run(self._planned)
-            # Long enough for the check that the service is back, also after a late end.
-            quiet_seconds = LAST_FAULT_BEFORE_END_SECONDS
-            await asyncio.sleep(max(quiet_seconds, self._seconds - self._clock()))
+            # Long enough for the checks that all is back, also after a late end of a fault.
+            await asyncio.sleep(max(QUIET_SECONDS, self._seconds - self._clock()))
         finally:
             await _cancel(background)
         self.history.ends_at = self._clock()
+        self.history.hosts_at_end.extend(self._hosts.descriptions())
         await self._operators.read_at_end()
         self._note_uses()
         self._callers.close()
@@ -169,7 +174,11 @@
         """Note processes that end by themselves, and tell how the run goes."""
         told_at = 0.0
         while True:
+            slept_at = self._clock()
             await asyncio.sleep(WATCH_SECONDS)
+            late_seconds = self._clock() - slept_at - WATCH_SECONDS
+            if late_seconds > STALL_SECONDS:
+                self.history.stalls.append(MachineStall(self._clock(), round(late_seconds, 2)))
             for name in self._fleet.supervisor.ended_early():
                 if name not in self.history.ended_processes:
                     self.history.ended_processes.append(name)
--- a/src/jasperwalk_lab/soak/wire.py
+++ b/src/jasperwalk_lab/soak/wire.py
@@ -128,7 +128,7 @@
         document, whole = self.document(), self.body()
         without = [{k: v for k, v in document.items() if k != name} for name in NEEDED_FIELDS]
         changed = [{**document, name: value} for name, value in OTHER_VALUES]
-        unreadable = [b"", b"[]", whole[:-3], whole.replace(b"ready", b"\xff\xfe"), b"\x00" * 64]
+        unreadable = [b"", b"[]", whole[:-3], whole.replace(b'"v1"', b'"\xff\xfe"'), b"\x00" * 64]
         return [*(json.dumps(each).encode() for each in (*without, *changed)), *unreadable]
 
 
--- a/tests/lab/soak/test_soak_checks.py
+++ b/tests/lab/soak/test_soak_checks.py
@@ -15,6 +15,7 @@
 from jasperwalk_lab.soak.history import (
     ConfigurationAcknowledged,
     ConfigurationRead,
+    HostAtEnd,
     HostCold,
     HostDrained,
     OpenFlowReset,
@@ -106,6 +107,10 @@
         ],
         "faults": [fault(FaultKind.ALL_KILLED, 40.0, 49.0 - BACK_SECONDS)],
     },
+    SoakPromise.HOSTS_BACK_IN_USE: {
+        "hosts_at_end": [HostAtEnd(f"h{number}", "web", 0.0) for number in (1, 2)],
+        "openings": [opening(50.0 + number / 10) for number in range(30)],
+    },
     SoakPromise.NO_EXIT: {"ended_processes": ["agent-1"]},
     SoakPromise.STOPS_IN_TIME: {"killed_at_stop": [ProcessKilledAtStop(9.0, "agent-1")]},
     SoakPromise.OTHER_WRITERS: {"unusable_taken": [UnusableTaken(9.0, "agent-1", b"{}")]},
--- a/tests/platform_adapter/test_http_calls.py
+++ b/tests/platform_adapter/test_http_calls.py
@@ -139,6 +139,7 @@
     json.dumps(HEARTBEAT).encode()[:-5],
     json.dumps(HEARTBEAT).encode("utf-16"),
     json.dumps(HEARTBEAT).encode().replace(b'"a"', b'"\xff\xfe"'),
+    json.dumps(HEARTBEAT).encode().replace(b'"v1"', b'"\xff\xfe"'),
     b"\x00" * 100,
     b"null",
     b'"ready"',
