What a balancer knows of an agent's load ages: an idle host is asked again

Only an answer replaces a figure, and an agent with that figure is asked by nobody who has a better one. Answers that were lost have the same effect: flows sent and not answered count for good.

Mend: both figures halve with each second of age. Ruled out: forgetting them at the agent's restart (the host may recover without one), a limit on the figure (it is still above every idle host's). Three tests, failing before (the figures took no time).

--- a/src/jasperwalk/balancer/datagrams/flow_opener.py
+++ b/src/jasperwalk/balancer/datagrams/flow_opener.py
@@ -170,7 +170,7 @@
     def _ask(self, key: bytes, opening: Opening, target: Target, now: float) -> None:
         opening.answers[target] = OpeningAnswer.MISSING
         opening.deadline = now + OPEN_TIMEOUT_SECONDS
-        target.sent_since += 1
+        target.note_sent(now)
         route = opening.route.route
         flow = Flow(target, now, opening, route.is_bulk, route.is_repeatable)
         self.flows[key] = flow
--- a/src/jasperwalk/fleet/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -68,6 +68,10 @@
 BULK_OTHER_ZONE_COST = 1.0
 """The same for uploads, whose every packet crosses: another zone only where this one is busier
 by a request for each slot."""
+LOAD_HALF_LIFE_SECONDS = 1.0
+"""Age at which what is known of an agent's load counts half. The figure of an unable host, 16 for each
+slot, falls below a usual load of 0.3 within 6 s; requests take some 0.05 s, so a figure that is
+seconds old says little of a host that works."""
 SLOW_START_FACTOR = 2.0
 """How much an agent's load counts while its host is in slow start."""
 JITTER = 0.05
@@ -88,7 +92,11 @@
     started_at: float
     """When this balancer first received a record of the agent's present process."""
     load: float = 0.0
+    """What the last answer told, and `load_at` when."""
+    load_at: float = 0.0
     sent_since: int = 0
+    """New flows sent there since that answer, and `sent_at` when the last of them was."""
+    sent_at: float = 0.0
     suspect_until: float = float("-inf")
     refuses_until: float = float("-inf")
     zone_drained: bool = False
@@ -107,12 +115,18 @@
         """Return what goes in front of an opening packet."""
         return encode_request(FrameKind.OPEN, opening_flags(terms), self.service_tag, b"")
 
-    def note_load(self, load: float) -> None:
+    def note_load(self, load: float, now: float) -> None:
         """Take the load of an answer."""
         self.load = load
+        self.load_at = now
         self.sent_since = 0
         self.suspect_until = float("-inf")
 
+    def note_sent(self, now: float) -> None:
+        """Note that a new flow was sent there."""
+        self.sent_since += 1
+        self.sent_at = now
+
     def note_question(self, now: float) -> None:
         """Note that the agent was asked whether it holds a flow."""
         if self.silent_since is None:
@@ -141,9 +155,15 @@
         return self.record.phase is HostPhase.UNKNOWN
 
     def relative_load(self, now: float) -> float:
-        """Return requests under way for each slot, as far as known."""
+        """Return requests under way for each slot, as far as known.
+
+        What is known ages: an agent that once answered that its host is unable would never be asked
+        again otherwise, for only an answer replaces its figure.
+        """
         capacity = max(self.record.capacity, UNKNOWN_CAPACITY)
-        load = (self.load + self.sent_since) / capacity
+        load = self.load * _worth_at_age(now - self.load_at)
+        sent = self.sent_since * _worth_at_age(now - self.sent_at)
+        load = (load + sent) / capacity
         return (load + 1.0 / capacity) * SLOW_START_FACTOR if now < self.slow_until else load
 
     def is_lost(self, now: float) -> bool:
@@ -177,9 +197,16 @@
         service_tag=tag,
         hash_seed=hash_seed(record.endpoint.pack()),
         started_at=now,
+        load_at=now,
+        sent_at=now,
     )
 
 
+def _worth_at_age(age_seconds: float) -> float:
+    """Return how much of a figure about an agent's load still counts."""
+    return float(0.5 ** (max(age_seconds, 0.0) / LOAD_HALF_LIFE_SECONDS))
+
+
 @dataclass(eq=False, repr=False)
 class TargetPool:
     """All agents that this balancer knows; sans-IO."""
--- a/tests/fleet/test_targets.py
+++ b/tests/fleet/test_targets.py
@@ -6,6 +6,7 @@
 from jasperwalk.fleet.messages import FleetUpdate, HostPhase
 from jasperwalk.fleet.targets import (
     CANDIDATES,
+    LOAD_HALF_LIFE_SECONDS,
     SEARCHED_CANDIDATES,
     UNLISTED_USABLE_SECONDS,
     TargetPool,
@@ -21,9 +22,9 @@
     return made
 
 
-def load(made, number, value):
+def load(made, number, value, now=1.0):
     endpoint = address_of(number)
-    made.at((endpoint.host, endpoint.port)).note_load(value)
+    made.at((endpoint.host, endpoint.port)).note_load(value, now)
 
 
 def chosen(made, now=1.0, excluded=()):
@@ -180,3 +181,42 @@
     made.update(FleetUpdate(False, [record(1)], []), 1.0)
     assert chosen(made) == "agent-1"
     assert len(made.all_targets()) == 1
+
+
+UNABLE = 64.0
+"""What an agent answers whose host hands openings back or is silent."""
+
+
+def test_an_agent_that_once_seemed_unable_is_asked_again():
+    """An idle host stayed without new flows for good.
+
+    Soak, seed 304: agent-1 answered `reason=returned load=64.0` to balancers 0 and 2 at 26.2 s, and
+    its log has `host-takes-openings` at 29.9 s. Neither balancer asked it again, not after its
+    restart either, and 0 of 40 new flows went there at the end. Nothing but an answer replaced the
+    figure, and with that figure nobody asked.
+    """
+    made = pool(record(1), record(2), record(3))
+    load(made, 1, UNABLE, now=1.0)
+    assert {chosen(made, 1.5) for _ in range(20)} == {"agent-2", "agent-3"}
+    later = 1.0 + 12 * LOAD_HALF_LIFE_SECONDS
+    load(made, 2, 0.5, now=later)
+    load(made, 3, 0.5, now=later)
+    assert chosen(made, later) == "agent-1"
+
+
+def test_what_was_sent_without_an_answer_ages_as_well():
+    """Answers may be lost: an agent that got flows and could not say so is not busy for good."""
+    made = pool(record(1), record(2))
+    for _ in range(10):
+        made.at(("10.0.0.1", 7602)).note_sent(1.0)
+    assert chosen(made, 1.0) == "agent-2"
+    later = 1.0 + 12 * LOAD_HALF_LIFE_SECONDS
+    load(made, 2, 0.5, now=later)
+    assert chosen(made, later) == "agent-1"
+
+
+def test_a_fresh_figure_counts_whole():
+    made = pool(record(1, capacity=1), record(2, capacity=1))
+    load(made, 1, 0.5, now=5.0)
+    load(made, 2, 0.4, now=5.0)
+    assert {chosen(made, 5.0) for _ in range(20)} == {"agent-2"}
