Soak: a large fleet of eighty processes, struck as often as one machine bears

That says nothing of the product: the size was beyond what eight processors bear beside the stand-ins. Now 80 processes, and three times the faults of a small run.

--- a/src/jasperwalk/fleet/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -69,9 +69,9 @@
 """The same for uploads, whose every packet crosses: another zone only where this one is busier
 by a request for each slot."""
 LOAD_HALF_LIFE_SECONDS = 1.0
-"""Age at which what is known of an agent's load counts half. The figure of an unable host, 16 for each
-slot, falls below a usual load of 0.3 within 6 s; requests take some 0.05 s, so a figure that is
-seconds old says little of a host that works."""
+"""Age at which what is known of an agent's load counts half. The figure of an unable host, 16 for
+each slot, falls below a usual load of 0.3 within 6 s; requests take some 0.05 s, so a figure that
+is seconds old says little of a host that works."""
 SLOW_START_FACTOR = 2.0
 """How much an agent's load counts while its host is in slow start."""
 JITTER = 0.05
--- a/src/jasperwalk_lab/soak/schedule.py
+++ b/src/jasperwalk_lab/soak/schedule.py
@@ -35,6 +35,8 @@
 DISK_CALM_SECONDS = 8.0
 """No disk is lost this near to a rush: the lost replica's successor has to hold the log first."""
 SMALLEST_AGENTS = 6
+MOST_SCALE = 3
+"""Larger fleets are struck more often, up to this many times: one machine starts them all."""
 
 
 class SoakNames(msgspec.Struct, frozen=True):
@@ -82,7 +84,7 @@
     """Plan the rushes of a run of `seconds`, in the order of their beginning."""
     drawn = random.Random(f"rushes {seed}")
     kinds = [kind for kind in FaultKind if kind not in RUSH_NEVER_STRIKES]
-    scale = max(1, len(names.agents) // SMALLEST_AGENTS)
+    scale = _scale(names)
     latest = seconds - LAST_FAULT_BEFORE_END_SECONDS
     planned: list[PlannedFault] = []
     at = drawn.uniform(*RUSH_EVERY_SECONDS)
@@ -99,6 +101,10 @@
     return sorted(planned, key=lambda each: each.at)
 
 
+def _scale(names: SoakNames) -> int:
+    return min(MOST_SCALE, max(1, len(names.agents) // SMALLEST_AGENTS))
+
+
 def plan_run(names: SoakNames, seconds: float, seed: int) -> list[PlannedFault]:
     """Plan everything that a run brings about, in the order of its beginning."""
     rushes = plan_rushes(names, seconds, seed)
@@ -123,7 +129,7 @@
     planned: list[PlannedFault] = []
     deck: list[FaultKind] = []
     at = FIRST_FAULT_SECONDS
-    gap = max(1.0, len(names.agents) / SMALLEST_AGENTS)
+    scale = _scale(names)
     while at < seconds - LAST_FAULT_BEFORE_END_SECONDS:
         if not deck:
             deck = drawn.sample(list(FaultKind), len(FaultKind))
@@ -134,7 +140,7 @@
         fault = _draw(kind, names, planned, at, drawn)
         if fault is not None and fault.ends_at <= seconds - LAST_FAULT_BEFORE_END_SECONDS + 1.0:
             planned.append(fault)
-        at += drawn.uniform(*GAP_SECONDS) / gap
+        at += drawn.uniform(*GAP_SECONDS) / scale
     return planned
 
 
