--- a/src/jasperwalk/fleet/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -68,10 +68,13 @@
 BULK_OTHER_ZONE_COST = 1.0
 """The same for uploads, whose every packet crosses: another zone only where this one is busier
 by a request for each slot."""
+LOAD_FRESH_SECONDS = 1.0
+"""Age up to which what is known of an agent's load counts whole. A balancer that sends an agent
+several flows a second always has such a figure."""
 LOAD_HALF_LIFE_SECONDS = 1.0
-"""Age at which what is known of an agent's load counts half. The figure of an unable host, 16 for
-each slot, falls below a usual load of 0.3 within 6 s; requests take some 0.05 s, so a figure that
-is seconds old says little of a host that works."""
+"""Time after that in which it comes to count half. The figure of an unable host, 16 for each slot,
+falls below a usual load of 0.3 within 7 s; requests take some 0.05 s, so a figure that is seconds old
+says little of a host that works."""
 SLOW_START_FACTOR = 2.0
 """How much an agent's load counts while its host is in slow start."""
 JITTER = 0.05
@@ -204,7 +207,9 @@
 
 def _worth_at_age(age_seconds: float) -> float:
     """Return how much of a figure about an agent's load still counts."""
-    return float(0.5 ** (max(age_seconds, 0.0) / LOAD_HALF_LIFE_SECONDS))
+    if age_seconds <= LOAD_FRESH_SECONDS:
+        return 1.0
+    return float(0.5 ** ((age_seconds - LOAD_FRESH_SECONDS) / LOAD_HALF_LIFE_SECONDS))
 
 
 @dataclass(eq=False, repr=False)
--- a/src/jasperwalk_lab/soak/fleet.py
+++ b/src/jasperwalk_lab/soak/fleet.py
@@ -56,7 +56,7 @@
 
 SIZES = {
     "small": SoakSize(3, 3, 6, 16, 20.0),
-    # Eighty processes, which restart ten at a time: what eight processors bear beside the stand-ins.
+    # Eighty processes, of which ten start at a time: what eight processors bear.
     "large": SoakSize(5, 15, 60, 60, 60.0),
 }
 
--- a/tests/fleet/test_targets.py
+++ b/tests/fleet/test_targets.py
@@ -6,6 +6,7 @@
 from jasperwalk.fleet.messages import FleetUpdate, HostPhase
 from jasperwalk.fleet.targets import (
     CANDIDATES,
+    LOAD_FRESH_SECONDS,
     LOAD_HALF_LIFE_SECONDS,
     SEARCHED_CANDIDATES,
     UNLISTED_USABLE_SECONDS,
@@ -198,7 +199,7 @@
     made = pool(record(1), record(2), record(3))
     load(made, 1, UNABLE, now=1.0)
     assert {chosen(made, 1.5) for _ in range(20)} == {"agent-2", "agent-3"}
-    later = 1.0 + 12 * LOAD_HALF_LIFE_SECONDS
+    later = 1.0 + LOAD_FRESH_SECONDS + 12 * LOAD_HALF_LIFE_SECONDS
     load(made, 2, 0.5, now=later)
     load(made, 3, 0.5, now=later)
     assert chosen(made, later) == "agent-1"
@@ -210,13 +211,14 @@
     for _ in range(10):
         made.at(("10.0.0.1", 7602)).note_sent(1.0)
     assert chosen(made, 1.0) == "agent-2"
-    later = 1.0 + 12 * LOAD_HALF_LIFE_SECONDS
+    later = 1.0 + LOAD_FRESH_SECONDS + 12 * LOAD_HALF_LIFE_SECONDS
     load(made, 2, 0.5, now=later)
     assert chosen(made, later) == "agent-1"
 
 
-def test_a_fresh_figure_counts_whole():
+@pytest.mark.parametrize("age", [0.0, LOAD_FRESH_SECONDS])
+def test_a_fresh_figure_counts_whole(age):
     made = pool(record(1, capacity=1), record(2, capacity=1))
-    load(made, 1, 0.5, now=5.0)
+    load(made, 1, 0.5, now=5.0 - age)
     load(made, 2, 0.4, now=5.0)
     assert {chosen(made, 5.0) for _ in range(20)} == {"agent-2"}
