--- a/src/jasperwalk/fleet/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -73,8 +73,8 @@
 several flows a second always has such a figure."""
 LOAD_HALF_LIFE_SECONDS = 1.0
 """Time after that in which it comes to count half. The figure of an unable host, 16 for each slot,
-falls below a usual load of 0.3 within 7 s; requests take some 0.05 s, so a figure that is seconds old
-says little of a host that works."""
+falls below a usual load of 0.3 within 7 s; requests take some 0.05 s, so a figure that is seconds
+old says little of a host that works."""
 SLOW_START_FACTOR = 2.0
 """How much an agent's load counts while its host is in slow start."""
 JITTER = 0.05
--- a/src/jasperwalk_lab/ports.py
+++ b/src/jasperwalk_lab/ports.py
@@ -71,15 +71,28 @@
 
 def common_port(hosts: Sequence[str]) -> int:
     """Return a port that is free on each of these addresses, for TCP and UDP."""
-    while True:
-        with contextlib.ExitStack() as stack:
-            port = 0
-            try:
-                for host in hosts:
-                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                        probe = stack.enter_context(socket.socket(socket.AF_INET, kind))
-                        probe.bind((host, port))
-                        port = probe.getsockname()[1]
-            except OSError:
-                continue
-            return port
+    return common_ports(("only",), hosts)["only"]
+
+
+def common_ports(names: Sequence[str], hosts: Sequence[str]) -> dict[str, int]:
+    """Return a port for each name, all different, free on each of these addresses."""
+    drawn = random.SystemRandom()
+    ports: dict[str, int] = {}
+    for name in names:
+        port = drawn.choice(PORTS)
+        while port in ports.values() or not _is_free(port, hosts):
+            port = drawn.choice(PORTS)
+        ports[name] = port
+    return ports
+
+
+def _is_free(port: int, hosts: Sequence[str]) -> bool:
+    with contextlib.ExitStack() as stack:
+        try:
+            for host in hosts:
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    probe = stack.enter_context(socket.socket(socket.AF_INET, kind))
+                    probe.bind((host, port))
+        except OSError:
+            return False
+    return True
--- a/src/jasperwalk_lab/soak/fleet.py
+++ b/src/jasperwalk_lab/soak/fleet.py
@@ -20,7 +20,7 @@
 import tomli_w
 
 from jasperwalk.addresses import Endpoint
-from jasperwalk_lab.ports import common_port
+from jasperwalk_lab.ports import common_ports
 from jasperwalk_lab.soak.callers import BalancerPlace
 from jasperwalk_lab.soak.hosts import HostPlace
 from jasperwalk_lab.soak.relays import TcpRelay, UdpRelay
@@ -172,7 +172,7 @@
             self._host(9, 1),
         ]
         names = ("replica", "operators", "callers", "ready", "frames", "calls", "packets", "app")
-        self._ports = {name: common_port(every) for name in names}
+        self._ports = common_ports(names, every)
         self.callers = Endpoint(self._host(9, 1), self._ports["callers"])
         self.supervisor = Supervisor(folder)
         self.processes: dict[str, SoakProcess] = {}
--- a/tests/platform_adapter/test_processes.py
+++ b/tests/platform_adapter/test_processes.py
@@ -17,7 +17,7 @@
 import pytest
 from datagram_codec import PlatformCodec
 
-from jasperwalk_lab.ports import common_port
+from jasperwalk_lab.ports import common_ports
 
 ROOT = Path(__file__).resolve().parents[2]
 PATIENCE_SECONDS = 60.0
@@ -46,7 +46,7 @@
     def __init__(self, folder):
         self.folder = folder
         names = ("replica", "operators", "frames", "ready", "calls", "outbound", "app", "ingress")
-        self.ports = {name: common_port(HOSTS) for name in names}
+        self.ports = common_ports(names, HOSTS)
         self.processes = []
 
     def start(self, role, name, **settings):
