A caller that sends no request ends with a typed error

Cause: the desks that answer join requests and operators' commands let a bare TimeoutError out where the other side introduced itself and was killed or cut off before its request; the server takes that for a fault of its own. Now RequestTimeout (`request-timeout`), counted and told in one line like other refusals.

--- a/src/jasperwalk/control/fleet/joining.py
+++ b/src/jasperwalk/control/fleet/joining.py
@@ -65,9 +65,8 @@
         self._decide = decide
 
     async def serve(self, connection: FramedConnection) -> None:
-        """Answer one request."""
-        async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
-            request = JOIN_DECODER.decode(await connection.receive())
+        """Answer one request; raises `MalformedMessage`, or `RequestTimeout` where none comes."""
+        request = JOIN_DECODER.decode(await connection.receive_request(ANSWER_TIMEOUT_SECONDS))
         if not isinstance(request, JoinRequest):
             raise MalformedMessage(reason="expected a join request")
         await connection.send(codec.encode(self._decide(request)))
--- a/src/jasperwalk/control/fleet/operator_desk.py
+++ b/src/jasperwalk/control/fleet/operator_desk.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from jasperwalk.addresses import Endpoint
 from jasperwalk.control.fleet.messages import (
     OPERATOR_REQUEST_DECODER,
@@ -35,9 +33,8 @@
         self._zone_orders = zone_orders
 
     async def serve(self, connection: FramedConnection) -> None:
-        """Answer a request; raises `MalformedMessage`, or `TimeoutError` where none comes."""
-        async with asyncio.timeout(REQUEST_SECONDS):
-            request = OPERATOR_REQUEST_DECODER.decode(await connection.receive())
+        """Answer a request; raises `MalformedMessage`, or `RequestTimeout` where none comes."""
+        request = OPERATOR_REQUEST_DECODER.decode(await connection.receive_request(REQUEST_SECONDS))
         await connection.send(codec.encode(await self._answer(request)))
 
     async def _answer(self, request: OperatorRequest) -> OperatorReply:
--- a/src/jasperwalk/transport/errors.py
+++ b/src/jasperwalk/transport/errors.py
@@ -78,6 +78,18 @@
         return f"no Hello within {self.timeout_seconds:g} s"
 
 
+@dataclass(eq=False, repr=False)
+class RequestTimeout(TransportError):
+    """The other side introduced itself and then sent no request in time."""
+
+    kind: ClassVar[str] = "request-timeout"
+    timeout_seconds: float
+
+    def describe(self) -> str:
+        """Give the time that was waited."""
+        return f"no request within {self.timeout_seconds:g} s"
+
+
 @dataclass(eq=False, repr=False)
 class ConnectFailed(TransportError):
     """The connection could not be opened."""
--- a/src/jasperwalk/transport/framed.py
+++ b/src/jasperwalk/transport/framed.py
@@ -17,6 +17,7 @@
     ConnectionLost,
     HelloTimeout,
     OversizedFrame,
+    RequestTimeout,
     SendBufferFull,
     TlsFailed,
     TruncatedFrame,
@@ -100,6 +101,14 @@
         """
         return await self._receive(self._maximum_received_bytes)
 
+    async def receive_request(self, timeout_seconds: float) -> bytes:
+        """Return the payload of the next frame; raises `RequestTimeout`, or as `receive` does."""
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                return await self.receive()
+        except TimeoutError as error:
+            raise RequestTimeout(timeout_seconds=timeout_seconds) from error
+
     async def _receive(self, limit: int) -> bytes:
         prefix = await self._read_exactly(LENGTH_PREFIX.size, at_frame_start=True)
         (length,) = LENGTH_PREFIX.unpack(prefix)
