Soak: orders that race, and a read that nobody answers, are told apart from broken promises

The check now ends a drain's span where a restore that was under way with it may have followed; one that was acknowledged before the drain was sent still ends nothing (both in the test).

No older version was read: nobody answered for 8 s. The replicas' quorum contact came and went (`quorum_age_ms` 1006 to 1311, stalls of the run of 0.5 to 1.3 s, whose process carries the replicas' links). It has a promise of its own now (READ_AT_END, with a time in it); an older version that is read back stays one that no stall excuses.

--- a/tests/lab/soak/test_soak_checks.py
+++ b/tests/lab/soak/test_soak_checks.py
@@ -96,6 +96,10 @@
         "acknowledged": [ConfigurationAcknowledged(1.0, 3)],
         "reads": [ConfigurationRead(1.1 + CONFIGURATION_SECONDS, 2)],
     },
+    SoakPromise.READ_AT_END: {
+        "acknowledged": [ConfigurationAcknowledged(1.0, 3)],
+        "reads": [ConfigurationRead(ENDS_AT + 0.1, 0)],
+    },
     SoakPromise.PLANNED_WORK: {
         "resets": [OpenFlowReset(9.0, "flow", "h1")],
         "faults": [fault(FaultKind.BALANCER_TERMINATED, 8.0, 9.5)],
@@ -155,3 +159,14 @@
 def test_an_order_that_was_not_acknowledged_promises_nothing():
     made = history(zones=[ZoneOrdered("north", True, 1.0, None)], openings=[opening(9.0)])
     assert promises(made) == set()
+
+
+def test_of_two_orders_that_race_either_may_come_last():
+    """Soak, seed 315: a restore was repeated from 22.75 to 25.72 s, and a drain came at 23.21."""
+    made = history(
+        zones=[ZoneOrdered("north", False, 1.0, 3.0), ZoneOrdered("north", True, 1.5, 1.6)],
+        openings=[opening(9.0)],
+    )
+    assert promises(made) == set()
+    made.zones[0] = ZoneOrdered("north", False, 1.0, 1.4)
+    assert promises(made) == {SoakPromise.ZONE_DRAINED}
