--- a/src/jasperwalk_lab/soak/injector.py
+++ b/src/jasperwalk_lab/soak/injector.py
@@ -8,9 +8,10 @@
 from typing import ClassVar
 
 from jasperwalk_lab.soak.faults import SHAPES, FaultKind, HappenedFault, PlannedFault
-from jasperwalk_lab.soak.fleet import ProcessNotRunning, SoakFleet, SoakProcess
+from jasperwalk_lab.soak.fleet import SoakFleet
 from jasperwalk_lab.soak.history import ProcessKilledAtStop, SoakHistory
 from jasperwalk_lab.soak.operators import Operators
+from jasperwalk_lab.soak.processes import ProcessNotRunning, SoakProcess
 from jasperwalk_lab.soak.relays import LinkCondition
 from jasperwalk_lab.soak.running_hosts import RunningHosts
 
