--- a/src/jasperwalk_lab/soak/checks.py
+++ b/src/jasperwalk_lab/soak/checks.py
@@ -10,6 +10,7 @@
 
 from jasperwalk_lab.soak.history import (
     HostAtEnd,
+    MachineStall,
     OpeningTaken,
     RequestOutcome,
     RequestRun,
@@ -71,6 +72,9 @@
     )
 )
 """Promises with a time in them: a machine that stands still for seconds can break them."""
+STALL_REACH_SECONDS = 10.0
+"""How near to a stall of the machine a promise with a time in it may be broken by it: the longest
+time in one is that until the service is back, and the look at it after that."""
 
 
 class SoakViolation(msgspec.Struct, frozen=True):
@@ -91,6 +95,16 @@
     return sorted(found, key=lambda each: each.at)
 
 
+def not_excused(violations: list[SoakViolation], stalls: list[MachineStall]) -> list[SoakViolation]:
+    """Leave out promises with a time in them that were broken near a stall of the machine."""
+    return [
+        each
+        for each in violations
+        if each.promise not in TIMED_PROMISES
+        or not any(abs(stall.at - each.at) <= STALL_REACH_SECONDS for stall in stalls)
+    ]
+
+
 def _at_most_once(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
     hosts: dict[str, str] = {}
     for run in history.runs:
@@ -151,7 +165,11 @@
 
 def _may_follow(restore: ZoneOrdered, drain: ZoneOrdered) -> bool:
     """Tell whether an order to restore may have taken effect after one to drain."""
-    return restore.acknowledged_at is None or restore.acknowledged_at > drain.sent_at
+    if restore.acknowledged_at is not None:
+        return restore.acknowledged_at > drain.sent_at
+    if restore.given_up_at is None:
+        return True
+    return restore.given_up_at + ZONE_DRAIN_SECONDS > drain.sent_at
 
 
 def _warm_up(history: SoakHistory, cold_flows_per_second: float) -> Iterator[SoakViolation]:
@@ -176,7 +194,7 @@
             each.version for each in history.acknowledged if each.at <= old_enough or is_last
         ]
         newest = max(acknowledged, default=0)
-        if newest and not read.version:
+        if newest and not read.is_answered:
             detail = f"no answer, {newest} was acknowledged"
             yield SoakViolation(SoakPromise.READ_AT_END, read.asked_at, detail)
         elif read.version < newest:
--- a/src/jasperwalk_lab/soak/history.py
+++ b/src/jasperwalk_lab/soak/history.py
@@ -104,6 +104,8 @@
     drained: bool
     sent_at: float
     acknowledged_at: float | None
+    given_up_at: float | None = None
+    """When an order that nobody acknowledged was sent for the last time."""
 
 
 class ConfigurationAcknowledged(msgspec.Struct, frozen=True):
@@ -114,10 +116,14 @@
 
 
 class ConfigurationRead(msgspec.Struct, frozen=True):
-    """A configuration that was read back from a replica."""
+    """A configuration that was read back from a replica, of version 0 where the answer is none.
+
+    `is_answered` is False where nobody answered at the end of the run.
+    """
 
     asked_at: float
     version: int
+    is_answered: bool = True
 
 
 class ProcessUse(msgspec.Struct, frozen=True):
--- a/src/jasperwalk_lab/soak/operators.py
+++ b/src/jasperwalk_lab/soak/operators.py
@@ -76,7 +76,7 @@
             if await self._read(self._drawn.choice(self._replicas)):
                 return
             await asyncio.sleep(RETRY_SECONDS[-1])
-        self._history.reads.append(ConfigurationRead(asked_at, 0))
+        self._history.reads.append(ConfigurationRead(asked_at, 0, is_answered=False))
 
     async def _read(self, replica: Endpoint) -> bool:
         asked_at = self._clock()
@@ -90,8 +90,9 @@
         sent_at = self._clock()
         method = "POST" if drained else "DELETE"
         is_taken = await self._order(method, evacuation_path(zone), b"", REPEAT_SECONDS)
-        at = self._clock() if is_taken else None
-        self._history.zones.append(ZoneOrdered(zone, drained, sent_at, at))
+        ended_at = self._clock()
+        ended = (ended_at, None) if is_taken else (None, ended_at)
+        self._history.zones.append(ZoneOrdered(zone, drained, sent_at, *ended))
 
     async def _order(self, method: str, path: str, body: bytes, seconds: float) -> bool:
         began_at, tries = self._clock(), 0
--- a/src/jasperwalk_lab/soak/report.py
+++ b/src/jasperwalk_lab/soak/report.py
@@ -13,7 +13,7 @@
 from matplotlib.figure import Figure
 
 from jasperwalk_lab.soak.checks import SoakViolation
-from jasperwalk_lab.soak.history import RequestOutcome, SoakHistory
+from jasperwalk_lab.soak.history import MachineStall, RequestOutcome, SoakHistory
 
 SHOWN_VIOLATIONS = 20
 WIDTH_INCHES, HEIGHT_INCHES = 9.0, 3.2
@@ -36,8 +36,7 @@
     median_milliseconds: float
     configurations_acknowledged: int
     zone_orders: int
-    stalls: int
-    longest_stall_seconds: float
+    stalls: list[MachineStall]
 
 
 def make_report(
@@ -61,13 +60,13 @@
         median_milliseconds=round(1000 * statistics.median(answered), 1) if answered else 0.0,
         configurations_acknowledged=len(history.acknowledged),
         zone_orders=len(history.zones),
-        stalls=len(history.stalls),
-        longest_stall_seconds=max((each.seconds for each in history.stalls), default=0.0),
+        stalls=history.stalls,
     )
 
 
 def describe(report: SoakReport) -> str:
     """Return the report for people, one fact a line."""
+    longest = max((each.seconds for each in report.stalls), default=0.0)
     lines = [
         f"seed             {report.seed}, {report.seconds:.0f} s, plane {report.plane}",
         "faults           " + ", ".join(f"{k} {n}" for k, n in report.faults.items()),
@@ -75,7 +74,7 @@
         f"median           {report.median_milliseconds} ms",
         f"configurations   {report.configurations_acknowledged} acknowledged",
         f"zone orders      {report.zone_orders}",
-        f"machine stalls   {report.stalls}, the longest {report.longest_stall_seconds} s",
+        f"machine stalls   {len(report.stalls)}, the longest {longest} s",
         f"violations       {len(report.violations)}",
     ]
     shown = report.violations[:SHOWN_VIOLATIONS]
--- a/src/jasperwalk_lab/soak/schedule.py
+++ b/src/jasperwalk_lab/soak/schedule.py
@@ -108,12 +108,12 @@
 def plan_run(names: SoakNames, seconds: float, seed: int) -> list[PlannedFault]:
     """Plan everything that a run brings about, in the order of its beginning."""
     rushes = plan_rushes(names, seconds, seed)
-    steady = [each for each in plan_soak(names, seconds, seed) if not _risks_a_disk(each, rushes)]
+    steady = [each for each in plan_soak(names, seconds, seed) if not _needs_calm(each, rushes)]
     return sorted([*steady, *rushes], key=lambda each: each.at)
 
 
-def _risks_a_disk(fault: PlannedFault, rushes: list[PlannedFault]) -> bool:
-    """Tell whether a disk would be lost near a rush that strikes other replicas."""
+def _needs_calm(fault: PlannedFault, rushes: list[PlannedFault]) -> bool:
+    """Tell whether a disk would be lost, or all be killed, near a rush that strikes replicas."""
     if fault.kind not in RUSH_NEVER_STRIKES:
         return False
     return any(
--- a/tests/lab/soak/test_soak_checks.py
+++ b/tests/lab/soak/test_soak_checks.py
@@ -7,9 +7,12 @@
     CONFIGURATION_SECONDS,
     HOST_DRAIN_SECONDS,
     PLANNED_CALM_SECONDS,
+    STALL_REACH_SECONDS,
     ZONE_DRAIN_SECONDS,
     SoakPromise,
+    SoakViolation,
     check_all,
+    not_excused,
 )
 from jasperwalk_lab.soak.faults import FaultKind, HappenedFault, PlannedFault
 from jasperwalk_lab.soak.history import (
@@ -18,6 +21,7 @@
     HostAtEnd,
     HostCold,
     HostDrained,
+    MachineStall,
     OpenFlowReset,
     OpeningTaken,
     ProcessKilledAtStop,
@@ -98,7 +102,7 @@
     },
     SoakPromise.READ_AT_END: {
         "acknowledged": [ConfigurationAcknowledged(1.0, 3)],
-        "reads": [ConfigurationRead(ENDS_AT + 0.1, 0)],
+        "reads": [ConfigurationRead(ENDS_AT + 0.1, 0, is_answered=False)],
     },
     SoakPromise.PLANNED_WORK: {
         "resets": [OpenFlowReset(9.0, "flow", "h1")],
@@ -170,3 +174,27 @@
     assert promises(made) == set()
     made.zones[0] = ZoneOrdered("north", False, 1.0, 1.4)
     assert promises(made) == {SoakPromise.ZONE_DRAINED}
+
+
+def test_an_answer_that_is_no_configuration_is_no_missing_answer():
+    made = history(
+        acknowledged=[ConfigurationAcknowledged(1.0, 3)],
+        reads=[ConfigurationRead(1.1 + CONFIGURATION_SECONDS, 0)],
+    )
+    assert promises(made) == {SoakPromise.CONFIGURATION_KEPT}
+
+
+def test_a_restore_that_was_given_up_long_before_ends_no_drain():
+    given_up = ZoneOrdered("north", False, 1.0, None, given_up_at=7.0)
+    drain = ZoneOrdered("north", True, 7.1 + ZONE_DRAIN_SECONDS, 7.2 + ZONE_DRAIN_SECONDS)
+    made = history(zones=[given_up, drain], openings=[opening(30.0)])
+    assert promises(made) == {SoakPromise.ZONE_DRAINED}
+
+
+def test_a_stall_excuses_times_near_it_and_nothing_else():
+    late = SoakViolation(SoakPromise.STOPS_IN_TIME, 30.0, "agent-1")
+    twice = SoakViolation(SoakPromise.AT_MOST_ONCE, 30.0, "q1")
+    near, far = MachineStall(31.0, 2.0), MachineStall(30.1 + STALL_REACH_SECONDS, 2.0)
+    assert not_excused([late, twice], [near]) == [twice]
+    assert not_excused([late, twice], [far]) == [late, twice]
+    assert not_excused([late, twice], []) == [late, twice]
--- a/tests/lab/soak/test_soak_run.py
+++ b/tests/lab/soak/test_soak_run.py
@@ -1,14 +1,14 @@
 """A soak of real processes with fixed seeds: every promise holds, and enough was struck.
 
-Nothing is asserted of times where the machine itself stood still: the run notes the lateness of its
-own event loop, which no process of the product can cause.
+Nothing is asserted of times near a moment in which the machine itself stood still: the run notes
+the lateness of its own event loop, which no process of the product can cause.
 """
 
 import asyncio
 
 import pytest
 
-from jasperwalk_lab.soak.checks import TIMED_PROMISES
+from jasperwalk_lab.soak.checks import not_excused
 from jasperwalk_lab.soak.run import run_soak
 
 SECONDS = 45.0
@@ -19,7 +19,6 @@
 @pytest.mark.parametrize("seed", [101, 20261203])
 def test_every_promise_holds(tmp_path, seed):
     report = asyncio.run(run_soak(SECONDS, seed, tmp_path, lambda _line: None))
-    excused = TIMED_PROMISES if report.stalls else frozenset()
-    assert [each for each in report.violations if each.promise not in excused] == []
+    assert not_excused(report.violations, report.stalls) == []
     assert len(report.faults) >= LEAST_KINDS
     assert report.requests["answered"] >= LEAST_ANSWERED
