Terms of a route reach the agents of services whose routes differ in them

Cause: priority, objective and limit of a route reached no decision; an agent could not tell an urgent request from another. Ruled out: telling agents the routes (1,600 to each agent at each change) and terms in each frame. Beside each opening packet now, 7 bytes, only where routes of one service differ in priority or objective and the agent's record says that it reads them. The test of a valid configuration expects the limits that it names: stricter than before.

--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -24,6 +24,7 @@
 from jasperwalk.agent.datagrams.load import LoadMeter
 from jasperwalk.agent.datagrams.waiting_flows import WaitingFlows
 from jasperwalk.agent.datagrams.warm_up import WarmUpLimit
+from jasperwalk.errors import MalformedMessage
 from jasperwalk.fleet.messages import DrainedZones
 from jasperwalk.flows.codec import DatagramSender, PacketCodec, SocketAddress
 from jasperwalk.flows.frames import (
@@ -31,7 +32,7 @@
     FrameKind,
     OpeningTerms,
     RefusalReason,
-    opening_terms,
+    decode_opening,
     service_tag,
     split_keys,
 )
@@ -100,17 +101,31 @@
         body = data[REQUEST_HEAD.size :]
         if kind == FrameKind.FIND:
             self._find(body, tag, sender, now)
+        elif kind == FrameKind.OPEN:
+            self._receive_opening(body, flags, tag, sender, now)
         elif not self.codec.is_whole(body):
             self.counters.frames_malformed += 1
         elif kind == FrameKind.CARRY:
             self._carry(body, tag, sender, now)
         elif kind == FrameKind.CONFIRM:
             self._confirm(body, tag, sender, now)
-        elif kind == FrameKind.OPEN:
-            self._open(body, flags, tag, sender, now)
         else:
             self.counters.frames_malformed += 1
 
+    def _receive_opening(
+        self, body: bytes, flags: int, tag: int, sender: SocketAddress, now: float
+    ) -> None:
+        """Take a frame with an opening packet and the terms of its flow."""
+        try:
+            request = decode_opening(flags, body)
+        except MalformedMessage:
+            self.counters.frames_malformed += 1
+            return
+        if not self.codec.is_whole(request.packet):
+            self.counters.frames_malformed += 1
+            return
+        self._open(request.packet, request.terms, tag, sender, now)
+
     def _find(self, keys: bytes, tag: int, sender: SocketAddress, now: float) -> None:
         """Answer whether flows are held, one or several in a frame."""
         asked = split_keys(keys, self.codec.flow_key_bytes)
@@ -224,12 +239,13 @@
         """Stop counting flows whose callers had given up before they were admitted."""
         self.counters.flows_abandoned += self.table.expire_half_open(now)
 
-    def _open(self, packet: bytes, flags: int, tag: int, sender: SocketAddress, now: float) -> None:
+    def _open(
+        self, packet: bytes, terms: OpeningTerms, tag: int, sender: SocketAddress, now: float
+    ) -> None:
         key = self.codec.flow_key(packet)
         self._expire_half_open(now)
         flow = self.table.get(key)
         is_copy = flow is not None and not flow.has_ended()
-        terms = opening_terms(flags)
         reason = self._refusal(tag, terms, now)
         reason = None if is_copy and reason in COPIES_PASS else reason
         if reason in MAY_WAIT and not is_copy and self.waiting.lets_wait(key, packet, terms, now):
--- a/src/jasperwalk/agent/datagrams/process.py
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -161,6 +161,7 @@
             capacity=self.host.capacity,
             slow_start_seconds=self.host.slow_start_seconds(now),
             host_zone="" if self.host.zone == self._settings.zone else self.host.zone,
+            reads_terms=self._settings.policies.request_scheduling,
         )
 
     async def run(self, stop: asyncio.Event) -> None:
--- a/src/jasperwalk/balancer/datagrams/flow_opener.py
+++ b/src/jasperwalk/balancer/datagrams/flow_opener.py
@@ -98,7 +98,7 @@
         age_seconds = self.codec.opening_age_seconds(packet)
         if flow.opening is not None:
             age_seconds = max(age_seconds, now - flow.opening.began_at)
-        terms = OpeningTerms(False, flow.is_repeatable, age_seconds)
+        terms = OpeningTerms(False, flow.is_repeatable, age_seconds, flow.terms)
         self.send(flow.target.open_head(terms) + packet, flow.target.address)
 
     def follow_up(self, key: bytes, flow: Flow, now: float) -> list[Target]:
@@ -172,10 +172,12 @@
         opening.deadline = now + OPEN_TIMEOUT_SECONDS
         target.note_sent(now)
         route = opening.route.route
-        flow = Flow(target, now, opening, route.is_bulk, route.is_repeatable)
+        flow = Flow(target, now, opening, route.is_bulk, route.is_repeatable, opening.route.terms)
         self.flows[key] = flow
         self._waiting_for_answers[key] = flow
-        terms = OpeningTerms(opening.waits, route.is_repeatable, now - opening.began_at)
+        terms = OpeningTerms(
+            opening.waits, route.is_repeatable, now - opening.began_at, opening.route.terms
+        )
         self.send(target.open_head(terms) + opening.packet, target.address)
 
     # Answers
--- a/src/jasperwalk/balancer/datagrams/openings.py
+++ b/src/jasperwalk/balancer/datagrams/openings.py
@@ -8,6 +8,7 @@
 
 from jasperwalk.fleet.targets import Target
 from jasperwalk.flows.routes import RouteEntry
+from jasperwalk.flows.terms import CarriedTerms
 
 
 class OpeningAnswer(enum.Enum):
@@ -59,3 +60,5 @@
     """True for an upload, whose packets load the link."""
     is_repeatable: bool = False
     """True where its requests may be repeated by their caller."""
+    terms: CarriedTerms | None = None
+    """What its agent is told of its route, None where that needs nothing."""
--- a/src/jasperwalk/balancer/datagrams/process.py
+++ b/src/jasperwalk/balancer/datagrams/process.py
@@ -34,6 +34,7 @@
 from jasperwalk.flows.codec import PacketCodec, SocketAddress
 from jasperwalk.flows.routes import FlowRoute, RouteSet, RouteTable
 from jasperwalk.flows.sockets import DatagramSocket
+from jasperwalk.flows.terms import caller_group
 from jasperwalk.observability.decisions import DecisionLog, affordable_lines_per_second
 from jasperwalk.scheduling.link_pacer import PACED_SHARE, LinkPacer, link_bytes_per_second
 from jasperwalk.transport.http_server import HttpServer, serving
@@ -74,7 +75,7 @@
         self._was_ready = False
         self._link_routes: dict[Endpoint, FlowRoute] = {}
         self._link_version = 0
-        self.routes = RouteTable()
+        self.routes = RouteTable(caller_group(settings.zone))
         self.pool = TargetPool(settings.zone, self._random, settings.zone_regions)
         bound = sockets or bind_balancer(settings)
         self._callers = DatagramSocket(bound.callers, self._packet, self._take_in)
--- a/src/jasperwalk/fleet/messages.py
+++ b/src/jasperwalk/fleet/messages.py
@@ -59,6 +59,8 @@
     slow_start_seconds: float = 0.0
     host_zone: str = ""
     """The host's zone as it announces itself, empty where that is the agent's own."""
+    reads_terms: bool = False
+    """True for an agent that reads a route's terms beside opening packets."""
 
     def zone_of_host(self) -> str:
         """Return the zone whose draining concerns the host."""
--- a/src/jasperwalk/fleet/settings.py
+++ b/src/jasperwalk/fleet/settings.py
@@ -38,6 +38,9 @@
     """Agents search flows on behalf of balancers."""
     link_pacing: bool = True
     """A balancer sends no faster than its link carries, and opens uploads as the link has room."""
+    request_scheduling: bool = True
+    """An agent orders the requests for its host by the terms of their routes, where these differ
+    between the routes of its service."""
 
 
 class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/jasperwalk/fleet/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -21,8 +21,8 @@
 from jasperwalk.flows.frames import (
     FrameKind,
     OpeningTerms,
+    encode_open_head,
     encode_request,
-    opening_flags,
     service_tag,
 )
 from jasperwalk.routing.rendezvous import choose_best, hash_seed
@@ -116,7 +116,10 @@
 
     def open_head(self, terms: OpeningTerms) -> bytes:
         """Return what goes in front of an opening packet."""
-        return encode_request(FrameKind.OPEN, opening_flags(terms), self.service_tag, b"")
+        if terms.route is not None and not self.record.reads_terms:
+            # An agent of an earlier release takes a frame with terms for a malformed one.
+            terms = msgspec.structs.replace(terms, route=None)
+        return encode_open_head(self.service_tag, terms)
 
     def note_load(self, load: float, now: float) -> None:
         """Take the load of an answer."""
--- a/src/jasperwalk/flows/frames.py
+++ b/src/jasperwalk/flows/frames.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from jasperwalk.errors import MalformedMessage
+from jasperwalk.flows.terms import CarriedTerms
 
 
 class FrameKind(enum.IntEnum):
@@ -100,11 +101,18 @@
 """On `OPEN`: the flow's requests may be repeated by their caller, whatever becomes of them."""
 FLAG_WAIT = 2
 """On `OPEN`: let the flow wait for room; other agents have refused or are known to be full."""
+FLAG_TERMS = 4
+"""On `OPEN`: the route's terms come before the packet. Sent only to agents that read them."""
 AGE_SHIFT = 4
 """On `OPEN`: the upper four bits tell how long ago the caller began, in `AGE_UNIT_SECONDS`."""
 AGE_UNIT_SECONDS = 0.1
 HIGHEST_AGE = 0xF
 
+CARRIED_TERMS = struct.Struct("!BHHH")
+"""Priority, objective, limit in milliseconds, group of callers."""
+HIGHEST_CARRIED_MS = 0xFFFF
+"""Longer times are told as this one: nothing waits for a minute."""
+
 LOAD_UNIT = 0.01
 """Requests under way that one unit of the load field stands for."""
 HIGHEST_LOAD = 0xFFFF
@@ -124,12 +132,14 @@
     """What an `OPEN` frame says of a new flow.
 
     `waits`: it may wait for room, others have none. `repeatable`: its requests may be repeated.
-    `age_seconds`: how long ago its caller began.
+    `age_seconds`: how long ago its caller began. `route`: the terms of its route, None where the
+    routes of its service are alike in them.
     """
 
     waits: bool
     repeatable: bool
     age_seconds: float
+    route: CarriedTerms | None = None
 
 
 def opening_flags(terms: OpeningTerms) -> int:
@@ -137,7 +147,8 @@
     age = min(max(round(terms.age_seconds / AGE_UNIT_SECONDS), 0), HIGHEST_AGE)
     waits = FLAG_WAIT if terms.waits else 0
     repeatable = FLAG_REPEATABLE if terms.repeatable else 0
-    return age << AGE_SHIFT | waits | repeatable
+    has_terms = FLAG_TERMS if terms.route is not None else 0
+    return age << AGE_SHIFT | has_terms | waits | repeatable
 
 
 def opening_terms(flags: int) -> OpeningTerms:
@@ -149,6 +160,43 @@
     )
 
 
+def encode_open_head(tag: int, terms: OpeningTerms) -> bytes:
+    """Encode what goes in front of an opening packet."""
+    head = REQUEST_HEAD.pack(FrameKind.OPEN, opening_flags(terms), tag)
+    route = terms.route
+    if route is None:
+        return head
+    return head + CARRIED_TERMS.pack(
+        route.priority,
+        _carried_ms(route.objective_seconds),
+        _carried_ms(route.limit_seconds),
+        route.group,
+    )
+
+
+def _carried_ms(seconds: float) -> int:
+    return min(round(seconds * 1000), HIGHEST_CARRIED_MS)
+
+
+class OpeningRequest(msgspec.Struct, frozen=True):
+    """What an `OPEN` frame holds."""
+
+    terms: OpeningTerms
+    packet: bytes
+
+
+def decode_opening(flags: int, body: bytes) -> OpeningRequest:
+    """Read an `OPEN` frame behind its head; raises `MalformedMessage`. The packet is not read."""
+    terms = opening_terms(flags)
+    if not flags & FLAG_TERMS:
+        return OpeningRequest(terms, body)
+    if len(body) < CARRIED_TERMS.size:
+        raise MalformedMessage(reason=f"terms of {len(body)} bytes")
+    priority, objective_ms, limit_ms, group = CARRIED_TERMS.unpack_from(body)
+    route = CarriedTerms(priority, objective_ms / 1000, limit_ms / 1000, group)
+    return OpeningRequest(msgspec.structs.replace(terms, route=route), body[CARRIED_TERMS.size :])
+
+
 def encode_request(kind: FrameKind, flags: int, tag: int, body: bytes) -> bytes:
     """Encode a frame from a balancer to an agent."""
     return REQUEST_HEAD.pack(kind, flags, tag) + body
--- a/src/jasperwalk/flows/routes.py
+++ b/src/jasperwalk/flows/routes.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import msgspec
 
 from jasperwalk.addresses import Endpoint
+from jasperwalk.flows.terms import NO_TERMS, CarriedTerms, RouteTerms, carried_terms
 
 
 class RouteBackend(msgspec.Struct, frozen=True, array_like=True):
@@ -26,6 +29,8 @@
     """Regions whose hosts may get the flows; empty where every region may."""
     is_repeatable: bool = False
     """True where callers may repeat a request whatever became of it: it only reads."""
+    terms: RouteTerms = NO_TERMS
+    """How urgent its requests are, and how soon callers want their answers."""
 
     def services(self) -> list[str]:
         """Return the names of the services."""
@@ -72,10 +77,14 @@
     longer names, so that service is still asked for them.
     """
 
-    __slots__ = ("allowed_regions", "past_services", "route", "turns")
+    __slots__ = ("allowed_regions", "past_services", "route", "terms", "terms_version", "turns")
 
     def __init__(self, route: FlowRoute, past_services: frozenset[str]) -> None:
         self.route = route
+        self.terms: CarriedTerms | None = None
+        """What agents are told, None where the routes of its services are alike in their terms."""
+        self.terms_version = 0
+        """Version of the configuration that `terms` holds for."""
         self.turns = WeightedTurns(route.backends)
         self.past_services = past_services | frozenset(route.services())
         self.allowed_regions = frozenset(route.allowed_regions)
@@ -88,6 +97,18 @@
     return is_same and is_alike
 
 
+def _services_with_unequal_terms(routes: Iterable[FlowRoute]) -> frozenset[str]:
+    """Return the services whose routes differ in priority or objective."""
+    first_terms: dict[str, tuple[int, int]] = {}
+    unequal = set()
+    for route in routes:
+        terms = (route.terms.priority, route.terms.objective_ms)
+        for backend in route.backends:
+            if first_terms.setdefault(backend.service, terms) != terms:
+                unequal.add(backend.service)
+    return frozenset(unequal)
+
+
 class RouteTable:
     """The routes in force on one balancer; the version never goes back.
 
@@ -96,8 +117,11 @@
     5 ms of a processor instead of 17 (one run each, beside load).
     """
 
-    def __init__(self) -> None:
+    def __init__(self, caller_group: int = 0) -> None:
+        """`caller_group` is the group of the callers that this balancer serves."""
         self.version = 0
+        self._caller_group = caller_group
+        self._services_with_unequal_terms: frozenset[str] | None = None
         self._routes: dict[bytes, FlowRoute] = {}
         self._entries: dict[bytes, RouteEntry] = {}
 
@@ -110,6 +134,7 @@
             self._routes,
             {route.listener.pack(): route for route in routes.routes},
         )
+        self._services_with_unequal_terms = None
         entries, self._entries = self._entries, {}
         if before:
             self._keep_entries(before, entries)
@@ -126,6 +151,7 @@
                 continue
             if _leads_alike(old, route):
                 if entry is not None:
+                    entry.route = route
                     self._entries[listener] = entry
                 continue
             past_services = frozenset(old.services()) if entry is None else entry.past_services
@@ -134,14 +160,24 @@
     def find(self, listener: bytes) -> RouteEntry | None:
         """Return the route of a listener, None where there is none."""
         entry = self._entries.get(listener)
-        if entry is not None:
-            return entry
-        route = self._routes.get(listener)
-        if route is None:
-            return None
-        entry = self._entries[listener] = RouteEntry(route, frozenset())
+        if entry is None:
+            route = self._routes.get(listener)
+            if route is None:
+                return None
+            entry = self._entries[listener] = RouteEntry(route, frozenset())
+        if entry.terms_version != self.version:
+            entry.terms = self._terms_for_agents(entry.route)
+            entry.terms_version = self.version
         return entry
 
+    def _terms_for_agents(self, route: FlowRoute) -> CarriedTerms | None:
+        """Return a route's terms where its requests compete with others of unequal terms."""
+        if self._services_with_unequal_terms is None:
+            self._services_with_unequal_terms = _services_with_unequal_terms(self._routes.values())
+        if self._services_with_unequal_terms.isdisjoint(route.services()):
+            return None
+        return carried_terms(route.terms, self._caller_group)
+
     def __len__(self) -> int:
         """Return the number of routes."""
         return len(self._routes)
--- a/tests/balancer/datagrams/support.py
+++ b/tests/balancer/datagrams/support.py
@@ -27,7 +27,15 @@
     return Endpoint(f"10.0.0.{number}", 7602)
 
 
-def record(number, phase=HostPhase.READY, service="web", zone="a", incarnation=1, capacity=4):
+def record(
+    number,
+    phase=HostPhase.READY,
+    service="web",
+    zone="a",
+    incarnation=1,
+    capacity=4,
+    reads_terms=False,
+):
     return NodeRecord(
         name=f"agent-{number}",
         incarnation=incarnation,
@@ -37,6 +45,7 @@
         service=service,
         phase=phase,
         capacity=capacity,
+        reads_terms=reads_terms,
     )
 
 
--- /dev/null
+++ b/tests/balancer/datagrams/test_route_terms.py
@@ -0,0 +1,55 @@
+"""Which agents a balancer tells a route's terms."""
+
+import pytest
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.flows.frames import FLAG_TERMS, REQUEST_HEAD, decode_opening
+from jasperwalk.flows.routes import FlowRoute, RouteBackend, RouteSet
+from jasperwalk.flows.terms import RouteTerms
+from tests.balancer.datagrams.support import Bench, record
+from tests.flows.support import LISTENER, OPENING, from_caller
+
+URGENT = RouteTerms(1, 400, 3000)
+ORDINARY = RouteTerms(2, 300, 2500)
+OTHER_LISTENER = Endpoint("198.18.0.9", 9)
+
+
+def route_two(bench, terms, version=2):
+    backends = [RouteBackend("web", 1.0)]
+    first = FlowRoute("r", LISTENER, backends, terms=terms)
+    other = FlowRoute("other", OTHER_LISTENER, backends, terms=ORDINARY)
+    bench.routes.replace(RouteSet(version, [first, other]))
+
+
+def sent_opening(bench, packet, now=1.0):
+    bench.core.receive(packet, now)
+    ((data, _),) = bench.sent
+    bench.sent = []
+    _, flags, _ = REQUEST_HEAD.unpack_from(data)
+    return flags, decode_opening(flags, data[REQUEST_HEAD.size :])
+
+
+def test_the_opening_packet_and_its_copies_carry_the_terms():
+    bench = Bench(record(1, reads_terms=True))
+    route_two(bench, URGENT)
+    for now, packet in ((1.0, from_caller(OPENING)), (1.2, from_caller(OPENING, bytes((2,))))):
+        _, opening = sent_opening(bench, packet, now)
+        assert opening.packet == packet
+        assert (opening.terms.route.priority, opening.terms.route.objective_seconds) == (1, 0.4)
+
+
+def test_an_agent_of_an_earlier_release_gets_the_frame_that_it_knows():
+    """A frame with terms would be malformed to it: the flow would wait for its answer."""
+    bench = Bench(record(1, reads_terms=False))
+    route_two(bench, URGENT)
+    flags, opening = sent_opening(bench, from_caller(OPENING))
+    assert not flags & FLAG_TERMS
+    assert opening.packet == from_caller(OPENING)
+
+
+@pytest.mark.parametrize("reads_terms", [False, True])
+def test_where_routes_are_alike_nothing_is_told(reads_terms):
+    bench = Bench(record(1, reads_terms=reads_terms))
+    route_two(bench, ORDINARY)
+    flags, _ = sent_opening(bench, from_caller(OPENING))
+    assert not flags & FLAG_TERMS
--- a/tests/platform_adapter/test_configuration_document.py
+++ b/tests/platform_adapter/test_configuration_document.py
@@ -7,6 +7,7 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.fleet.messages import WarmUp
 from jasperwalk.flows.routes import FlowRoute, RouteBackend
+from jasperwalk.flows.terms import RouteTerms
 
 DOCUMENT = {
     "version": 7,
@@ -44,16 +45,33 @@
     command = parse_configuration(body)
     assert (command.version, command.source) == (7, body)
     assert command.routes == [
-        FlowRoute("r1", Endpoint("198.18.0.1", 8080), [RouteBackend("web", 1.0)]),
+        FlowRoute(
+            "r1",
+            Endpoint("198.18.0.1", 8080),
+            [RouteBackend("web", 1.0)],
+            terms=RouteTerms(limit_ms=1500),
+        ),
         FlowRoute(
             "r2",
             Endpoint("198.18.0.1", 8443),
             [RouteBackend("web", 90.0), RouteBackend("export", 10.0)],
             is_repeatable=True,
+            terms=RouteTerms(limit_ms=1200),
         ),
     ]
 
 
+def test_the_terms_of_a_route_are_taken_over():
+    body = changed(lambda each: each["routes"][0].update(priority=1, targetLatencyMs=283))
+    assert parse_configuration(body).routes[0].terms == RouteTerms(1, 283, 1500)
+
+
+@pytest.mark.parametrize("absurd", [-1, 8, "high", 1.5, None])
+def test_an_unknown_priority_is_passed_over_and_the_configuration_taken(absurd):
+    body = changed(lambda each: each["routes"][0].update(priority=absurd, targetLatencyMs=-3))
+    assert parse_configuration(body).routes[0].terms == RouteTerms(limit_ms=1500)
+
+
 @pytest.mark.parametrize(
     ("kind", "is_repeatable"),
     [("safe", True), ("download", True), ("unsafe", False), ("upload", False), (None, False)],
