One scheduler of requests at each agent: urgent first, in time or refused at once

Cause: requests of open flows reached the host at once and new flows alone waited, so the urgent, which open a flow each, paid for the others; a full queue let its oldest go, whose caller came back late and took the place of one that was not. Held feeds are late for a while: they cannot be refused.

--- /dev/null
+++ b/src/jasperwalk/agent/datagrams/caller_packets.py
@@ -0,0 +1,181 @@
+"""Packets of open flows, from balancers to the host: passed on, or held for their turn.
+
+Every packet of an open flow passes here. The first packet of a request waits in the agent's queue
+where the host has no room for it; the others pass.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from jasperwalk.agent.datagrams.flow_knowledge import FlowKnowledge
+from jasperwalk.agent.datagrams.held_flow import HeldFlow
+from jasperwalk.agent.datagrams.parts import AgentParts
+from jasperwalk.flows.codec import SocketAddress
+from jasperwalk.flows.frames import FrameKind
+from jasperwalk.scheduling.waiting_request import WaitingRequest
+
+
+@dataclass(eq=False, repr=False)
+class CallerPackets:
+    """Carries packets of open flows; sans-IO. `idle_seconds` gives the longest rest of a flow."""
+
+    parts: AgentParts
+    knowledge: FlowKnowledge
+    idle_seconds: Callable[[], float]
+
+    def carry(self, packet: bytes, tag: int, sender: SocketAddress, now: float) -> None:
+        """Take a packet of a flow that a balancer believes to be at this host."""
+        parts = self.parts
+        key = parts.codec.flow_key(packet)
+        if tag != parts.tag:
+            # The address was another service's when the balancer learned it.
+            parts.counters.other_service_drops += 1
+            parts.answers.reply(FrameKind.RETURNED, 0, key, sender, now, packet)
+            return
+        flow = parts.table.get(key)
+        if flow is None:
+            if self.knowledge.knows_all_flows(self.idle_seconds(), now):
+                parts.answers.reply(FrameKind.RETURNED, 0, key, sender, now, packet)
+                return
+            flow = parts.table.add_unconfirmed(key, sender, now)
+        elif (
+            not flow.followed_up
+            and flow.answer_numbers
+            and not flow.is_followed(packet, parts.codec)
+        ):
+            self._let_go(key, flow, now)
+            parts.answers.reply(FrameKind.RETURNED, 0, key, sender, now, packet)
+            return
+        flow.balancer = sender
+        flow.seen_at = now
+        flow.followed_up = True
+        parts.table.half_open.note_followed_up(key, now)
+        parts.counters.packets_in += 1
+        if not self._holds(key, flow, packet, now):
+            self._send(flow, packet, now)
+
+    def confirm(self, packet: bytes, tag: int, sender: SocketAddress, now: float) -> None:
+        """Tell whether a caller has followed this host's answer up; pass its packet on if so."""
+        parts = self.parts
+        key = parts.codec.flow_key(packet)
+        flow = parts.table.get(key)
+        if flow is None or flow.followed_up or tag != parts.tag:
+            answer = self.answer(key, tag, sender, now)
+        elif flow.is_followed(packet, parts.codec):
+            answer = FrameKind.HELD
+        else:
+            self._let_go(key, flow, now)
+            answer = FrameKind.NOT_HELD
+        if tag == parts.tag and self._forgets_waiting_opening(key):
+            answer = FrameKind.NOT_HELD
+        parts.log.note(
+            "flow-confirmed" if answer is FrameKind.HELD else "flow-not-confirmed",
+            flow=parts.codec.describe(key),
+            answer=answer.name.lower(),
+            opened_ms=-1 if flow is None else round(1000 * (now - flow.opened_at)),
+        )
+        parts.answers.reply(answer, 0, key, sender, now)
+        if answer is FrameKind.HELD:
+            self.carry(packet, tag, sender, now)
+
+    def _forgets_waiting_opening(self, key: bytes) -> bool:
+        """Let a flow go that waits to be opened: its caller has an answer, of another host."""
+        waiting = self.parts.queue.get(key)
+        if waiting is None or not waiting.opens_flow:
+            return False
+        self.parts.queue.discard(key)
+        return True
+
+    def answer(self, key: bytes, tag: int, sender: SocketAddress, now: float) -> FrameKind:
+        """Return the answer to the question whether the host holds a flow."""
+        flow = self.parts.table.get(key)
+        if tag != self.parts.tag:
+            return FrameKind.NOT_HELD
+        if flow is None:
+            is_known = self.knowledge.knows_all_flows(self.idle_seconds(), now)
+            return FrameKind.NOT_HELD if is_known else FrameKind.UNSURE
+        # Another host may have answered the caller first; a packet would tell.
+        flow.confirmed = flow.confirmed and flow.followed_up
+        flow.balancer = sender
+        return FrameKind.HELD if flow.confirmed else FrameKind.UNSURE
+
+    def pass_on(self, request: WaitingRequest, now: float) -> None:
+        """Give a request that waited to the host, its packets in order."""
+        parts = self.parts
+        flow = parts.table.get(request.key)
+        if flow is None:
+            return
+        parts.log.note(
+            "request-begun",
+            flow=parts.codec.describe(request.key),
+            priority=request.terms.priority,
+            waited_ms=round(1000 * (now - request.arrived_at)),
+            packets=len(request.packets),
+            waiting=len(parts.queue),
+            busy=parts.requests_at_host(now),
+        )
+        parts.wait_latency.observe(now - request.arrived_at)
+        for packet in request.packets:
+            self._send(flow, packet, now)
+
+    # Holding
+
+    def _holds(self, key: bytes, flow: HeldFlow, packet: bytes, now: float) -> bool:
+        """Keep a packet that belongs to a request that waits, or begins one that has to."""
+        waiting = self.parts.queue.get(key)
+        if waiting is not None:
+            return self._joins(waiting, packet)
+        if not self.parts.orders_requests() or not self._begins_request(flow, packet):
+            return False
+        if not self.parts.queue and self.parts.has_room(now):
+            return False
+        listener = self.parts.codec.listener_of(key)
+        terms = self.parts.learned.find(listener, flow.balancer)
+        if terms is None:
+            return False
+        number = self.parts.codec.data_number(packet)
+        if self.parts.queue.hold(key, packet, number, terms, now) is None:
+            return False
+        self.parts.counters.requests_held += 1
+        self.parts.counters.by_priority.note("held", terms.priority)
+        return True
+
+    def _joins(self, waiting: WaitingRequest, packet: bytes) -> bool:
+        """Keep a further packet of a request that waits; absorb copies; let acknowledgements pass.
+
+        A caller that resets its flow needs no answer any more, so nothing of its request may run.
+        """
+        codec = self.parts.codec
+        if codec.is_reset(packet):
+            self.parts.queue.discard(waiting.key)
+            self.parts.counters.requests_left += 1
+            return False
+        if not codec.payload_bytes(packet) and not codec.is_ending(packet):
+            return False
+        if not waiting.take_packet(packet, codec.data_number(packet)):
+            self.parts.counters.request_copies_absorbed += 1
+        return True
+
+    def _begins_request(self, flow: HeldFlow, packet: bytes) -> bool:
+        codec = self.parts.codec
+        if not codec.payload_bytes(packet) or codec.is_opening(packet):
+            return False
+        return flow.begins_request(codec.data_number(packet))
+
+    def _send(self, flow: HeldFlow, packet: bytes, now: float) -> None:
+        codec = self.parts.codec
+        if codec.payload_bytes(packet) and flow.is_new_data(codec.data_number(packet)):
+            self.parts.table.note_asked(flow, now)
+        if codec.is_ending(packet) or codec.is_reset(packet):
+            flow.caller_ended = True
+        if codec.is_reset(packet):
+            flow.host_ended = True
+            self.parts.table.set_busy(flow, False, now)
+        self.parts.to_host(packet)
+
+    def _let_go(self, key: bytes, flow: HeldFlow, now: float) -> None:
+        """Forget a half-open flow whose caller chose another host."""
+        self.parts.counters.flows_opened_elsewhere += 1
+        self.parts.table.drop(key, flow, now)
--- a/src/jasperwalk/agent/datagrams/counters.py
+++ b/src/jasperwalk/agent/datagrams/counters.py
@@ -2,15 +2,43 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import Counter
+from dataclasses import dataclass, field
 
 from jasperwalk.flows.frames import RefusalReason
 
 
+class PriorityCounters:
+    """What became of requests, by the priority of their routes."""
+
+    def __init__(self) -> None:
+        self._counts: Counter[tuple[str, int]] = Counter()
+
+    def note(self, what: str, priority: int) -> None:
+        """Count one request."""
+        self._counts[what, priority] += 1
+
+    def figures(self) -> dict[str, int]:
+        """Return the counts by name."""
+        return {
+            f"requests_{what}_priority_{priority}": count
+            for (what, priority), count in sorted(self._counts.items())
+        }
+
+
 @dataclass(eq=False, repr=False)
 class AgentCounters:
     """What the agent did since it started."""
 
+    by_priority: PriorityCounters = field(default_factory=PriorityCounters)
+    requests_held: int = 0
+    """Requests of open flows that waited for their turn."""
+    requests_expired: int = 0
+    """Those of them whose limit passed."""
+    requests_left: int = 0
+    """Those of them whose callers reset their flows."""
+    request_copies_absorbed: int = 0
+    """Copies of packets that waited already."""
     packets_in: int = 0
     packets_out: int = 0
     frames_malformed: int = 0
@@ -40,3 +68,8 @@
     """Requests whose flow the host reset before it began to answer."""
     requests_unanswered: int = 0
     """Requests that the host did not begin to answer for a second."""
+
+    def figures(self) -> dict[str, int]:
+        """Return all counts by name."""
+        plain = {name: value for name, value in vars(self).items() if isinstance(value, int)}
+        return {**plain, **self.by_priority.figures()}
--- /dev/null
+++ b/src/jasperwalk/agent/datagrams/flow_admission.py
@@ -0,0 +1,103 @@
+"""New flows at an agent, and the turn of what waits: who goes to the host now."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from jasperwalk.agent.datagrams.admission import COPIES_PASS, MAY_WAIT, WAITED
+from jasperwalk.agent.datagrams.held_flow import NO_BALANCER
+from jasperwalk.agent.datagrams.parts import AgentParts
+from jasperwalk.agent.datagrams.waiting_requests import WaitingRequests
+from jasperwalk.flows.codec import SocketAddress
+from jasperwalk.flows.frames import FrameKind, OpeningTerms, RefusalReason
+from jasperwalk.scheduling.waiting_request import WaitingRequest
+
+
+@dataclass(eq=False, repr=False)
+class FlowAdmission:
+    """Admits, queues or refuses; sans-IO, times are seconds."""
+
+    parts: AgentParts
+    waiting: WaitingRequests
+
+    def open(
+        self, packet: bytes, terms: OpeningTerms, tag: int, sender: SocketAddress, now: float
+    ) -> None:
+        """Take an opening packet of a balancer."""
+        parts = self.parts
+        key = parts.codec.flow_key(packet)
+        if terms.route is not None and tag == parts.tag:
+            parts.learned.note(parts.codec.listener_of(key), sender, terms.route)
+        self._expire_half_open(now)
+        flow = parts.table.get(key)
+        is_copy = flow is not None and not flow.has_ended()
+        reason = self._refusal(tag, terms, now)
+        reason = None if is_copy and reason in COPIES_PASS else reason
+        if reason in MAY_WAIT and not is_copy and self.waiting.lets_wait(key, packet, terms, now):
+            parts.answers.reply(FrameKind.ACCEPTED, 0, key, sender, now)
+            return
+        if reason is not None:
+            parts.counters.note_refusal(reason)
+            parts.answers.reply(FrameKind.REFUSED, reason, key, sender, now)
+            return
+        if not is_copy:
+            self._admit(key, sender, now)
+        parts.answers.reply(FrameKind.ACCEPTED, 0, key, sender, now)
+        parts.warm_up.note_passed(now)
+        parts.to_host(packet)
+
+    def admit_waiting(self, now: float) -> None:
+        """Begin what waits while the host has room; let go what waited too long."""
+        parts = self.parts
+        self._expire_half_open(now)
+        if not parts.queue:
+            return
+        self.waiting.clear(now)
+        while parts.queue and parts.has_room(now):
+            takes_flows = self._refusal(parts.tag, WAITED, now) is None
+            seconds = parts.table.under_way.usual_seconds
+            request = parts.queue.take_next(takes_flows, seconds, now)
+            if request is None:
+                return
+            self._begin(request, now)
+
+    def release_held(self, now: float) -> None:
+        """Give every request of an open flow to the host: it, or its successor, is to decide."""
+        for request in self.parts.queue.take_held():
+            self.waiting.pass_on(request, now)
+
+    def _begin(self, request: WaitingRequest, now: float) -> None:
+        if not request.opens_flow:
+            self.waiting.pass_on(request, now)
+            return
+        waited_seconds = now - request.arrived_at
+        self.parts.wait_latency.observe(waited_seconds)
+        self._admit(request.key, NO_BALANCER, now, waited_seconds)
+        self.parts.warm_up.note_passed(now)
+        self.parts.to_host(request.packets[0])
+
+    def _refusal(self, tag: int, terms: OpeningTerms, now: float) -> RefusalReason | None:
+        """Return why a new flow is refused now, None where it is taken."""
+        if tag != self.parts.tag:
+            return RefusalReason.OTHER_SERVICE
+        return self.parts.admission.refusal(self.parts.requests_at_host(now), terms, now)
+
+    def _admit(
+        self, key: bytes, sender: SocketAddress, now: float, waited_seconds: float = 0.0
+    ) -> None:
+        parts = self.parts
+        parts.table.admit(key, sender, now)
+        parts.watch.note_admitted(now)
+        parts.counters.flows_accepted += 1
+        parts.log.note(
+            "flow-admitted",
+            flow=parts.codec.describe(key),
+            busy=parts.meter.busy,
+            capacity=parts.host.capacity,
+            waited_ms=round(1000 * waited_seconds),
+            **parts.host.describe(now),
+        )
+
+    def _expire_half_open(self, now: float) -> None:
+        """Stop counting flows whose callers had given up before they were admitted."""
+        self.parts.counters.flows_abandoned += self.parts.table.expire_half_open(now)
--- a/src/jasperwalk/agent/datagrams/half_open.py
+++ b/src/jasperwalk/agent/datagrams/half_open.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from jasperwalk.agent.datagrams.held_flow import HeldFlow
+from jasperwalk.scheduling.smoothed_time import SmoothedTime
 
 LONGEST_EXPECTED_SECONDS = 0.25
 """A caller that still waits follows its opening packet up within a round trip; after this an
@@ -10,11 +11,6 @@
 others are. It holds while nothing has been measured."""
 SHORTEST_EXPECTED_SECONDS = 0.03
 """The same, however fast the others are: a round trip within a country, and a busy balancer."""
-NEWEST_WEIGHT = 0.125
-DEVIATION_WEIGHT = 0.25
-DEVIATIONS = 4.0
-"""Weights of the newest sample and of its deviation, and the number of deviations beyond the mean
-that are waited for, as for a retransmission (RFC 6298)."""
 
 
 class FollowUpTime:
@@ -24,27 +20,18 @@
     of the host's few places for this long, so a fixed quarter of a second left hosts idle.
     """
 
-    __slots__ = ("_deviation", "_mean")
+    __slots__ = ("_time",)
 
     def __init__(self) -> None:
-        self._mean = 0.0
-        self._deviation = 0.0
+        self._time = SmoothedTime()
 
     def note(self, seconds: float) -> None:
         """Note one caller's time."""
-        if not self._mean:
-            self._mean, self._deviation = seconds, seconds / 2
-            return
-        deviation = abs(seconds - self._mean)
-        self._deviation += DEVIATION_WEIGHT * (deviation - self._deviation)
-        self._mean += NEWEST_WEIGHT * (seconds - self._mean)
+        self._time.note(seconds)
 
     def longest_expected(self) -> float:
         """Return after how long a caller is taken to have left."""
-        if not self._mean:
-            return LONGEST_EXPECTED_SECONDS
-        expected = self._mean + DEVIATIONS * self._deviation
-        return min(max(expected, SHORTEST_EXPECTED_SECONDS), LONGEST_EXPECTED_SECONDS)
+        return self._time.longest_expected(SHORTEST_EXPECTED_SECONDS, LONGEST_EXPECTED_SECONDS)
 
 
 class HalfOpenFlows:
--- a/src/jasperwalk/agent/datagrams/held_flow.py
+++ b/src/jasperwalk/agent/datagrams/held_flow.py
@@ -50,6 +50,14 @@
     caller_ended: bool = False
     host_ended: bool = False
 
+    def begins_request(self, number: int) -> bool:
+        """Tell whether data with this number would begin a request: nothing is under way."""
+        if self.busy:
+            return False
+        if self.data_number is None:
+            return True
+        return 0 < (number - self.data_number) % NUMBER_SPAN < NUMBER_SPAN // 2
+
     def is_new_data(self, number: int) -> bool:
         """Take the number of data from the caller; tell whether it was not seen before.
 
--- a/src/jasperwalk/agent/datagrams/held_flows.py
+++ b/src/jasperwalk/agent/datagrams/held_flows.py
@@ -11,6 +11,7 @@
 from jasperwalk.agent.datagrams.held_flow import HeldFlow
 from jasperwalk.agent.datagrams.load import LoadMeter
 from jasperwalk.flows.codec import SocketAddress
+from jasperwalk.scheduling.requests_under_way import RequestsUnderWay
 
 LIFETIME_SLACK_SECONDS = 10.0
 
@@ -25,6 +26,8 @@
     meter: LoadMeter
     lifetime_seconds: float
     half_open: HalfOpenFlows = field(default_factory=HalfOpenFlows)
+    under_way: RequestsUnderWay = field(default_factory=RequestsUnderWay)
+    """The requests that take a place at the host, named by their flows."""
     _flows: dict[bytes, HeldFlow] = field(default_factory=dict)
 
     def __len__(self) -> int:
@@ -54,6 +57,20 @@
         if flow.busy != busy:
             flow.busy = busy
             self.meter.change(1 if busy else -1, now)
+            if busy:
+                self.under_way.begin(flow, now)
+            else:
+                self.under_way.end(flow)
+
+    def note_asked(self, flow: HeldFlow, now: float) -> None:
+        """Note that a request, or a further part of one, goes to the host."""
+        flow.asked_at = now
+        self.set_busy(flow, True, now)
+        self.under_way.begin(flow, now)
+
+    def note_answered(self, flow: HeldFlow, now: float) -> None:
+        """Note that the host has begun to answer a request."""
+        self.under_way.note_answered(now - flow.asked_at)
 
     def drop(self, key: bytes, flow: HeldFlow, now: float) -> None:
         """Forget a flow."""
--- /dev/null
+++ b/src/jasperwalk/agent/datagrams/host_packets.py
@@ -0,0 +1,105 @@
+"""Packets of the host beside an agent, on their way to callers: what they tell of its requests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from jasperwalk.agent.datagrams.flow_admission import FlowAdmission
+from jasperwalk.agent.datagrams.held_flow import NO_BALANCER, HeldFlow
+from jasperwalk.agent.datagrams.parts import AgentParts
+from jasperwalk.flows.frames import FrameKind, RefusalReason
+
+
+@dataclass(eq=False, repr=False)
+class HostPackets:
+    """Passes the host's packets on; sans-IO, times are seconds."""
+
+    parts: AgentParts
+    flow_admission: FlowAdmission
+
+    def receive(self, packet: bytes, now: float) -> None:
+        """Take a packet of the host."""
+        parts = self.parts
+        if not parts.codec.is_whole(packet):
+            parts.counters.host_packets_malformed += 1
+            return
+        parts.watch.note_packet(now)
+        if parts.codec.is_returned(packet):
+            self._take_returned(parts.codec.restore_returned(packet), now)
+            return
+        key = parts.codec.reverse_flow_key(packet)
+        flow = parts.table.get(key)
+        if flow is not None:
+            self._note(key, flow, packet, now)
+        parts.counters.packets_out += 1
+        parts.to_caller(packet, parts.codec.caller_of(key))
+        self.flow_admission.admit_waiting(now)
+
+    def _note(self, key: bytes, flow: HeldFlow, packet: bytes, now: float) -> None:
+        codec = self.parts.codec
+        flow.seen_at = now
+        if not flow.followed_up:
+            number = codec.opening_answer_number(packet)
+            flow.note_answer(number)
+            if number is not None:
+                self.parts.watch.note_opening_taken(now)
+        if not flow.confirmed and flow.followed_up:
+            flow.confirmed = True
+            self.parts.answers.reply(FrameKind.HELD, 0, key, flow.balancer, now)
+        if codec.is_reset(packet):
+            self._note_reset(key, flow, now)
+        elif codec.is_ending(packet):
+            self._note_answer(flow, now)
+            flow.host_ended = True
+        elif codec.payload_bytes(packet):
+            self._note_answer(flow, now)
+
+    def _note_answer(self, flow: HeldFlow, now: float) -> None:
+        """Count a request as ended, by the answer's first packet.
+
+        A host that closes after its answer sends the end right after the data, and the network may
+        swap the two: by their data alone one of ten answers was counted.
+        """
+        parts = self.parts
+        if flow.has_request_under_way():
+            parts.counters.requests_answered += 1
+            parts.host_latency.observe(now - flow.asked_at)
+            parts.watch.note_answered(now)
+            parts.table.note_answered(flow, now)
+        parts.table.set_busy(flow, False, now)
+
+    def _note_reset(self, key: bytes, flow: HeldFlow, now: float) -> None:
+        parts = self.parts
+        if flow.has_request_under_way():
+            parts.counters.requests_broken_off += 1
+            parts.watch.note_failed(now)
+        parts.queue.discard(key)
+        flow.host_ended = flow.caller_ended = True
+        parts.table.set_busy(flow, False, now)
+
+    def _take_returned(self, packet: bytes, now: float) -> None:
+        """Give a packet that the host does not hold back to the balancer."""
+        parts = self.parts
+        key = parts.codec.flow_key(packet)
+        flow = parts.table.get(key)
+        is_opening = parts.codec.is_opening(packet)
+        # A copy of an opening that the host has answered: it holds the flow half open.
+        if flow is None or (is_opening and flow.answer_numbers):
+            return
+        parts.table.drop(key, flow, now)
+        if is_opening:
+            parts.watch.note_opening_returned(now)
+        parts.counters.packets_returned += 1
+        parts.log.note(
+            "packet-returned",
+            flow=parts.codec.describe(key),
+            opening=is_opening,
+            held_ms=round(1000 * (now - flow.opened_at)),
+            host=parts.host.host_id,
+        )
+        if flow.balancer == NO_BALANCER:
+            parts.to_caller(parts.codec.reset_for(packet), parts.codec.caller_of(key))
+        elif is_opening:
+            parts.answers.reply(FrameKind.REFUSED, RefusalReason.RETURNED, key, flow.balancer, now)
+        else:
+            parts.answers.reply(FrameKind.RETURNED, 0, key, flow.balancer, now, packet)
--- a/src/jasperwalk/agent/datagrams/host_response.py
+++ b/src/jasperwalk/agent/datagrams/host_response.py
@@ -64,6 +64,10 @@
         """Tell whether the host has handed the last opening packets back."""
         return self._returned_in_a_row >= RETURNS_IN_A_ROW
 
+    def unable_load(self, capacity: int) -> float:
+        """Return the load that is told of a host that takes no flows."""
+        return float(SILENT_LOAD_FACTOR * capacity)
+
     def is_unable(self, now: float) -> bool:
         """Tell whether the host takes no new flows, by what it did with the last ones."""
         return self.returns_openings() or self.is_silent(now)
--- /dev/null
+++ b/src/jasperwalk/agent/datagrams/parts.py
@@ -0,0 +1,68 @@
+"""What the parts of an agent's core share: its host, its flows, what waits, and where to send."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from jasperwalk.agent.datagrams.admission import HostAdmission, most_requests
+from jasperwalk.agent.datagrams.balancer_answers import BalancerAnswers
+from jasperwalk.agent.datagrams.counters import AgentCounters
+from jasperwalk.agent.datagrams.held_flows import HeldFlows
+from jasperwalk.agent.datagrams.host import HostState
+from jasperwalk.agent.datagrams.host_watch import HostWatch
+from jasperwalk.agent.datagrams.learned_terms import LearnedTerms
+from jasperwalk.agent.datagrams.load import LoadMeter
+from jasperwalk.agent.datagrams.warm_up import WarmUpLimit
+from jasperwalk.fleet.messages import HostPhase
+from jasperwalk.flows.codec import DatagramSender, PacketCodec
+from jasperwalk.observability.decisions import DecisionLog
+from jasperwalk.observability.latency import LatencyCounts
+from jasperwalk.scheduling.request_scheduler import RequestScheduler
+
+KNOWN_PHASES = frozenset((HostPhase.READY, HostPhase.DRAINING))
+"""Phases of a host that has said how many slots it has."""
+
+
+@dataclass(eq=False, repr=False)
+class AgentParts:
+    """Sans-IO; `tag` names the agent's service."""
+
+    codec: PacketCodec
+    tag: int
+    host: HostState
+    to_host: Callable[[bytes], None]
+    to_caller: DatagramSender
+    answers: BalancerAnswers
+    log: DecisionLog
+    meter: LoadMeter
+    table: HeldFlows
+    queue: RequestScheduler
+    watch: HostWatch
+    warm_up: WarmUpLimit
+    admission: HostAdmission
+    counters: AgentCounters
+    host_latency: LatencyCounts
+    wait_latency: LatencyCounts
+    learned: LearnedTerms = field(default_factory=LearnedTerms)
+
+    def orders_requests(self) -> bool:
+        """Tell whether requests wait for their turn by the terms of their routes.
+
+        They do where terms are told, and the host has said how much it can do at once.
+        """
+        return bool(self.learned) and self.host.phase in KNOWN_PHASES
+
+    def requests_at_host(self, now: float) -> int:
+        """Return how many requests keep a place at the host."""
+        return self.table.under_way.count(now) if self.orders_requests() else self.meter.busy
+
+    def has_room(self, now: float) -> bool:
+        """Tell whether the host has room for one more request."""
+        return self.requests_at_host(now) < most_requests(self.host.capacity)
+
+    def load(self, now: float) -> float:
+        """Return the load that balancers are told: requests at the host and waiting for it."""
+        if self.watch.response.is_unable(now):
+            return self.watch.response.unable_load(self.host.capacity)
+        return self.meter.load(now) + len(self.queue)
--- a/src/jasperwalk/agent/datagrams/process.py
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -96,6 +96,7 @@
             flow_lifetime_seconds=settings.flow_lifetime_ms / 1000,
             zone=settings.zone,
             warm_up_floor=settings.warm_up_floor,
+            least_share=settings.least_share,
         )
         self.helper = SearchHelper(
             codec=codec,
@@ -125,14 +126,15 @@
         figures = ProcessFigures(
             process="agent",
             counters=lambda: {
-                **vars(self.core.counters),
+                **self.core.counters.figures(),
                 **vars(self.helper.counters),
                 "host_announcements_refused": desk.refused,
             },
             gauges={
                 "flows": lambda: len(self.core),
                 "requests_under_way": lambda: self.core.meter.busy,
-                "flows_waiting": lambda: len(self.core.queue),
+                "flows_waiting": lambda: self.core.queue.openings,
+                "requests_waiting": lambda: len(self.core.queue),
                 "zone_drained": self.core.admission.is_zone_drained,
                 "host_failing": self.core.watch.requests.is_failing,
                 "host_ready": lambda: self.host.phase is HostPhase.READY,
@@ -168,7 +170,7 @@
         """Serve until `stop` is set."""
         async with serving(self._host_calls, self._readiness, self._metrics):
             await self._serve(stop)
-        logger.info("agent-stopped", **vars(self.core.counters))
+        logger.info("agent-stopped", **self.core.counters.figures())
 
     async def _serve(self, stop: asyncio.Event) -> None:
         self._frames.start()
@@ -186,6 +188,7 @@
         ]
         await stop.wait()
         await outlast_leaving_host(self.host, self._settings.stop_grace_ms / 1000)
+        self.core.release_held(time.monotonic())
         await self._deregister()
         for job in jobs:
             job.cancel()
--- /dev/null
+++ b/src/jasperwalk/agent/datagrams/waiting_requests.py
@@ -0,0 +1,108 @@
+"""What waits at the agent for its host, and what becomes of what waits in vain."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from jasperwalk.agent.datagrams.admission import most_requests
+from jasperwalk.agent.datagrams.parts import AgentParts
+from jasperwalk.flows.frames import OpeningTerms
+from jasperwalk.scheduling.request_scheduler import LONGEST_AGE_SECONDS
+from jasperwalk.scheduling.waiting_request import UNNAMED_TERMS, WaitingRequest
+
+WAITING_SHARE = 0.5
+"""Part of its objective within which a new flow has to expect its answer in order to wait: the
+other part is for more urgent requests that come later, and for what takes longer than usual."""
+
+
+@dataclass(eq=False, repr=False)
+class WaitingRequests:
+    """Fills and clears the agent's queue; sans-IO, times are seconds.
+
+    `pass_on` gives a request of an open flow to the host.
+    """
+
+    parts: AgentParts
+    pass_on: Callable[[WaitingRequest, float], None]
+
+    def lets_wait(self, key: bytes, packet: bytes, terms: OpeningTerms, now: float) -> bool:
+        """Put a flow that found no free host into the queue, where it may be served in time.
+
+        A full queue lets the flow go that is least likely to be.
+        """
+        queue = self.parts.queue
+        if key in queue:
+            return True
+        if not terms.waits or self._is_hopeless(terms, now):
+            return False
+        route = terms.route or UNNAMED_TERMS
+        request = queue.add_opening(key, packet, route, terms.age_seconds, now)
+        let_go = queue.let_go_least_promising(self._most(now), now)
+        self._refuse([each for each in let_go if each is not request], now)
+        if request in let_go:
+            return False
+        self.parts.counters.flows_waited += 1
+        return True
+
+    def _is_hopeless(self, terms: OpeningTerms, now: float) -> bool:
+        """Tell whether a flow would not be answered in time: as much comes before it.
+
+        Its caller learns so at once and comes again while an answer may still be in time. One
+        that waited until its time has passed would come again all the same, be late for certain,
+        and take the place of a caller that is not.
+        """
+        route = terms.route
+        if route is None:
+            return False
+        parts = self.parts
+        ahead = parts.queue.order.count_ahead(route.priority)
+        answer_seconds = parts.table.under_way.usual_seconds
+        wait_seconds = (ahead + 1) * answer_seconds / most_requests(parts.host.capacity)
+        longest = WAITING_SHARE * route.objective_seconds or LONGEST_AGE_SECONDS
+        return terms.age_seconds + wait_seconds + answer_seconds > longest
+
+    def _most(self, now: float) -> int:
+        admission = self.parts.admission
+        most_per_second = admission.warm_up.bound(admission.host.slow_until, now)
+        return self.parts.queue.opening_room(admission.host.capacity, most_per_second)
+
+    def clear(self, now: float) -> None:
+        """Let go what waited too long, and all new flows where the host takes none any more."""
+        if self.parts.admission.takes_none():
+            self._refuse(self.parts.queue.take_openings(), now)
+        expired = self.parts.queue.take_expired(now)
+        self._refuse([each for each in expired if each.opens_flow], now)
+        for request in expired:
+            if not request.opens_flow:
+                self._expire(request, now)
+
+    def _expire(self, request: WaitingRequest, now: float) -> None:
+        """Let a request of an open flow go: its caller has left, if its limit is known."""
+        if not request.terms.limit_seconds:
+            self.pass_on(request, now)
+            return
+        self.parts.counters.requests_expired += 1
+        self._note("request-expired", request, now)
+
+    def _refuse(self, refused: list[WaitingRequest], now: float) -> None:
+        parts = self.parts
+        for request in refused:
+            parts.counters.flows_waited_in_vain += 1
+            parts.counters.by_priority.note("waited_in_vain", request.terms.priority)
+            self._note("flow-waited-in-vain", request, now)
+            caller = parts.codec.caller_of(request.key)
+            parts.to_caller(parts.codec.reset_for(request.packets[0]), caller)
+
+    def _note(self, event: str, request: WaitingRequest, now: float) -> None:
+        parts = self.parts
+        parts.log.note(
+            event,
+            flow=parts.codec.describe(request.key),
+            priority=request.terms.priority,
+            waited_ms=round(1000 * (now - request.arrived_at)),
+            waiting=len(parts.queue),
+            busy=parts.requests_at_host(now),
+            phase=parts.host.phase.value,
+            zone_drained=parts.admission.is_zone_drained(),
+        )
--- a/src/jasperwalk/balancer/datagrams/flow_opener.py
+++ b/src/jasperwalk/balancer/datagrams/flow_opener.py
@@ -36,6 +36,8 @@
 """An agent answers a new flow within a few milliseconds; after this the next one is tried."""
 MAXIMUM_TRIES = 4
 """Agents that are tried for one new flow before one is asked to let it wait."""
+FRESH_LOAD_SECONDS = 0.05
+"""A figure of load older than about one request's work says little of the room there is now."""
 LONGEST_PARKING_SECONDS = 0.9
 """A new flow without any ready host waits this long for one that is expected; its caller
 waits 1.4 s for an answer."""
@@ -148,13 +150,24 @@
             if target is not None:
                 # Asking an agent that is known to be full, and then the next one, costs a
                 # balancer more than the flow itself.
-                opening.waits = target.relative_load(now) >= FULL_LOAD_PER_SLOT
+                opening.waits = self._is_known_full(target, opening, now)
                 return target
         if not opening.answers:
             return None
         opening.waits = opening.is_last = True
         return self._choose(key, opening, tuple(opening.may_be_open_at()), now)
 
+    def _is_known_full(self, target: Target, opening: Opening, now: float) -> bool:
+        """Tell whether an agent need not be asked whether its host has room at once.
+
+        Where requests are ordered by their terms an old figure does not say so: a flow that waits
+        at one host while another has room comes late, or makes others late.
+        """
+        is_old = now - target.load_at > FRESH_LOAD_SECONDS
+        if opening.route.terms is not None and is_old:
+            return False
+        return target.relative_load(now) >= FULL_LOAD_PER_SLOT
+
     def _choose(
         self, key: bytes, opening: Opening, excluded: tuple[Target, ...], now: float
     ) -> Target | None:
--- a/src/jasperwalk/fleet/settings.py
+++ b/src/jasperwalk/fleet/settings.py
@@ -8,12 +8,13 @@
 
 import tomllib
 from dataclasses import dataclass
-from typing import ClassVar, TypeVar
+from typing import Annotated, ClassVar, TypeVar
 
 import msgspec
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.errors import JasperwalkError
+from jasperwalk.scheduling.request_order import DEFAULT_LEAST_SHARE
 
 SettingsType = TypeVar("SettingsType", bound=msgspec.Struct)
 
@@ -115,6 +116,8 @@
 
     It holds until the configuration has come; without it nothing limits a cold host until then.
     """
+    least_share: Annotated[float, msgspec.Meta(ge=0.0, le=0.5)] = DEFAULT_LEAST_SHARE
+    """Part of the requests begun at a busy host that less urgent ones keep while they wait."""
 
     def replicas(self) -> list[Endpoint]:
         """Return the control replicas that the settings name."""
--- /dev/null
+++ b/src/jasperwalk/scheduling/request_order.py
@@ -0,0 +1,229 @@
+"""Which of the requests that wait for a host is begun next, and which is let go first.
+
+Load pattern: many urgent requests come at once, each with a flow of its own, while requests of open
+flows go on; the host can do less than both ask for. Begun as they come, the urgent ones pay: those
+of open flows are at the host at once, and only new flows are ever made to wait or refused.
+
+So the more urgent request is begun first, and the others keep a least share of the host, so that
+none of them starves. Within a priority the groups of callers take their shares (`GroupShares`), and
+within a group the newest goes first: while more comes than the host can do, first come first
+served would make every caller wait about as long as the oldest, and none would be in time.
+
+Sans-IO; times are seconds.
+"""
+
+from __future__ import annotations
+
+from bisect import insort
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from jasperwalk.scheduling.waiting_request import WaitingRequest
+
+DEFAULT_LEAST_SHARE = 0.1
+"""Part of the requests begun that is left to less urgent ones while they wait."""
+
+
+class GroupShares(Protocol):
+    """Shares a host's time between groups of callers."""
+
+    def note_served(self, group: int, seconds: float, now: float) -> None:
+        """Note that a request was begun that is expected to take so much of a slot's time."""
+
+    def neediest(self, groups: Iterable[int], now: float) -> int:
+        """Return the group that has had least of the host lately for its weight."""
+
+    def most_over(self, waiting: Mapping[int, int], now: float) -> int:
+        """Return the group furthest over its share of a queue with so many of each waiting."""
+
+
+class NoShares:
+    """All callers are one group."""
+
+    def note_served(self, group: int, seconds: float, now: float) -> None:
+        """Keep nothing."""
+
+    def neediest(self, groups: Iterable[int], now: float) -> int:
+        """Return the first group."""
+        return next(iter(groups))
+
+    def most_over(self, waiting: Mapping[int, int], now: float) -> int:
+        """Return the group with the most waiting."""
+        return max(waiting, key=lambda group: waiting[group])
+
+
+@dataclass(eq=False, repr=False)
+class Line:
+    """Requests of one kind that stand in line: those that may be in time still, and the late ones.
+
+    Where no objective is named, time left tells nothing, and the newest goes first.
+    """
+
+    timely: list[WaitingRequest] = field(default_factory=list)
+    """The one with least time left first."""
+    late: list[WaitingRequest] = field(default_factory=list)
+    """Those that cannot be in time any more, or have no objective, the oldest first."""
+
+    def __len__(self) -> int:
+        """Return how many requests stand in line."""
+        return len(self.timely) + len(self.late)
+
+    def add(self, request: WaitingRequest) -> None:
+        """Take a request in."""
+        if request.terms.objective_seconds:
+            insort(self.timely, request, key=WaitingRequest.wants_answer_by)
+        else:
+            self.late.append(request)
+
+    def remove(self, request: WaitingRequest) -> None:
+        """Let a request go."""
+        (self.timely if request in self.timely else self.late).remove(request)
+
+    def sort_out_late(self, answer_at: float) -> None:
+        """Put those behind that would be late with an answer at this time."""
+        while self.timely and self.timely[0].wants_answer_by() < answer_at:
+            self.late.append(self.timely.pop(0))
+
+    def next(self) -> WaitingRequest:
+        """Return the request whose turn it is."""
+        return self.timely[0] if self.timely else self.late[-1]
+
+    def least_promising(self) -> WaitingRequest:
+        """Return the request that is least likely to be served in time."""
+        return self.late[0] if self.late else self.timely[0]
+
+
+def _rank(request: WaitingRequest, line: Line) -> tuple[bool, float]:
+    """Return what puts one of two lines' next requests first: the lower rank."""
+    if line.timely:
+        return False, request.wants_answer_by()
+    return True, -request.arrived_at
+
+
+@dataclass(eq=False, repr=False)
+class Lane:
+    """What waits of one priority and group; new flows apart from requests of open ones."""
+
+    openings: Line = field(default_factory=Line)
+    requests: Line = field(default_factory=Line)
+
+    def __len__(self) -> int:
+        """Return how many requests wait."""
+        return len(self.openings) + len(self.requests)
+
+    def of(self, request: WaitingRequest) -> Line:
+        """Return where a request stands."""
+        return self.openings if request.opens_flow else self.requests
+
+    def lines(self, with_openings: bool) -> list[Line]:
+        """Return the lines that have something to begin, new flows only where they are taken."""
+        lines = (self.requests, self.openings) if with_openings else (self.requests,)
+        return [line for line in lines if line]
+
+    def take_next(self, with_openings: bool, answer_at: float) -> WaitingRequest:
+        """Take the request whose turn it is, for an answer at this time."""
+        lines = self.lines(with_openings)
+        for line in lines:
+            line.sort_out_late(answer_at)
+        line = min(lines, key=lambda each: _rank(each.next(), each))
+        request = line.next()
+        line.remove(request)
+        return request
+
+
+@dataclass(eq=False, repr=False)
+class UrgencyOrder:
+    """Owns what waits. `least_share` is the part that less urgent requests keep, 0 to below 1."""
+
+    shares: GroupShares
+    least_share: float = DEFAULT_LEAST_SHARE
+    _lanes: dict[int, dict[int, Lane]] = field(default_factory=dict)
+    """By priority, then by group; none is empty."""
+    _owed: float = 0.0
+    """Requests that are due to the less urgent ones."""
+
+    def add(self, request: WaitingRequest) -> None:
+        """Take a request in."""
+        groups = self._lanes.setdefault(request.terms.priority, {})
+        lane = groups.setdefault(request.terms.group, Lane())
+        lane.of(request).add(request)
+
+    def discard(self, request: WaitingRequest) -> None:
+        """Let a request go."""
+        lane = self._lanes[request.terms.priority][request.terms.group]
+        lane.of(request).remove(request)
+        self._drop_if_empty(request)
+
+    def take_next(self, with_openings: bool, seconds: float, now: float) -> WaitingRequest | None:
+        """Take the request to begin now, None where there is none.
+
+        `with_openings` is False while the host takes no new flows. `seconds` is what a request is
+        expected to take of a slot.
+        """
+        priorities = sorted(
+            priority for priority in self._lanes if self._groups(priority, with_openings)
+        )
+        if not priorities:
+            return None
+        priority = self._priority_in_turn(priorities)
+        group = self.shares.neediest(self._groups(priority, with_openings), now)
+        request = self._lanes[priority][group].take_next(with_openings, now + seconds)
+        self._drop_if_empty(request)
+        self.shares.note_served(group, seconds, now)
+        return request
+
+    def _groups(self, priority: int, with_openings: bool) -> list[int]:
+        lanes = self._lanes[priority]
+        return [group for group, lane in lanes.items() if lane.lines(with_openings)]
+
+    def _priority_in_turn(self, priorities: list[int]) -> int:
+        """Return the most urgent priority, or now and then the one whose oldest waits longest."""
+        most_urgent, *others = priorities
+        if not others:
+            return most_urgent
+        self._owed += self.least_share
+        if self._owed < 1.0:
+            return most_urgent
+        self._owed -= 1.0
+        return min(others, key=self._oldest_arrived_at)
+
+    def _oldest_arrived_at(self, priority: int) -> float:
+        return min(
+            line.least_promising().arrived_at
+            for lane in self._lanes[priority].values()
+            for line in lane.lines(with_openings=True)
+        )
+
+    def least_promising_opening(self, now: float) -> WaitingRequest | None:
+        """Return the new flow to let go when there is no room for all, None where none waits.
+
+        It is the oldest of the least urgent, of the group that is furthest over its share. Its
+        caller has waited longest, so that an answer in time is least likely.
+        """
+        for priority in sorted(self._lanes, reverse=True):
+            waiting = {
+                group: len(lane.openings)
+                for group, lane in self._lanes[priority].items()
+                if lane.openings
+            }
+            if waiting:
+                group = self.shares.most_over(waiting, now)
+                return self._lanes[priority][group].openings.least_promising()
+        return None
+
+    def count_ahead(self, priority: int) -> int:
+        """Return how many waiting requests are at least as urgent as this priority."""
+        return sum(
+            len(lane)
+            for other, groups in self._lanes.items()
+            if other <= priority
+            for lane in groups.values()
+        )
+
+    def _drop_if_empty(self, request: WaitingRequest) -> None:
+        groups = self._lanes[request.terms.priority]
+        if not groups[request.terms.group]:
+            del groups[request.terms.group]
+        if not groups:
+            del self._lanes[request.terms.priority]
--- /dev/null
+++ b/src/jasperwalk/scheduling/request_scheduler.py
@@ -0,0 +1,152 @@
+"""The requests that wait at an agent for its host: bounded in number and in time.
+
+Load pattern: more is asked of a host than it can do, by new flows and by open ones alike. What the
+agent passes on at once stands in the host's own queue, first come first served, and what does not
+fit in there is turned away by the host. So the host gets what it can work on and its next request,
+and the rest waits here, where its order is decided (`request_order`).
+
+A new flow that has no room is let go at once, the least likely to be served in time first, so that
+its caller can try again while it still may. A request of an open flow cannot be refused: it waits
+until its limit, or is passed on after a bounded time where its route names none.
+
+Sans-IO; times are seconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from jasperwalk.flows.terms import CarriedTerms
+from jasperwalk.scheduling.request_order import UrgencyOrder
+from jasperwalk.scheduling.waiting_request import WaitingRequest
+
+LONGEST_WAIT_SECONDS = 0.9
+"""A caller waits 1.4 s for an answer to its opening packet; its flow is answered before."""
+LONGEST_AGE_SECONDS = 1.2
+"""The same, from when the caller began: its packet may have been on the way for long. A host
+that works for a caller who has left works for nobody."""
+LONGEST_HOLD_SECONDS = 2.0
+"""A request of an open flow whose route names no limit is passed on after this time."""
+WAITING_PER_SLOT = 7.2
+"""New flows that wait for each of a host's slots at most: what a host with requests of some ten
+milliseconds works off before their callers leave."""
+COLD_WAIT_SECONDS = 0.6
+"""The queue of a cold host takes the new flows that it bears in this time, where that is less."""
+MAXIMUM_HELD = 1024
+"""Requests of open flows that wait at most, a bound of memory; more are passed on."""
+
+
+@dataclass(eq=False, repr=False)
+class RequestScheduler:
+    """Owns what waits for one host."""
+
+    order: UrgencyOrder
+    _waiting: dict[bytes, WaitingRequest] = field(default_factory=dict)
+    _openings: int = 0
+
+    def __len__(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiting)
+
+    def __contains__(self, key: bytes) -> bool:
+        """Tell whether a request of this flow waits."""
+        return key in self._waiting
+
+    @property
+    def openings(self) -> int:
+        """How many new flows wait."""
+        return self._openings
+
+    def get(self, key: bytes) -> WaitingRequest | None:
+        """Return the flow's request that waits, None where there is none."""
+        return self._waiting.get(key)
+
+    def opening_room(self, capacity: int, most_per_second: float | None) -> int:
+        """Return how many new flows may wait for a host with this many slots.
+
+        `most_per_second` bounds what the host takes while it is cold, None where nothing does.
+        """
+        most = WAITING_PER_SLOT * capacity
+        if most_per_second is not None:
+            most = min(most, most_per_second * COLD_WAIT_SECONDS)
+        return max(1, int(-(-most // 1)))
+
+    def add_opening(
+        self, key: bytes, packet: bytes, terms: CarriedTerms, age_seconds: float, now: float
+    ) -> WaitingRequest:
+        """Let a new flow wait that its caller began so long ago."""
+        expires_at = self.opening_expires_at(terms, age_seconds, now)
+        began_at = now - age_seconds
+        request = WaitingRequest(key, [packet], [], terms, True, began_at, now, expires_at)
+        self._add(request)
+        return request
+
+    def opening_expires_at(self, terms: CarriedTerms, age_seconds: float, now: float) -> float:
+        """Return until when a new flow may wait."""
+        longest_seconds = min(LONGEST_WAIT_SECONDS, LONGEST_AGE_SECONDS - age_seconds)
+        if terms.limit_seconds:
+            longest_seconds = min(longest_seconds, terms.limit_seconds - age_seconds)
+        return now + longest_seconds
+
+    def hold(
+        self, key: bytes, packet: bytes, number: int, terms: CarriedTerms, now: float
+    ) -> WaitingRequest | None:
+        """Let the next request of an open flow wait; None where too many do."""
+        if len(self._waiting) - self._openings >= MAXIMUM_HELD:
+            return None
+        expires_at = now + (terms.limit_seconds or LONGEST_HOLD_SECONDS)
+        request = WaitingRequest(key, [packet], [number], terms, False, now, now, expires_at)
+        self._add(request)
+        return request
+
+    def _add(self, request: WaitingRequest) -> None:
+        self._waiting[request.key] = request
+        self._openings += request.opens_flow
+        self.order.add(request)
+
+    def discard(self, key: bytes) -> WaitingRequest | None:
+        """Let a flow's request go, for its caller needs no answer any more."""
+        request = self._waiting.pop(key, None)
+        if request is not None:
+            self._openings -= request.opens_flow
+            self.order.discard(request)
+        return request
+
+    def take_next(self, with_openings: bool, seconds: float, now: float) -> WaitingRequest | None:
+        """Take the request to begin now; see `UrgencyOrder.take_next`."""
+        request = self.order.take_next(with_openings, seconds, now)
+        if request is not None:
+            del self._waiting[request.key]
+            self._openings -= request.opens_flow
+        return request
+
+    def let_go_least_promising(self, most: int, now: float) -> list[WaitingRequest]:
+        """Take the new flows that are too many where this many may wait."""
+        let_go = []
+        while self._openings > most:
+            request = self.order.least_promising_opening(now)
+            if request is None:
+                break
+            self.discard(request.key)
+            let_go.append(request)
+        return let_go
+
+    def take_expired(self, now: float) -> list[WaitingRequest]:
+        """Take what has waited too long."""
+        expired = [each for each in self._waiting.values() if now > each.expires_at]
+        for request in expired:
+            self.discard(request.key)
+        return expired
+
+    def take_openings(self) -> list[WaitingRequest]:
+        """Take every new flow, because the host takes none any more."""
+        return self._take([each for each in self._waiting.values() if each.opens_flow])
+
+    def take_held(self) -> list[WaitingRequest]:
+        """Take every request of an open flow, because its host is to decide about it now."""
+        return self._take([each for each in self._waiting.values() if not each.opens_flow])
+
+    def _take(self, taken: list[WaitingRequest]) -> list[WaitingRequest]:
+        for request in taken:
+            self.discard(request.key)
+        return taken
--- /dev/null
+++ b/src/jasperwalk/scheduling/smoothed_time.py
@@ -0,0 +1,50 @@
+"""A time that is measured again and again: its average and how far single ones are from it.
+
+The weights are those of a retransmission timer (RFC 6298).
+"""
+
+from __future__ import annotations
+
+NEWEST_WEIGHT = 0.125
+"""Weight of the newest sample in the average."""
+DEVIATION_WEIGHT = 0.25
+"""Weight of the newest sample in the deviation."""
+DEVIATIONS = 4.0
+"""Deviations beyond the average that are waited for."""
+
+
+class SmoothedTime:
+    """Smooths samples in seconds."""
+
+    __slots__ = ("_deviation", "_mean")
+
+    def __init__(self) -> None:
+        self._mean = 0.0
+        self._deviation = 0.0
+
+    def note(self, seconds: float) -> None:
+        """Note one sample."""
+        if not self._mean:
+            self._mean, self._deviation = seconds, seconds / 2
+            return
+        deviation = abs(seconds - self._mean)
+        self._deviation += DEVIATION_WEIGHT * (deviation - self._deviation)
+        self._mean += NEWEST_WEIGHT * (seconds - self._mean)
+
+    def forget(self) -> None:
+        """Begin anew."""
+        self._mean = self._deviation = 0.0
+
+    @property
+    def mean(self) -> float:
+        """The average, 0.0 before the first sample."""
+        return self._mean
+
+    def longest_expected(self, shortest: float, longest: float) -> float:
+        """Return after how long a sample is no longer expected, between the two bounds.
+
+        It is the longer bound while nothing has been measured.
+        """
+        if not self._mean:
+            return longest
+        return min(max(self._mean + DEVIATIONS * self._deviation, shortest), longest)
--- a/tests/agent/datagrams/test_flow_admission.py
+++ b/tests/agent/datagrams/test_flow_admission.py
@@ -4,7 +4,6 @@
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.agent.datagrams.admission import most_requests
-from jasperwalk.agent.datagrams.admission_queue import LONGEST_WAIT_SECONDS
 from jasperwalk.agent.datagrams.half_open import (
     LONGEST_EXPECTED_SECONDS,
     SHORTEST_EXPECTED_SECONDS,
@@ -23,6 +22,7 @@
     RefusalReason,
     opening_flags,
 )
+from jasperwalk.scheduling.request_scheduler import LONGEST_WAIT_SECONDS
 from tests.agent.datagrams.support import BALANCER, Bench
 from tests.flows.support import (
     CALLER,
--- a/tests/flows/test_fleet_model.py
+++ b/tests/flows/test_fleet_model.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from jasperwalk.agent.datagrams import flow_agent, flow_knowledge
+from jasperwalk.agent.datagrams import flow_admission, flow_agent, flow_knowledge
 from jasperwalk.agent.datagrams.host import HostState
 from jasperwalk.fleet import search, targets
 from jasperwalk.fleet.messages import HostPhase
@@ -59,7 +59,7 @@
 
 def test_mutant_nobody_heeds_that_a_host_leaves(monkeypatch):
     # Balancers avoid such a host too, so the agent's refusal alone is seldom needed.
-    monkeypatch.setattr(flow_agent.FlowAgent, "_refusal", lambda *_: None)
+    monkeypatch.setattr(flow_admission.FlowAdmission, "_refusal", lambda *_: None)
     monkeypatch.setattr(targets.Target, "is_usable", lambda *_: True)
     assert "a host that leaves gets no new flow" in broken_promises()
 
--- /dev/null
+++ b/tests/scheduling/test_requests_under_way.py
@@ -0,0 +1,58 @@
+"""How many requests keep a place at a host."""
+
+import pytest
+
+from jasperwalk.scheduling.requests_under_way import (
+    LONGEST_OVERDUE_SECONDS,
+    ORDINARY_SECONDS,
+    SHORTEST_OVERDUE_SECONDS,
+    RequestsUnderWay,
+)
+
+
+def measured(seconds, count=50):
+    requests = RequestsUnderWay()
+    for _ in range(count):
+        requests.note_answered(seconds)
+    return requests
+
+
+def test_requests_count_from_their_beginning_to_their_end():
+    requests = RequestsUnderWay()
+    requests.begin("a", 1.0)
+    requests.begin("b", 1.0)
+    requests.begin("a", 1.1)
+    assert requests.count(1.1) == 2
+    requests.end("a")
+    requests.end("a")
+    assert requests.count(1.1) == 1
+
+
+def test_a_request_that_is_never_answered_keeps_no_place_for_long():
+    """A host that leaves some of its requests unanswered would soon have no place left."""
+    requests = measured(0.03)
+    requests.begin("lost", 1.0)
+    requests.begin("new", 1.19)
+    assert requests.count(0.99 + SHORTEST_OVERDUE_SECONDS) == 2
+    assert requests.count(1.01 + SHORTEST_OVERDUE_SECONDS) == 1
+
+
+@pytest.mark.parametrize(
+    ("seconds", "overdue"),
+    [(0.001, SHORTEST_OVERDUE_SECONDS), (30.0, LONGEST_OVERDUE_SECONDS)],
+)
+def test_the_time_is_bounded_both_ways(seconds, overdue):
+    assert measured(seconds).overdue_seconds() == overdue
+
+
+def test_a_host_of_which_nothing_is_known_is_waited_for():
+    requests = RequestsUnderWay()
+    assert requests.overdue_seconds() == LONGEST_OVERDUE_SECONDS
+    assert requests.usual_seconds == ORDINARY_SECONDS
+
+
+def test_another_host_is_measured_anew():
+    requests = measured(0.5)
+    assert requests.usual_seconds == pytest.approx(0.5)
+    requests.forget_times()
+    assert requests.usual_seconds == ORDINARY_SECONDS
