End links that go silent without a reset on both sides

Cause: the users wrote that open connections may go silent for good while new ones work. Read through every TCP connection: (1) a node that linked up again to the same replica was unlisted when its former, silent link ended there after 1.6 s; (2) between replicas only the dialling side looked for silence and only the dialled side sent signs of life, so a link that was silent towards the dialled side stood for ever.

Left: an answer of a back end whose caller named no deadline (HTTP/3 plane) has no limit.

--- a/src/jasperwalk/control/fleet/home_links.py
+++ b/src/jasperwalk/control/fleet/home_links.py
@@ -1,6 +1,7 @@
 """The links that balancers and agents open to this replica, their home.
 
-A link that is silent for too long is closed; the node's record leaves the directory with it.
+A link that is silent for too long is closed; the node's record leaves the directory with it, unless
+the node has linked up again meanwhile.
 """
 
 from __future__ import annotations
@@ -31,6 +32,7 @@
 )
 from jasperwalk.flows.routes import FlowRoute, RouteSet
 from jasperwalk.messages import codec
+from jasperwalk.transport.errors import ConnectionLost
 from jasperwalk.transport.framed import FramedConnection
 
 NODE_SILENCE_SECONDS = 1.6
@@ -167,6 +169,8 @@
     def _take(self, link: NodeLink, payload: bytes) -> None:
         message = NODE_DECODER.decode(payload)
         view = self._view()
+        if link not in self._links:
+            raise ConnectionLost(reason="replaced by a newer link")
         if isinstance(message, Announce):
             self._announced(link, message.record)
         else:
@@ -175,6 +179,8 @@
 
     def _announced(self, link: NodeLink, record: NodeRecord) -> None:
         is_new = link.record is None
+        if is_new:
+            self._end_former_links(record)
         link.record = record
         logger.info(
             "node-announced",
@@ -199,6 +205,26 @@
             link.send_routes(view.routes)
         link.send(self._directory.agents(time.monotonic()))
 
+    def _links_of(self, endpoint: Endpoint) -> list[NodeLink]:
+        """Return the links that have announced a node at `endpoint`."""
+        return [
+            link
+            for link in self._links
+            if link.record is not None and link.record.endpoint == endpoint
+        ]
+
+    def _end_former_links(self, record: NodeRecord) -> None:
+        """End the links that the same process opened before: it has given them up.
+
+        Their end must not unlist the node, nor may they still change its record.
+        """
+        for former in self._links_of(record.endpoint):
+            if former.record is not None and former.record.incarnation == record.incarnation:
+                logger.info("node-link-replaced", node=record.name)
+                self._links.discard(former)
+                former.record = None
+                former.connection.abort()
+
     def _forget(self, link: NodeLink, reason: str) -> None:
         if link.record is None:
             return
@@ -206,8 +232,18 @@
         news = self._directory.unlink(link.record, time.monotonic())
         if news is not None:
             self._notify_replicas(news)
+            self._list_standing(link.record.endpoint)
         self.publish_fleet()
 
+    def _list_standing(self, endpoint: Endpoint) -> None:
+        """List the process whose link stands at an unlisted end point.
+
+        Another process's announcement that came late had taken its place.
+        """
+        for standing in self._links_of(endpoint):
+            if standing.record is not None:
+                self._notify_replicas(self._directory.announce(standing.record))
+
     def publish_status(self) -> None:
         """Notify every node at once when this home has become current, or no longer is."""
         view = self._view()
--- a/src/jasperwalk/control/peer_links.py
+++ b/src/jasperwalk/control/peer_links.py
@@ -2,6 +2,9 @@
 
 A link drops what it cannot send (not connected, or its queue is full): the consensus core
 repeats what matters, and waiting proposals have deadlines.
+
+A connection may go silent without a reset, both ways or one. Both sides therefore send signs of
+life, and each ends a connection on which none has come for a while; the opener dials a new one.
 """
 
 from __future__ import annotations
@@ -19,7 +22,7 @@
 from jasperwalk.errors import JasperwalkError
 from jasperwalk.messages import codec
 from jasperwalk.transport.client import CONNECT_TIMEOUT_SECONDS, connect
-from jasperwalk.transport.errors import TlsError
+from jasperwalk.transport.errors import PeerSilent, TlsError
 from jasperwalk.transport.framed import FramedConnection
 from jasperwalk.transport.hello import ConnectionKind, make_hello
 
@@ -35,7 +38,7 @@
 """Longest pause while TLS fails, which lasts until someone mends files; it doubles."""
 ALIVE_INTERVAL_SECONDS = 0.5
 SILENCE_LIMIT_SECONDS = 3.0
-"""A link on which nothing came back for this long is opened anew."""
+"""A link on which nothing came for this long is ended; its opener opens it anew."""
 
 MessageHandler = Callable[[int, Any], None]
 """Takes the sender's replica ID and the message (of the family that the decoder knows)."""
@@ -51,6 +54,8 @@
     silence_limit: float = SILENCE_LIMIT_SECONDS
 
 
+LINK_ALIVE = codec.encode(LinkAlive())
+
 logger = structlog.get_logger(__name__)
 
 
@@ -155,15 +160,30 @@
 
     async def _send_queued(self, connection: FramedConnection) -> None:
         while True:
-            await connection.send(await self._queue.get())
+            await connection.send(await self._next_payload())
+
+    async def _next_payload(self) -> bytes:
+        """Return the next queued message, or a sign of life where none comes for a while."""
+        try:
+            async with asyncio.timeout(self._times.alive_interval):
+                return await self._queue.get()
+        except TimeoutError:
+            return LINK_ALIVE
 
 
 async def _watch_for_silence(connection: FramedConnection, limit_seconds: float) -> None:
-    """Return when the peer has been silent for too long; raise when the link is lost."""
-    with contextlib.suppress(TimeoutError):
-        while True:
-            async with asyncio.timeout(limit_seconds):
-                await connection.receive()
+    """Raise `PeerSilent` when the peer has been silent for too long, or why the link is lost."""
+    while True:
+        await _receive_within(connection, limit_seconds)
+
+
+async def _receive_within(connection: FramedConnection, limit_seconds: float) -> bytes:
+    """Return the next frame; raises `PeerSilent`, or as `FramedConnection.receive` does."""
+    try:
+        async with asyncio.timeout(limit_seconds):
+            return await connection.receive()
+    except TimeoutError as error:
+        raise PeerSilent(limit_seconds=limit_seconds) from error
 
 
 class PeerNetwork:
@@ -223,7 +243,12 @@
         self._peer_heard(connection)
         try:
             while True:
-                self._take(connection, await connection.receive())
+                payload = await _receive_within(connection, self._times.silence_limit)
+                self._take(connection, payload)
+        except PeerSilent:
+            # What waits to be sent would only hold up the connection's end.
+            connection.abort()
+            raise
         finally:
             self._served.discard(connection)
             beacon.cancel()
@@ -269,8 +294,7 @@
 
 
 async def _send_alive(connection: FramedConnection, interval_seconds: float) -> None:
-    payload = codec.encode(LinkAlive())
     with contextlib.suppress(JasperwalkError):
         while True:
-            await connection.send(payload)
+            await connection.send(LINK_ALIVE)
             await asyncio.sleep(interval_seconds)
--- a/src/jasperwalk/transport/errors.py
+++ b/src/jasperwalk/transport/errors.py
@@ -115,6 +115,18 @@
         return f"connection lost: {self.reason}"
 
 
+@dataclass(eq=False, repr=False)
+class PeerSilent(TransportError):
+    """Nothing came on a connection on which the other side sends signs of life."""
+
+    kind: ClassVar[str] = "peer-silent"
+    limit_seconds: float
+
+    def describe(self) -> str:
+        """Give the time that was waited."""
+        return f"nothing came for {self.limit_seconds:g} s"
+
+
 @dataclass(eq=False, repr=False)
 class SendBufferFull(TransportError):
     """The other side reads too slowly: the send buffer is over its limit."""
--- a/src/jasperwalk_lab/soak/relays.py
+++ b/src/jasperwalk_lab/soak/relays.py
@@ -2,7 +2,8 @@
 
 Replicas and agents advertise the address of their relay. A TCP relay carries each connection to
 its replica; a UDP relay carries datagrams to its agent from a socket for each sender, so that
-answers find their way back. A relay can delay, lose, go silent in both ways or one, or reset.
+answers find their way back. A relay can delay, lose, go silent in both ways or one, or reset. A TCP
+relay can also leave the connections that stand silent for good, while new ones work.
 """
 
 from __future__ import annotations
@@ -41,6 +42,8 @@
         self._target = target
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._standing: list[LinkCondition] = []
+        """One for each connection: it holds for that connection alone."""
         self.condition = LinkCondition()
 
     async def start(self) -> None:
@@ -60,6 +63,12 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def silence_standing(self, forth: bool = True, back: bool = True) -> None:
+        """Let nothing more through on the connections that stand, that way; nobody is told."""
+        for own in self._standing:
+            own.silent_forth |= forth
+            own.silent_back |= back
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             far_reader, far_writer = await asyncio.open_connection(
@@ -69,9 +78,11 @@
             writer.transport.abort()
             return
         self._writers |= {writer, far_writer}
+        own = LinkCondition()
+        self._standing.append(own)
         pumps = [
-            asyncio.create_task(self._pump(reader, far_writer, forth=True)),
-            asyncio.create_task(self._pump(far_reader, writer, forth=False)),
+            asyncio.create_task(self._pump(reader, far_writer, own, forth=True)),
+            asyncio.create_task(self._pump(far_reader, writer, own, forth=False)),
         ]
         try:
             await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
@@ -80,20 +91,27 @@
                 pump.cancel()
             await asyncio.gather(*pumps, return_exceptions=True)
             self._writers -= {writer, far_writer}
+            self._standing = [each for each in self._standing if each is not own]
             writer.transport.abort()
             far_writer.transport.abort()
 
     async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, forth: bool
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        own: LinkCondition,
+        forth: bool,
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
                 if self.condition.delay_seconds:
                     await asyncio.sleep(self.condition.delay_seconds)
-                while self.condition.is_silent(forth):
+                while self.condition.is_silent(forth) or own.is_silent(forth):
                     await asyncio.sleep(SILENCE_POLL_SECONDS)
                 writer.write(data)
                 await writer.drain()
+        while own.is_silent(forth):
+            await asyncio.sleep(SILENCE_POLL_SECONDS)
 
 
 Address = tuple[str, int]
--- a/tests/control/fleet/test_home_links.py
+++ b/tests/control/fleet/test_home_links.py
@@ -215,3 +215,55 @@
             assert orders == [home.zones]
 
     run(scenario, SHORT_SECONDS)
+
+
+def returned_node(home):
+    """Have a node link up twice, as it does when its first link went silent; return both."""
+    silent = home.link(node(1))
+    anew = home.link(node(1))
+    return silent, anew
+
+
+def test_the_late_end_of_a_silent_link_does_not_unlist_the_node_that_is_back():
+    async def scenario(home):
+        balancer = home.link(node(0, NodeRole.BALANCER))
+        silent, anew = returned_node(home)
+        await until(anew.updates)
+        silent.close()
+        await until(home.tasks[1].done)
+        assert home.directory.counts()["agent"] == 1
+        assert not any(update.removed for update in balancer.updates())
+
+    run(scenario, 0.0)
+
+
+def test_a_link_that_the_node_has_given_up_ends_and_changes_nothing_more():
+    async def scenario(home):
+        silent, anew = returned_node(home)
+        await until(lambda: silent.is_closed)
+        silent.announce(in_phase(node(1), HostPhase.GONE))
+        await until(home.tasks[0].done)
+        assert home.directory.agents(0.0).records == [node(1)]
+        anew.close()
+        await until(lambda: home.directory.counts()["agent"] == 0)
+
+    run(scenario, 0.0)
+
+
+@pytest.mark.parametrize("late_first", [False, True])
+def test_the_end_of_a_former_process_link_does_not_unlist_its_successor(late_first):
+    """Whether the former process's announcement comes before its successor's or late."""
+
+    async def scenario(home):
+        successor = msgspec.structs.replace(node(1), incarnation=node(1).incarnation + 1)
+        records = [node(1), successor]
+        links = [home.link(each) for each in (records[::-1] if late_first else records)]
+        await until(lambda: all(link.updates() for link in links))
+        former, anew = links[::-1] if late_first else links
+        former.close()
+        await until(home.tasks[late_first].done)
+        assert home.directory.agents(0.0).records == [successor]
+        anew.close()
+        await until(lambda: home.directory.counts()["agent"] == 0)
+
+    run(scenario, 0.0)
--- a/tests/control/test_peer_links.py
+++ b/tests/control/test_peer_links.py
@@ -1,4 +1,4 @@
-"""A link to a peer that comes back while a connection attempt hangs."""
+"""Links to peers that come back while an attempt hangs, and whose connections go silent."""
 
 import asyncio
 
@@ -7,10 +7,13 @@
 from jasperwalk.addresses import Endpoint
 from jasperwalk.control import peer_links
 from jasperwalk.control.fleet.replica import PEER_LINK_TIMES
-from jasperwalk.control.peer_links import PeerLink, PeerNetwork
+from jasperwalk.control.peer_links import LinkTimes, PeerLink, PeerNetwork
+from jasperwalk.control.peer_messages import LinkAlive, ReportWanted
 from jasperwalk.transport.errors import ConnectFailed
 from jasperwalk.transport.hello import ConnectionKind, make_hello
 from jasperwalk.transport.server import FramedServer
+from jasperwalk_lab.ports import common_ports
+from jasperwalk_lab.soak.relays import TcpRelay
 
 ANY_PORT = Endpoint("127.0.0.1", 0)
 NEVER = 3600.0
@@ -98,3 +101,77 @@
         await server.close()
 
     asyncio.run(scenario())
+
+
+class Peers:
+    """Two replicas; the first one reaches the second through a relay."""
+
+    def __init__(self, times):
+        self.taken = []
+        self.signs_of_life = 0
+        self.networks = {
+            each: PeerNetwork(f"c{each}", each, "zagreb", self.take, times=times) for each in (1, 2)
+        }
+        self.servers = {
+            each: FramedServer(
+                ANY_PORT,
+                make_hello(ConnectionKind.PEER, f"c{each}", "zagreb", each),
+                {ConnectionKind.PEER: network.serve},
+            )
+            for each, network in self.networks.items()
+        }
+
+    def take(self, sender, message):
+        if isinstance(message, LinkAlive):
+            self.signs_of_life += 1
+        else:
+            self.taken.append((sender, message))
+
+    async def __aenter__(self):
+        for server in self.servers.values():
+            await server.start()
+        ports = common_ports(("relay",), ["127.0.0.1"])
+        listen = Endpoint("127.0.0.1", ports["relay"])
+        self.relay = TcpRelay(listen, self.servers[2].endpoint)
+        await self.relay.start()
+        self.networks[1].set_peers({2: listen})
+        await until(lambda: self.networks[1].connected_ids() == [2])
+        return self
+
+    async def __aexit__(self, *_failure):
+        for network in self.networks.values():
+            await network.close()
+        for server in self.servers.values():
+            await server.close()
+        await self.relay.close()
+
+    def served(self):
+        return set(self.networks[2]._served)
+
+
+QUICK = LinkTimes(reconnect=0.01, alive_interval=0.02, silence_limit=0.2)
+
+
+@pytest.mark.parametrize(
+    ("forth", "back"),
+    [(True, True), (True, False), (False, True)],
+    ids=["both ways", "to the peer", "from the peer"],
+)
+def test_a_link_that_goes_silent_without_a_reset_is_replaced_on_both_sides(forth, back):
+    async def scenario():
+        async with Peers(QUICK) as peers:
+            before = peers.served()
+            peers.relay.silence_standing(forth, back)
+            await until(lambda: peers.served() and not peers.served() & before)
+            await until(lambda: peers.networks[1].send(2, ReportWanted()))
+            await until(lambda: peers.taken == [(1, ReportWanted())])
+
+    asyncio.run(scenario())
+
+
+def test_a_link_without_messages_carries_signs_of_life():
+    async def scenario():
+        async with Peers(QUICK) as peers:
+            await until(lambda: peers.signs_of_life)
+
+    asyncio.run(scenario())
--- a/tests/fleet/test_home_link.py
+++ b/tests/fleet/test_home_link.py
@@ -7,6 +7,7 @@
 import pytest
 
 from jasperwalk.addresses import Endpoint
+from jasperwalk.control.fleet import home_links
 from jasperwalk.control.fleet.directory import NodeDirectory
 from jasperwalk.control.fleet.home_links import HomeLinks, HomeView
 from jasperwalk.fleet import home_link
@@ -25,6 +26,8 @@
 from jasperwalk.transport.errors import ConnectFailed
 from jasperwalk.transport.hello import ConnectionKind, make_hello
 from jasperwalk.transport.server import FramedServer
+from jasperwalk_lab.ports import common_ports
+from jasperwalk_lab.soak.relays import TcpRelay
 from tests.control.fleet.support import until
 
 FAILED_ROUNDS = 4
@@ -39,6 +42,7 @@
 
     def __init__(self):
         self.current = True
+        self.advertised = None
         self.routes = RouteSet(1, [route(1), route(2)])
         self.directory = NodeDirectory(1)
         self.told = []
@@ -52,7 +56,7 @@
         )
 
     def _view(self):
-        return HomeView(self.current, self.routes, [self.server.endpoint])
+        return HomeView(self.current, self.routes, [self.advertised or self.server.endpoint])
 
 
 class Node:
@@ -266,3 +270,32 @@
     first, longest = home_link.FIRST_CONNECT_SECONDS, home_link.CONNECT_TIMEOUT_SECONDS
     assert waited[: FAILED_ROUNDS + 1] == [first, 2 * first, longest, longest, longest]
     assert waited[FAILED_ROUNDS + 1] == first
+
+
+@pytest.mark.parametrize(
+    ("forth", "back"),
+    [(True, True), (True, False), (False, True)],
+    ids=["both ways", "to the home", "from the home"],
+)
+def test_a_link_that_goes_silent_without_a_reset_is_replaced_and_the_node_stays_listed(
+    play, monkeypatch, forth, back
+):
+    monkeypatch.setattr(home_link, "PING_SECONDS", 0.05)
+    monkeypatch.setattr(home_link, "SILENCE_SECONDS", 0.3)
+    monkeypatch.setattr(home_links, "NODE_SILENCE_SECONDS", 0.5)
+
+    async def scenario(homes, start):
+        (home,) = homes
+        home.advertised = Endpoint("127.0.0.1", common_ports(("relay",), ["127.0.0.1"])["relay"])
+        relay = TcpRelay(home.advertised, home.server.endpoint)
+        await relay.start()
+        node = start(Node(home.advertised, role=NodeRole.AGENT))
+        await until(lambda: home.directory.counts()["agent"] == 1)
+        served = set(home.links._links)
+        relay.silence_standing(forth, back)
+        await until(lambda: node.linked[1:3] == [False, True])
+        await until(lambda: home.links._links and not home.links._links & served)
+        await until(lambda: home.directory.counts()["agent"] == 1)
+        await relay.close()
+
+    play(scenario)
--- a/tests/lab/soak/test_soak_relays.py
+++ b/tests/lab/soak/test_soak_relays.py
@@ -62,6 +62,48 @@
     over_tcp(scenario)
 
 
+def test_connections_that_were_silenced_stay_silent_while_new_ones_work():
+    async def scenario(relay, reader, writer):
+        writer.write(b"hello")
+        await reader.readexactly(5)
+        relay.silence_standing()
+        writer.write(b"again")
+        anew, to_anew = await asyncio.open_connection(relay._listen.host, relay._listen.port)
+        to_anew.write(b"hello")
+        assert await anew.readexactly(5) == b"hello"
+        to_anew.close()
+        left = asyncio.create_task(reader.read(5))
+        await asyncio.sleep(SHORT_SECONDS)
+        assert not left.done()
+        left.cancel()
+
+    over_tcp(scenario)
+
+
+def test_the_end_of_a_silenced_connection_is_not_passed_on():
+    ended = asyncio.Event()
+
+    async def note_end(reader, _writer):
+        await reader.read()
+        ended.set()
+
+    async def main():
+        server = await asyncio.start_server(note_end, "127.0.0.1", 0)
+        relay = TcpRelay(free_endpoint(), Endpoint(*server.sockets[0].getsockname()))
+        await relay.start()
+        _, writer = await asyncio.open_connection(relay._listen.host, relay._listen.port)
+        while not relay._standing:
+            await asyncio.sleep(0)
+        relay.silence_standing()
+        writer.transport.abort()
+        await asyncio.sleep(SHORT_SECONDS)
+        assert not ended.is_set()
+        await relay.close()
+        server.close()
+
+    asyncio.run(main())
+
+
 def test_a_reset_ends_every_connection():
     async def scenario(relay, reader, writer):
         writer.write(b"hello")
--- a/tests/transport/test_silent_callers.py
+++ b/tests/transport/test_silent_callers.py
@@ -1,20 +1,27 @@
-"""A caller that introduces itself and then says nothing ends with a typed error, not with a fault.
+"""Sides that go silent without a reset, while new connections to them work, hold nothing up.
+
+A caller that introduces itself and then says nothing ends with a typed error, not with a fault.
 
 Soaks: 98 lines `connection-handler-failed ... TimeoutError` in 49 logs of control replicas, each
 with a stack of 30 lines, where a replica that asked to join was killed or cut off in between.
 """
 
 import asyncio
+import contextlib
 
 import pytest
 from structlog.testing import capture_logs
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.control.fleet import joining, operator_desk
-from jasperwalk.control.fleet.joining import JoinDesk
+from jasperwalk.control.fleet.joining import JoinDesk, ask_to_join
+from jasperwalk.control.fleet.messages import JoinReply, JoinRequest, JoinStatus
 from jasperwalk.control.fleet.operator_desk import OperatorDesk
+from jasperwalk.transport import http_connection
 from jasperwalk.transport.client import connect
 from jasperwalk.transport.hello import ConnectionKind, make_hello
+from jasperwalk.transport.http_messages import HttpResponse
+from jasperwalk.transport.http_server import HttpServer
 from jasperwalk.transport.server import FramedServer
 
 ANY_PORT = Endpoint("127.0.0.1", 0)
@@ -44,3 +51,84 @@
         refused = asyncio.run(scenario())
     assert refused == {"request-timeout": 1}
     assert "connection-handler-failed" not in [line["event"] for line in lines]
+
+
+GET = b"GET /path HTTP/1.1\r\nHost: x\r\n\r\n"
+LONG_BODY = b"x" * (8 << 20)
+"""More than the socket buffers of both sides hold."""
+
+
+async def never():
+    await asyncio.Event().wait()
+
+
+@pytest.mark.parametrize(
+    "sent", [b"", GET[:9], GET], ids=["nothing", "half a request", "a request"]
+)
+def test_a_caller_that_reads_and_says_nothing_more_is_closed(monkeypatch, sent):
+    monkeypatch.setattr(http_connection, "IDLE_SECONDS", 0.1)
+
+    async def answer(_request):
+        return HttpResponse(200, LONG_BODY)
+
+    async def scenario():
+        server = HttpServer(ANY_PORT, answer)
+        await server.start()
+        _, writer = await asyncio.open_connection(
+            server.endpoint.host, server.endpoint.port, limit=1
+        )
+        writer.write(sent)
+        async with asyncio.timeout(20):
+            while not server._connections:
+                await asyncio.sleep(0.01)
+            while server._connections:
+                await asyncio.sleep(0.01)
+        writer.transport.abort()
+        await server.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_handler_that_is_held_up_does_not_keep_its_connection_for_ever(monkeypatch):
+    monkeypatch.setattr(http_connection, "IDLE_SECONDS", 0.1)
+
+    async def scenario():
+        server = HttpServer(ANY_PORT, lambda _request: never())
+        await server.start()
+        reader, writer = await asyncio.open_connection(server.endpoint.host, server.endpoint.port)
+        writer.write(GET)
+        async with asyncio.timeout(20):
+            with contextlib.suppress(ConnectionResetError):
+                assert await reader.read() == b""
+        writer.transport.abort()
+        await server.close()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("says_hello", [False, True])
+def test_a_replica_that_joins_passes_over_one_that_went_silent(monkeypatch, says_hello):
+    monkeypatch.setattr(joining, "ANSWER_TIMEOUT_SECONDS", 0.2)
+    reply = JoinReply(JoinStatus.PENDING, None, [])
+    hello = make_hello(ConnectionKind.PEER, "c", "zagreb")
+
+    async def say_nothing(connection):
+        await connection.receive()
+        await never()
+
+    async def scenario():
+        answering = {ConnectionKind.REPORTER: JoinDesk(lambda _request: reply).serve}
+        living = FramedServer(ANY_PORT, hello, answering)
+        await living.start()
+        silent = FramedServer(ANY_PORT, hello, {ConnectionKind.REPORTER: say_nothing})
+        await silent.start()
+        mute = await asyncio.start_server(lambda *_: never(), "127.0.0.1", 0)
+        held = silent.endpoint if says_hello else Endpoint(*mute.sockets[0].getsockname())
+        request = JoinRequest(3, living.endpoint, founding=False)
+        answer = await ask_to_join(request, "c3", "zagreb", [held, living.endpoint])
+        mute.close()
+        await silent.close()
+        await living.close()
+        return answer
+
+    assert asyncio.run(scenario()) == reply
