Doubt late announcements of a crashed host until it goes on calling

Cause: a late call of a start that had been replaced took the present host's place once that one was silent for 2 s, and a start unknown to a restarted agent at once; the agent then went by a dead host's state and doubted the flows of the living one.

Ruled out: late calls of hosts that left, of earlier times of start and while the present one speaks: right before (tests stay).

Left: two late calls over 1 s apart while the present host is silent count for up to 2 s.

--- a/src/jasperwalk/agent/datagrams/host.py
+++ b/src/jasperwalk/agent/datagrams/host.py
@@ -3,9 +3,10 @@
 Announcements may come late and out of order; each carries a number that rises with every call of
 one start of a host. A start that has said that it leaves never becomes ready again. A host may
 start again under its ID: it knows nothing of before, and its numbers begin anew; the time at which
-it started tells its starts apart. An announcement of an earlier start may come after the present
-host has announced itself; a host that was taken for replaced and goes on announcing itself counts
-again. An agent that has just started knows nothing, and admits nothing until the host has spoken.
+it started tells its starts apart. An announcement of an earlier start, which may have crashed, may
+come after the present host has announced itself; a host that was taken for replaced and goes on
+announcing itself while the present one is silent counts again. An agent that has just started knows
+nothing, and admits nothing until the host has spoken.
 """
 
 from __future__ import annotations
@@ -26,6 +27,14 @@
 announce themselves about once a second, so a living one is not replaced by a late announcement."""
 
 
+RETURN_SPAN_SECONDS = 1.0
+"""Time between two calls after which a host is taken to go on announcing itself. Calls that a cut has
+held up come in together, however long their sender is gone."""
+NEW_HOST_CALLS = 10
+"""Highest number of a call by which another host is taken for one that has just started: an agent
+that runs hears a new host from its first calls on."""
+
+
 class HostStart(msgspec.Struct, frozen=True):
     """One start of a host; `unix_ms` is when it started by its own clock, 0 where not known."""
 
@@ -51,6 +60,13 @@
     """Where the host takes packets, None where it does not say."""
 
 
+class DoubtedCall(msgspec.Struct, frozen=True):
+    """The first of the calls by which a start asks for the present one's place."""
+
+    number: int
+    at: float
+
+
 class HostSummary(msgspec.Struct, frozen=True):
     """What others learn of a host; a change of it is announced at once."""
 
@@ -80,6 +96,10 @@
     """Hosts that have said that they leave, and when the last of their starts that did so began."""
     _replaced: dict[HostStart, int] = field(default_factory=dict)
     """Starts whose place another one has taken, and the number of their last call."""
+    _doubted: dict[HostStart, DoubtedCall] = field(default_factory=dict)
+    """Starts that may be gone and whose calls came since the present one's last."""
+    _is_confirmed: bool = False
+    """Whether the present host has spoken more than once, and so was not itself a late call."""
 
     @property
     def start(self) -> HostStart:
@@ -94,11 +114,14 @@
         if self._is_present(start):
             if not self._is_newer_call(news):
                 return False
+            self._is_confirmed = True
         elif self.host_id:
             if not self._may_replace(start, news.call_number, now):
                 return False
             self._note_replaced()
             self._slow_until_at_most = 0.0
+            self._is_confirmed = False
+        self._doubted.clear()
         self.host_id, self.started_unix_ms = start.host_id, start.unix_ms
         self.phase = news.phase
         self.capacity = max(news.capacity, 1)
@@ -146,17 +169,28 @@
     def _may_replace(self, start: HostStart, call_number: int, now: float) -> bool:
         """Tell whether an announcement of another start is newer than the present one's.
 
-        A start that was replaced, or that began earlier, speaks late: it counts only where it goes
-        on speaking while the present one is silent. Its clock may have been set back since.
+        A start that was replaced, or that began earlier, speaks late, and so does one that is not
+        new and was never heard here: it counts only where it goes on speaking while the present one
+        is silent. Its clock may have been set back since.
         """
         last_call_number = self._replaced.get(start)
         is_earlier = 0 < start.unix_ms < self.started_unix_ms
-        if last_call_number is None and not is_earlier:
+        is_known = last_call_number is not None or is_earlier
+        is_new = call_number <= NEW_HOST_CALLS or not self._is_confirmed
+        if not is_known and is_new:
             return True
         if is_earlier and self.phase is HostPhase.DRAINING:
             return False
+        if last_call_number is not None and call_number <= last_call_number:
+            return False
         is_silent = now - self.announced_at > RETURN_SECONDS
-        return is_silent and (last_call_number is None or call_number > last_call_number)
+        return self._goes_on(start, call_number, now) and is_silent
+
+    def _goes_on(self, start: HostStart, call_number: int, now: float) -> bool:
+        """Note a doubted call; tell whether it follows an earlier one that came well before it."""
+        first = self._doubted.setdefault(start, DoubtedCall(call_number, now))
+        _forget_oldest(self._doubted)
+        return call_number > first.number and now - first.at >= RETURN_SPAN_SECONDS
 
     def _note_replaced(self) -> None:
         if self.phase is HostPhase.DRAINING:
--- a/tests/agent/datagrams/test_host.py
+++ b/tests/agent/datagrams/test_host.py
@@ -2,7 +2,9 @@
 
 from jasperwalk.agent.datagrams.host import (
     MOST_FORMER_HOSTS,
+    NEW_HOST_CALLS,
     RETURN_SECONDS,
+    RETURN_SPAN_SECONDS,
     HostAnnouncement,
     HostState,
 )
@@ -171,3 +173,86 @@
         state.leave(f"other-{number}")
     assert len(state._left) <= MOST_FORMER_HOSTS
     assert len(state._replaced) <= MOST_FORMER_HOSTS
+
+
+LONG_SILENCE = 3 * RETURN_SECONDS
+FORMER, PRESENT = call(20, host="former"), call(3, host="present")
+EARLY, LATER = 1_700_000_000_000, 1_700_000_009_000
+
+
+def registered_again(now=0.0):
+    """Return a host that has taken the place of a former one, and spoke last at `now`."""
+    state = HostState()
+    state.announce(FORMER, now - 2.0)
+    state.announce(call(2, host="present"), now - 1.0)
+    state.announce(PRESENT, now)
+    return state
+
+
+def known_alone(now=0.0):
+    """Return the same to an agent that was restarted, and never heard of the former one."""
+    state = HostState()
+    state.announce(call(2, host="present"), now - 1.0)
+    state.announce(PRESENT, now)
+    return state
+
+
+LATE_CALLS = {
+    "one": [(21, READY, 0.0)],
+    "one that drains": [(21, DRAINING, 0.0)],
+    "several that the cut held up together": [(21, READY, 0.0), (22, READY, 0.1), (24, READY, 0.9)],
+    "out of order": [(24, READY, 0.0), (21, READY, RETURN_SPAN_SECONDS), (23, READY, 2.0)],
+    "the same one again": [(21, READY, 0.0), (21, READY, RETURN_SPAN_SECONDS)],
+}
+
+
+@pytest.mark.parametrize("known", [registered_again, known_alone])
+@pytest.mark.parametrize("silent_for", [0.5, LONG_SILENCE])
+@pytest.mark.parametrize("late_calls", LATE_CALLS.values(), ids=LATE_CALLS.keys())
+def test_late_calls_of_a_crashed_host_change_nothing(known, silent_for, late_calls):
+    state = known()
+    for number, phase, later in late_calls:
+        assert not state.announce(call(number, phase, "former"), silent_for + later)
+    assert (state.host_id, state.phase) == ("present", READY)
+    assert state.announce(call(4, host="present"), silent_for + RETURN_SECONDS)
+
+
+@pytest.mark.parametrize("born", [EARLY, LATER])
+def test_late_calls_of_a_crashed_host_change_nothing_whatever_its_clock_said(born):
+    state = HostState()
+    state.announce(start(1, EARLY + 1), 0.0)
+    state.announce(start(2, EARLY + 1), 1.0)
+    for number in (40, 41):
+        late = start(number, born, host="former")
+        assert not state.announce(late, 1.5 + LONG_SILENCE)
+    assert state.host_id == "h1"
+    assert state.announce(start(3, EARLY + 1), 2.0 + LONG_SILENCE)
+
+
+@pytest.mark.parametrize("known", [registered_again, known_alone])
+def test_a_host_that_goes_on_calling_while_the_present_one_is_silent_counts(known):
+    state = known()
+    times = [RETURN_SECONDS + 0.1 + each for each in (0.0, RETURN_SPAN_SECONDS)]
+    taken = [state.announce(call(21 + n, host="former"), at) for n, at in enumerate(times)]
+    assert taken == [False, True]
+    assert state.host_id == "former"
+
+
+def test_calls_from_before_the_present_one_spoke_do_not_count_for_a_return():
+    state = registered_again()
+    assert not state.announce(call(21, host="former"), 0.5)
+    assert state.announce(call(4, host="present"), 1.0)
+    assert not state.announce(call(22, host="former"), 1.0 + LONG_SILENCE)
+
+
+def test_another_host_that_has_just_started_counts_from_its_first_call():
+    state = known_alone()
+    assert state.announce(call(NEW_HOST_CALLS, host="next"), 0.1)
+    assert state.host_id == "next"
+
+
+def test_a_host_that_spoke_once_may_itself_have_been_late():
+    """An agent that has just started hears a late call first, then the host that is there."""
+    state = state_after(call(20, host="former"))
+    assert state.announce(call(12, host="present"), 10.5)
+    assert state.host_id == "present"
