--- a/src/jasperwalk/agent/datagrams/host.py
+++ b/src/jasperwalk/agent/datagrams/host.py
@@ -28,8 +28,8 @@
 
 
 RETURN_SPAN_SECONDS = 1.0
-"""Time between two calls after which a host is taken to go on announcing itself. Calls that a cut has
-held up come in together, however long their sender is gone."""
+"""Time between two calls after which a host is taken to go on announcing itself. Calls that a cut
+has held up come in together, however long their sender is gone."""
 NEW_HOST_CALLS = 10
 """Highest number of a call by which another host is taken for one that has just started: an agent
 that runs hears a new host from its first calls on."""
@@ -240,7 +240,7 @@
         return max(0.0, self.slow_until - now)
 
 
-def _forget_oldest(former: dict[Any, int]) -> None:
+def _forget_oldest(former: dict[Any, Any]) -> None:
     """Keep a record of former hosts within its bound."""
     while len(former) > MOST_FORMER_HOSTS:
         del former[next(iter(former))]
--- a/src/jasperwalk_lab/soak/callers.py
+++ b/src/jasperwalk_lab/soak/callers.py
@@ -15,15 +15,32 @@
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk_lab.soak.history import (
+    FlowAsked,
     OpenFlowReset,
     RequestEnded,
     RequestOutcome,
+    RequestRefused,
     SoakHistory,
 )
-from jasperwalk_lab.soak.hosts import ANSWER_MARK, REQUEST_MARK, SoakHost
+from jasperwalk_lab.soak.hosts import (
+    ANSWER_MARK,
+    NOT_RUN_MARK,
+    REQUEST_MARK,
+    SoakHost,
+    flow_name,
+)
 from jasperwalk_lab.soak.http_calls import HttpCaller
 from jasperwalk_lab.soak.relays import Address, DatagramReceiver
-from jasperwalk_lab.soak.wire import ACK, FIN, READY_PATH, RST, SYN, Packet, decode
+from jasperwalk_lab.soak.wire import (
+    ACK,
+    FIN,
+    READY_PATH,
+    RST,
+    SYN,
+    Packet,
+    SoakRoute,
+    decode,
+)
 
 READY_POLL_SECONDS = 0.5
 MISSES_OUT = 2
@@ -46,6 +63,7 @@
     name: str
     callers: Endpoint
     ready: Endpoint
+    zone: str = ""
 
 
 @dataclass
@@ -72,15 +90,18 @@
         is_ready = answer.status == OK_STATUS
         self._misses[place.name] = 0 if is_ready else self._misses.get(place.name, 0) + 1
 
-    def choose(self, key: bytes, last: BalancerPlace | None) -> BalancerPlace:
+    def choose(self, key: bytes, last: BalancerPlace | None, zone: str = "") -> BalancerPlace:
         """Return the balancer of a flow: of those that are in, or of all if none is.
 
-        `last` is the one that carries the flow if it is open.
+        `last` is the one that carries the flow if it is open. Callers in a zone reach its
+        balancers, others only where none of them is in.
         """
         if last is not None and self.exists(last.name):
             return last
         inside = [each for each in self.balancers if self._misses.get(each.name, 0) < MISSES_OUT]
-        return max(inside or self.balancers, key=lambda each: crc32(key + each.name.encode()))
+        near = [each for each in inside if zone in ("", each.zone)]
+        places = near or inside or self.balancers
+        return max(places, key=lambda each: crc32(key + each.name.encode()))
 
 
 @dataclass
@@ -90,6 +111,8 @@
     endpoint: Endpoint
     listener: Endpoint
     sequence: int
+    zone: str = ""
+    """Where the caller is, empty where it may reach every balancer."""
     answered: asyncio.Event = field(default_factory=asyncio.Event)
     acknowledged: int | None = None
     """Number that the host's answer to the opening packet leads to, None before it came."""
@@ -104,6 +127,10 @@
         """Return what the router hashes."""
         return self.endpoint.pack() + self.listener.pack()
 
+    def name(self) -> str:
+        """Return what names the flow in the history."""
+        return flow_name(self.endpoint, self.listener)
+
 
 class Callers:
     """Runs all callers; `hosts` gives the hosts that live now, to tell whose flow was reset."""
@@ -115,6 +142,7 @@
         clock: Callable[[], float],
         history: SoakHistory,
         hosts: Callable[[], list[SoakHost]],
+        route_of: Callable[[Endpoint], SoakRoute],
         drawn: random.Random,
     ) -> None:
         """`address` is where the balancers and agents send callers' packets to."""
@@ -123,6 +151,7 @@
         self._clock = clock
         self._history = history
         self._hosts = hosts
+        self._route_of = route_of
         self._drawn = drawn
         self._flows: dict[tuple[Endpoint, Endpoint], CallerFlow] = {}
         self._next_port = FIRST_PORT
@@ -149,12 +178,12 @@
             flow = await self._request(listener, flow, is_last=False)
             await asyncio.sleep(pause * self._drawn.uniform(0.5, 1.5))
 
-    async def request_once(self, listener: Endpoint) -> None:
+    async def request_once(self, listener: Endpoint, zone: str = "") -> None:
         """Open a flow for one request."""
-        await self._request(listener, None, is_last=True)
+        await self._request(listener, None, is_last=True, zone=zone)
 
     async def _request(
-        self, listener: Endpoint, flow: CallerFlow | None, is_last: bool
+        self, listener: Endpoint, flow: CallerFlow | None, is_last: bool, zone: str = ""
     ) -> CallerFlow | None:
         """Have one request answered, on this flow or another; return the flow if it is open."""
         self._next_request += 1
@@ -164,14 +193,19 @@
         for attempt in range(TRIES):
             # Every further try is a request of its own: the first may have run.
             attempt_id = request_id if attempt == 0 else f"{request_id}.{attempt}"
-            flow = flow or await self._open(listener)
-            if flow is not None and await self._ask(flow, attempt_id, is_last):
-                self._note(began_at, attempt_id, RequestOutcome.ANSWERED, _answered_id(flow))
-                return None if is_last else flow
-            if flow is not None:
-                outcome = RequestOutcome.FLOW_RESET if flow.was_reset else outcome
-                self._forget(flow)
-                flow = None
+            flow = flow or await self._open(listener, attempt_id, zone)
+            if flow is None:
+                continue
+            if await self._ask(flow, attempt_id, is_last):
+                if not flow.answer.startswith(NOT_RUN_MARK):
+                    self._note(began_at, attempt_id, RequestOutcome.ANSWERED, _answered_id(flow))
+                    return None if is_last else flow
+                self._note_refused(flow, attempt_id, is_by_host=True)
+                outcome = RequestOutcome.REFUSED
+            elif flow.was_reset:
+                outcome = RequestOutcome.FLOW_RESET
+            self._forget(flow)
+            flow = None
         self._note(began_at, request_id, outcome, "")
         return None
 
@@ -179,12 +213,20 @@
         ended = RequestEnded(began_at, self._clock(), name, outcome, answered)
         self._history.requests.append(ended)
 
-    async def _open(self, listener: Endpoint) -> CallerFlow | None:
+    def _note_refused(self, flow: CallerFlow, request_id: str, is_by_host: bool) -> None:
+        route = self._route_of(flow.listener)
+        refused = RequestRefused(
+            self._clock(), request_id, flow.name(), route.service, route.priority, is_by_host
+        )
+        self._history.refused.append(refused)
+
+    async def _open(self, listener: Endpoint, request_id: str, zone: str) -> CallerFlow | None:
         endpoint = Endpoint(self._address.host, self._next_port)
         self._next_port = FIRST_PORT if self._next_port >= LAST_PORT else self._next_port + 1
-        flow = CallerFlow(endpoint, listener, self._drawn.randrange(2**31))
+        flow = CallerFlow(endpoint, listener, self._drawn.randrange(2**31), zone)
         self._flows[(endpoint, listener)] = flow
         began_at = self._clock()
+        self._history.asked.append(FlowAsked(began_at, flow.name()))
         for copy, at in enumerate((*COPY_SECONDS, OPENING_SECONDS)):
             await self._wait(flow, began_at + at - self._clock())
             if flow.acknowledged is not None:
@@ -192,6 +234,8 @@
             if flow.was_reset or at == OPENING_SECONDS:
                 break
             self._send(flow, Packet(endpoint, listener, flow.sequence, copy, SYN))
+        if flow.was_reset:
+            self._note_refused(flow, request_id, is_by_host=False)
         self._forget(flow)
         return None
 
@@ -231,7 +275,7 @@
         self._flows.pop((flow.endpoint, flow.listener), None)
 
     def _send(self, flow: CallerFlow, packet: Packet) -> None:
-        place = self._router.choose(flow.key(), flow.balancer)
+        place = self._router.choose(flow.key(), flow.balancer, flow.zone)
         flow.balancer = place if flow.acknowledged is not None else None
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(packet.encode(), (place.callers.host, place.callers.port))
@@ -258,8 +302,8 @@
         for host in self._hosts():
             held = host.flows.get((flow.endpoint, flow.listener))
             if host.is_alive and held is not None and held.is_open:
-                name = f"{flow.endpoint}>{flow.listener}"
-                self._history.resets.append(OpenFlowReset(self._clock(), name, host.start_id))
+                reset = OpenFlowReset(self._clock(), flow.name(), host.start_id)
+                self._history.resets.append(reset)
 
 
 def _answered_id(flow: CallerFlow) -> str:
--- a/src/jasperwalk_lab/soak/checks.py
+++ b/src/jasperwalk_lab/soak/checks.py
@@ -17,6 +17,7 @@
     SoakHistory,
     ZoneOrdered,
 )
+from jasperwalk_lab.soak.refusal_checks import ran_though_refused, urgency_breaks
 
 HOST_DRAIN_SECONDS = 0.5
 """Acknowledgements of an agent hold at once; the rest is for packets under way."""
@@ -57,6 +58,8 @@
     NO_EXIT = "no process ends by itself"
     STOPS_IN_TIME = "a process ends within the grace of its stop signal"
     OTHER_WRITERS = "an announcement that names no host is not taken"
+    URGENT_FIRST = "no urgent request is refused while a less urgent one is begun at its host"
+    REFUSED_NOT_RUN = "what was refused as not run did not run"
     RESOURCES = "memory and descriptors return to where they were"
 
 
@@ -69,6 +72,7 @@
         SoakPromise.BACK_IN_TIME,
         SoakPromise.HOSTS_BACK_IN_USE,
         SoakPromise.STOPS_IN_TIME,
+        SoakPromise.URGENT_FIRST,
     )
 )
 """Promises with a time in them: a machine that stands still for seconds can break them."""
@@ -216,8 +220,13 @@
             yield SoakViolation(SoakPromise.PLANNED_WORK, reset.at, detail)
 
 
+def _last_fault_ends_at(history: SoakHistory) -> float:
+    """Return when the last fault was over, or the last pressure: callers are late after it too."""
+    return max((each.ended_at or each.began_at for each in history.faults), default=0.0)
+
+
 def _back_in_time(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
-    last = max((each.ended_at or each.began_at for each in history.faults), default=0.0)
+    last = _last_fault_ends_at(history)
     after = [each for each in history.requests if each.began_at > last + BACK_SECONDS]
     counts = Counter(each.outcome for each in after)
     answered = counts[RequestOutcome.ANSWERED]
@@ -227,7 +236,7 @@
 
 
 def _hosts_back_in_use(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
-    last = max((each.ended_at or each.began_at for each in history.faults), default=0.0)
+    last = _last_fault_ends_at(history)
     since = last + BACK_SECONDS
     counts = Counter(each.host_id for each in history.openings if each.at > since)
     by_service: dict[str, list[HostAtEnd]] = defaultdict(list)
@@ -259,6 +268,19 @@
         yield SoakViolation(SoakPromise.OTHER_WRITERS, taken.at, detail)
 
 
+def _urgent_first(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
+    for broken in urgency_breaks(history):
+        begun = ", ".join(f"{count} at {host}" for host, count in broken.counts.items())
+        detail = f"{broken.refused.request_id}; less urgent ones begun after it: {begun}"
+        yield SoakViolation(SoakPromise.URGENT_FIRST, broken.refused.at, detail)
+
+
+def _refused_not_run(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
+    for ran in ran_though_refused(history):
+        detail = f"{ran.refused.request_id} at {ran.host_id}, refused at {ran.refused.at:.2f}"
+        yield SoakViolation(SoakPromise.REFUSED_NOT_RUN, ran.at, detail)
+
+
 def _resources(history: SoakHistory, _: float) -> Iterator[SoakViolation]:
     for use in history.uses:
         most_bytes = use.first_bytes * MOST_MEMORY_GROWTH + MEMORY_SLACK_BYTES
@@ -286,5 +308,7 @@
     _no_exit,
     _stops_in_time,
     _other_writers,
+    _urgent_first,
+    _refused_not_run,
     _resources,
 )
--- a/src/jasperwalk_lab/soak/faults.py
+++ b/src/jasperwalk_lab/soak/faults.py
@@ -15,6 +15,7 @@
     AGENT = "agent"
     HOST = "host"
     ZONE = "zone"
+    CALLERS = "callers"
     ALL = "all"
 
 
@@ -56,6 +57,8 @@
     HOST_IMPERSONATED = "host-impersonated"
     CONFIGURATION_STORM = "configuration-storm"
     ZONE_ORDERS_IN_A_ROW = "zone-orders-in-a-row"
+    CALLERS_RUSH = "callers-rush"
+    HOST_SLOW = "host-slow"
 
 
 class FaultShape(msgspec.Struct, frozen=True):
@@ -103,7 +106,11 @@
     FaultKind.HOST_IMPERSONATED: FaultShape(TargetGroup.HOST, 0.5, 1.5, is_planned=True),
     FaultKind.CONFIGURATION_STORM: FaultShape(TargetGroup.CONTROL, 1.0, 2.0, is_planned=True),
     FaultKind.ZONE_ORDERS_IN_A_ROW: FaultShape(TargetGroup.ZONE, 1.0, 2.0, is_planned=True),
+    FaultKind.CALLERS_RUSH: FaultShape(TargetGroup.CALLERS, 2.0, 3.0, is_planned=True),
+    FaultKind.HOST_SLOW: FaultShape(TargetGroup.HOST, 2.0, 4.0, is_planned=True),
 }
+PRESSURE = frozenset((FaultKind.CALLERS_RUSH, FaultKind.HOST_SLOW))
+"""Load beyond what hosts bear. It excuses no broken promise, and `pressure` alone plans it."""
 
 
 class PlannedFault(msgspec.Struct, frozen=True):
--- a/src/jasperwalk_lab/soak/fleet.py
+++ b/src/jasperwalk_lab/soak/fleet.py
@@ -149,11 +149,12 @@
     def _lay_out_balancer(self, number: int, host: str) -> None:
         name = f"balancer-{number}"
         callers, ready = self._at(host, "callers"), self._at(host, "ready")
-        self.balancers.append(BalancerPlace(name, callers, ready))
+        zone = ZONES[number % len(ZONES)]
+        self.balancers.append(BalancerPlace(name, callers, ready, zone))
         self._add(
             name,
             "balancer",
-            ZONES[number % len(ZONES)],
+            zone,
             callers_listen=str(callers),
             readiness_listen=str(ready),
             frames_listen=str(self._at(host, "frames")),
--- a/src/jasperwalk_lab/soak/history.py
+++ b/src/jasperwalk_lab/soak/history.py
@@ -16,6 +16,8 @@
     ANSWERED = "answered"
     GIVEN_UP = "given-up"
     FLOW_RESET = "flow-reset"
+    REFUSED = "refused"
+    """Every try was refused before it ran."""
 
 
 class OpeningTaken(msgspec.Struct, frozen=True):
@@ -29,6 +31,9 @@
     service: str
     route_service: str
     zone: str
+    flow: str = ""
+    """Names the flow in the whole history, here and below."""
+    priority: int = 0
 
 
 class RequestRun(msgspec.Struct, frozen=True):
@@ -39,6 +44,34 @@
     host_id: str
     service: str
     route_service: str
+    flow: str = ""
+
+
+class FlowAsked(msgspec.Struct, frozen=True):
+    """A caller's first opening packet of a flow."""
+
+    at: float
+    flow: str
+
+
+class RequestRefused(msgspec.Struct, frozen=True):
+    """A try that its caller was told did not run: by the system, or by its host."""
+
+    at: float
+    request_id: str
+    flow: str
+    service: str
+    priority: int
+    is_by_host: bool = False
+
+
+class HostBegan(msgspec.Struct, frozen=True):
+    """A host that started beside an agent; it takes the place of the one before."""
+
+    at: float
+    agent: str
+    host_id: str
+    service: str
 
 
 class RequestEnded(msgspec.Struct, frozen=True):
@@ -150,6 +183,9 @@
     openings: list[OpeningTaken] = field(default_factory=list)
     runs: list[RequestRun] = field(default_factory=list)
     requests: list[RequestEnded] = field(default_factory=list)
+    asked: list[FlowAsked] = field(default_factory=list)
+    refused: list[RequestRefused] = field(default_factory=list)
+    hosts_began: list[HostBegan] = field(default_factory=list)
     resets: list[OpenFlowReset] = field(default_factory=list)
     drained: list[HostDrained] = field(default_factory=list)
     cold: list[HostCold] = field(default_factory=list)
--- a/src/jasperwalk_lab/soak/hosts.py
+++ b/src/jasperwalk_lab/soak/hosts.py
@@ -11,6 +11,7 @@
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk_lab.soak.history import (
+    HostBegan,
     HostCold,
     HostDrained,
     OpeningTaken,
@@ -20,15 +21,32 @@
 )
 from jasperwalk_lab.soak.http_calls import HttpCaller
 from jasperwalk_lab.soak.relays import Address, DatagramReceiver
-from jasperwalk_lab.soak.wire import ACK, FIN, RST, SYN, Heartbeat, Packet, bounced, decode
+from jasperwalk_lab.soak.wire import (
+    ACK,
+    FIN,
+    RST,
+    SYN,
+    Heartbeat,
+    Packet,
+    SoakRoute,
+    bounced,
+    decode,
+)
 
 HEARTBEAT_SECONDS = 0.8
 RETRY_SECONDS = 0.1
 WORK_SECONDS = (0.004, 0.03)
+"""Shortest and longest work on a request of the most urgent routes."""
+LONG_WORK_SECONDS = (0.08, 0.16)
+"""The same for all others."""
 COLD_SECONDS = 2.0
-CAPACITY = 4
+CAPACITY = 2
+"""Requests that a host works on at once."""
+MOST_QUEUED = 8
+"""Further requests that it keeps; it turns others away and says that they did not run."""
 REQUEST_MARK = b"request "
 ANSWER_MARK = b"answer "
+NOT_RUN_MARK = b"not run "
 OK_STATUS = 200
 
 
@@ -67,10 +85,12 @@
     generation: int
     clock: Callable[[], float]
     history: SoakHistory
-    service_of: Callable[[Endpoint], str]
+    route_of: Callable[[Endpoint], SoakRoute]
     drawn: random.Random
     is_cold: bool = True
     turns_away: bool = False
+    slowness: float = 1.0
+    """How many times as long as usual it works on a request."""
     is_draining: bool = False
     flows: dict[tuple[Endpoint, Endpoint], HostFlow] = field(default_factory=dict)
 
@@ -87,6 +107,7 @@
         self._server: asyncio.Server | None = None
         self._announcing: asyncio.Task[None] | None = None
         self._works: set[asyncio.Task[None]] = set()
+        self._slots = asyncio.Semaphore(CAPACITY)
 
     async def start(self) -> None:
         """Listen, and announce the host again and again; raises `OSError`."""
@@ -98,6 +119,9 @@
         self.is_alive = True
         self.started_at = self.clock()
         self.started_unix_ms = round(1000 * time.time())
+        self.history.hosts_began.append(
+            HostBegan(self.started_at, place.name, self.start_id, place.service)
+        )
         if self.is_cold:
             ends_at = self.started_at + COLD_SECONDS
             self.history.cold.append(HostCold(self.start_id, self.started_at, ends_at))
@@ -199,12 +223,15 @@
     def _take_opening(
         self, key: tuple[Endpoint, Endpoint], packet: Packet, datagram: bytes
     ) -> None:
+        route = self.route_of(packet.target)
         opening = OpeningTaken(
             self.clock(),
             self.start_id,
             self.place.service,
-            self.service_of(packet.target),
+            route.service,
             self.place.zone,
+            flow_name(packet.source, packet.target),
+            route.priority,
         )
         self.history.openings.append(opening)
         if self.turns_away:
@@ -220,22 +247,29 @@
         if number in flow.answers:
             self._answer_request(key, flow, packet, flow.answers[number])
         elif number not in flow.running:
+            if len(self._works) >= CAPACITY + MOST_QUEUED:
+                flow.answers[number] = NOT_RUN_MARK + _request_id(packet).encode()
+                self._answer_request(key, flow, packet, flow.answers[number])
+                return
             flow.running.add(number)
             task = asyncio.create_task(self._run(key, flow, packet))
             self._works.add(task)
             task.add_done_callback(self._works.discard)
 
     async def _run(self, key: tuple[Endpoint, Endpoint], flow: HostFlow, packet: Packet) -> None:
-        request_id = packet.data.removeprefix(REQUEST_MARK).decode("ascii", "replace")
-        run = RequestRun(
-            self.clock(),
-            request_id,
-            self.start_id,
-            self.place.service,
-            self.service_of(packet.target),
-        )
-        self.history.runs.append(run)
-        await asyncio.sleep(self.drawn.uniform(*WORK_SECONDS))
+        request_id, route = _request_id(packet), self.route_of(packet.target)
+        async with self._slots:
+            run = RequestRun(
+                self.clock(),
+                request_id,
+                self.start_id,
+                self.place.service,
+                route.service,
+                flow_name(*key),
+            )
+            self.history.runs.append(run)
+            shortest, longest = LONG_WORK_SECONDS if route.priority else WORK_SECONDS
+            await asyncio.sleep(self.slowness * self.drawn.uniform(shortest, longest))
         answer = ANSWER_MARK + request_id.encode() + b" " + self.host_id.encode()
         flow.answers[packet.sequence] = answer
         self._answer_request(key, flow, packet, answer)
@@ -262,6 +296,15 @@
             self._transport.sendto(datagram, (self.place.packets.host, self.place.packets.port))
 
 
+def flow_name(caller: Endpoint, listener: Endpoint) -> str:
+    """Return what names a flow in the history."""
+    return f"{caller}>{listener}"
+
+
+def _request_id(packet: Packet) -> str:
+    return packet.data.removeprefix(REQUEST_MARK).decode("ascii", "replace")
+
+
 async def _refuse_call(_reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Nobody calls a stand-in's health page; that the port is open tells that the host runs."""
     writer.transport.abort()
--- a/src/jasperwalk_lab/soak/injector.py
+++ b/src/jasperwalk_lab/soak/injector.py
@@ -11,13 +11,17 @@
 from jasperwalk_lab.soak.fleet import SoakFleet
 from jasperwalk_lab.soak.history import ProcessKilledAtStop, SoakHistory
 from jasperwalk_lab.soak.operators import Operators
+from jasperwalk_lab.soak.pressure import Rush
 from jasperwalk_lab.soak.processes import ProcessNotRunning, SoakProcess
 from jasperwalk_lab.soak.relays import LinkCondition
 from jasperwalk_lab.soak.running_hosts import RunningHosts
+from jasperwalk_lab.soak.rushes import RushingCallers
 
 LOSS = 0.3
 SLOW_LINK_SECONDS = 0.15
 SLOW_STORAGE_SECONDS = 0.4
+SLOWNESS = 6.0
+"""How many times as long as usual slow hosts work."""
 DRAIN_SECONDS = 0.8
 
 Clock = Callable[[], float]
@@ -66,6 +70,7 @@
         fleet: SoakFleet,
         hosts: RunningHosts,
         operators: Operators,
+        rushing: RushingCallers,
         clock: Clock,
         history: SoakHistory,
         progress: Progress,
@@ -74,6 +79,7 @@
         self._fleet = fleet
         self._hosts = hosts
         self._operators = operators
+        self._rushing = rushing
         self._clock = clock
         self._history = history
         self._progress = progress
@@ -193,6 +199,15 @@
         await asyncio.sleep(fault.seconds)
         host.turns_away = False
 
+    async def _rush_callers(self, fault: PlannedFault) -> None:
+        await self._rushing.rush(Rush.parse(fault.target), fault.seconds)
+
+    async def _slow_host(self, fault: PlannedFault) -> None:
+        host = self._hosts.beside(fault.target)
+        host.slowness = SLOWNESS
+        await asyncio.sleep(fault.seconds)
+        host.slowness = 1.0
+
     async def _drain_zone(self, fault: PlannedFault) -> None:
         await self._operators.drain_zone(fault.target, drained=True)
         await asyncio.sleep(fault.seconds)
@@ -242,6 +257,8 @@
         FaultKind.HOST_REPLACED: _replace_host,
         FaultKind.HOST_TURNS_AWAY: _turn_away,
         FaultKind.ZONE_DRAINED: _drain_zone,
+        FaultKind.CALLERS_RUSH: _rush_callers,
+        FaultKind.HOST_SLOW: _slow_host,
         FaultKind.ALL_KILLED: _kill_all,
         FaultKind.HOST_STARTED_AGAIN: _start_host_again,
         FaultKind.HOST_IMPERSONATED: _impersonate_host,
--- /dev/null
+++ b/src/jasperwalk_lab/soak/pressure.py
@@ -0,0 +1,103 @@
+"""Draws load beyond what hosts bear: rushes of callers, and slow hosts.
+
+A run begins with pressure alone, so that what is refused then is refused for want of room and for
+no other reason. More of it comes together with faults. It has random numbers of its own: the
+faults of a seed are the same with and without it.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+
+import msgspec
+
+from jasperwalk_lab.soak.faults import SHAPES, FaultKind, PlannedFault
+from jasperwalk_lab.soak.schedule import (
+    LAST_FAULT_BEFORE_END_SECONDS,
+    SoakNames,
+    plan_run,
+)
+
+CALM_SECONDS = 18.0
+"""Time at the beginning without any fault."""
+CALM_RUSH_SECONDS = (2.0, 7.0, 12.0)
+"""When the rushes of that time begin: one of each width, in an order drawn by lot."""
+RUSH_EVERY_SECONDS = (10.0, 20.0)
+"""Shortest and longest time between two rushes after that."""
+SLOW_HOST_CHANCE = 0.5
+"""How often hosts are slow during a rush."""
+SLOW_HOST_SHARE = 6
+"""One host in so many is slow then."""
+
+
+class RushWidth(enum.StrEnum):
+    """Which callers rush: all of them, those of one kind of request, or those of one zone."""
+
+    ALL = "all"
+    KIND = "kind"
+    ZONE = "zone"
+
+
+class Rush(msgspec.Struct, frozen=True):
+    """A rush of callers: `value` is the kind's priority or the zone's name."""
+
+    width: RushWidth
+    value: str = ""
+
+    @property
+    def target(self) -> str:
+        """Return how the schedule names it."""
+        return f"{self.width}:{self.value}"
+
+    @classmethod
+    def parse(cls, target: str) -> Rush:
+        """Return what a target of the schedule names; raises `ValueError`."""
+        width, _, value = target.partition(":")
+        return cls(RushWidth(width), value)
+
+
+def plan_with_pressure(names: SoakNames, seconds: float, seed: int) -> list[PlannedFault]:
+    """Plan a run of `CALM_SECONDS` and `seconds` more, in the order of beginning."""
+    faults = [
+        msgspec.structs.replace(each, at=round(each.at + CALM_SECONDS, 2))
+        for each in plan_run(names, seconds, seed)
+    ]
+    return sorted([*faults, *plan_pressure(names, seconds, seed)], key=lambda each: each.at)
+
+
+def plan_pressure(names: SoakNames, seconds: float, seed: int) -> list[PlannedFault]:
+    """Plan the rushes and the slow hosts of the same run."""
+    drawn = random.Random(f"pressure {seed}")
+    planned: list[PlannedFault] = []
+    for at, width in zip(CALM_RUSH_SECONDS, drawn.sample(list(RushWidth), 3), strict=True):
+        planned.extend(_draw_rush(names, width, at, drawn))
+    at = CALM_SECONDS + drawn.uniform(*RUSH_EVERY_SECONDS)
+    latest = CALM_SECONDS + seconds - LAST_FAULT_BEFORE_END_SECONDS
+    while at < latest:
+        rush = _draw_rush(names, drawn.choice(list(RushWidth)), at, drawn)
+        planned.extend(each for each in rush if each.ends_at <= latest + 1.0)
+        at += drawn.uniform(*RUSH_EVERY_SECONDS)
+    return planned
+
+
+def _draw_rush(
+    names: SoakNames, width: RushWidth, at: float, drawn: random.Random
+) -> list[PlannedFault]:
+    """Return a rush, and the hosts that are slow during it."""
+    value = {
+        RushWidth.ALL: "",
+        RushWidth.KIND: drawn.choice(("0", "1")),
+        RushWidth.ZONE: drawn.choice(names.zones),
+    }[width]
+    rush = _draw(FaultKind.CALLERS_RUSH, Rush(width, value).target, at, drawn)
+    if drawn.random() >= SLOW_HOST_CHANCE:
+        return [rush]
+    slow = drawn.sample(names.agents, max(1, len(names.agents) // SLOW_HOST_SHARE))
+    return [rush, *(_draw(FaultKind.HOST_SLOW, each, at, drawn) for each in slow)]
+
+
+def _draw(kind: FaultKind, target: str, at: float, drawn: random.Random) -> PlannedFault:
+    shape = SHAPES[kind]
+    length = round(drawn.uniform(shape.shortest, shape.longest), 2)
+    return PlannedFault(round(at, 2), kind, target, length)
--- /dev/null
+++ b/src/jasperwalk_lab/soak/refusal_checks.py
@@ -0,0 +1,112 @@
+"""What must hold of refusals: urgent requests come first, and what was refused did not run."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+
+import msgspec
+
+from jasperwalk_lab.soak.faults import PRESSURE
+from jasperwalk_lab.soak.history import (
+    OpeningTaken,
+    RequestRefused,
+    SoakHistory,
+)
+
+LEAST_SHARE = 0.05
+"""Part of a host's openings that may be less urgent than one that was refused: the least share that
+keeps less urgent requests going at all."""
+FAULT_REACH_SECONDS = 6.0
+"""Refusals within this time after a fault may have other causes than want of room."""
+WAIT_SECONDS = 1.4
+"""Longest time for which an opening can wait before its caller gives up."""
+
+
+class UrgencyBreak(msgspec.Struct, frozen=True):
+    """An urgent request that was refused while every host began less urgent ones that waited."""
+
+    refused: RequestRefused
+    counts: dict[str, int]
+    """Less urgent openings begun after the refusal, by host."""
+
+
+class RanThoughRefused(msgspec.Struct, frozen=True):
+    """A request that its caller was told did not run, and the host that ran it."""
+
+    refused: RequestRefused
+    host_id: str
+    at: float
+
+
+def urgency_breaks(
+    history: SoakHistory, least_share: float = LEAST_SHARE, wait_seconds: float = WAIT_SECONDS
+) -> Iterator[UrgencyBreak]:
+    """Yield the refusals for which less urgent requests were begun at the same host.
+
+    A caller does not learn at which host it was refused. A break is therefore certain only where
+    each host that it can have been began less urgent openings which were sent before the refusal
+    and reached the host after it, more of them than `least_share` of its openings in that time.
+    """
+    sent_at = {each.flow: each.at for each in history.asked}
+    openings = _first_openings(history)
+    for refused in history.refused:
+        if refused.is_by_host or not _is_for_want_of_room(history, refused.at):
+            continue
+        counts = {}
+        for host_id in _hosts_at(history, refused):
+            begun = [
+                each
+                for each in openings[host_id]
+                if refused.at < each.at <= refused.at + wait_seconds
+            ]
+            late = [
+                each
+                for each in begun
+                if each.priority > refused.priority
+                and sent_at.get(each.flow, refused.at) < refused.at
+            ]
+            counts[host_id] = len(late) if len(late) > least_share * len(begun) else 0
+        if counts and all(counts.values()):
+            yield UrgencyBreak(refused, counts)
+
+
+def _first_openings(history: SoakHistory) -> dict[str, list[OpeningTaken]]:
+    """Return the openings at each host, of the copies of a packet the first one only."""
+    found: dict[str, dict[str, OpeningTaken]] = defaultdict(dict)
+    for opening in history.openings:
+        found[opening.host_id].setdefault(opening.flow, opening)
+    return defaultdict(list, {host: list(flows.values()) for host, flows in found.items()})
+
+
+def _hosts_at(history: SoakHistory, refused: RequestRefused) -> list[str]:
+    """Return the hosts of the service when a request was refused."""
+    hosts: dict[str, str] = {}
+    for began in history.hosts_began:
+        if began.at <= refused.at and began.service == refused.service:
+            hosts[began.agent] = began.host_id
+    return list(hosts.values())
+
+
+def _is_for_want_of_room(history: SoakHistory, at: float) -> bool:
+    """Tell whether nothing but pressure was in the way."""
+    return not any(
+        fault.began_at <= at <= (fault.ended_at or history.ends_at) + FAULT_REACH_SECONDS
+        for fault in history.faults
+        if fault.planned.kind not in PRESSURE
+    )
+
+
+def ran_though_refused(history: SoakHistory) -> Iterator[RanThoughRefused]:
+    """Yield what ran though its caller was told otherwise.
+
+    A request is known by its ID, and where the system refused it, by its flow as well.
+    """
+    by_id = {run.request_id: run for run in history.runs}
+    by_flow = {run.flow: run for run in history.runs if run.flow}
+    for refused in history.refused:
+        run = by_id.get(refused.request_id)
+        if run is None and not refused.is_by_host:
+            run = by_flow.get(refused.flow)
+        if run is not None:
+            yield RanThoughRefused(refused, run.host_id, run.at)
--- a/src/jasperwalk_lab/soak/report.py
+++ b/src/jasperwalk_lab/soak/report.py
@@ -13,7 +13,12 @@
 from matplotlib.figure import Figure
 
 from jasperwalk_lab.soak.checks import SoakViolation
-from jasperwalk_lab.soak.history import MachineStall, RequestOutcome, SoakHistory
+from jasperwalk_lab.soak.history import (
+    MachineStall,
+    RequestOutcome,
+    RequestRefused,
+    SoakHistory,
+)
 
 SHOWN_VIOLATIONS = 20
 WIDTH_INCHES, HEIGHT_INCHES = 9.0, 3.2
@@ -33,6 +38,10 @@
     faults: dict[str, int]
     faults_failed: int
     requests: dict[str, int]
+    refused: dict[str, int]
+    """Tries refused by the system, by priority, and by hosts."""
+    broken: dict[str, int]
+    """Violations by promise."""
     median_milliseconds: float
     configurations_acknowledged: int
     zone_orders: int
@@ -57,6 +66,8 @@
         faults=dict(sorted(Counter(each.planned.kind.value for each in done).items())),
         faults_failed=len(history.faults) - len(done),
         requests=dict(sorted(Counter(each.outcome.value for each in history.requests).items())),
+        refused=dict(sorted(Counter(_refuser(each) for each in history.refused).items())),
+        broken=dict(sorted(Counter(each.promise.value for each in violations).items())),
         median_milliseconds=round(1000 * statistics.median(answered), 1) if answered else 0.0,
         configurations_acknowledged=len(history.acknowledged),
         zone_orders=len(history.zones),
@@ -64,6 +75,10 @@
     )
 
 
+def _refuser(refused: RequestRefused) -> str:
+    return "by hosts" if refused.is_by_host else f"of priority {refused.priority}"
+
+
 def describe(report: SoakReport) -> str:
     """Return the report for people, one fact a line."""
     longest = max((each.seconds for each in report.stalls), default=0.0)
@@ -71,11 +86,13 @@
         f"seed             {report.seed}, {report.seconds:.0f} s, plane {report.plane}",
         "faults           " + ", ".join(f"{k} {n}" for k, n in report.faults.items()),
         "requests         " + ", ".join(f"{k} {n}" for k, n in report.requests.items()),
+        "tries refused    " + ", ".join(f"{k} {n}" for k, n in report.refused.items()),
         f"median           {report.median_milliseconds} ms",
         f"configurations   {report.configurations_acknowledged} acknowledged",
         f"zone orders      {report.zone_orders}",
         f"machine stalls   {len(report.stalls)}, the longest {longest} s",
         f"violations       {len(report.violations)}",
+        *(f"  {count} x {promise}" for promise, count in report.broken.items()),
     ]
     shown = report.violations[:SHOWN_VIOLATIONS]
     return "\n".join(
--- /dev/null
+++ b/src/jasperwalk_lab/soak/routes.py
@@ -0,0 +1,36 @@
+"""The routes of a soak: each service has an urgent one and one that can wait."""
+
+from __future__ import annotations
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk_lab.soak.fleet import SERVICES
+from jasperwalk_lab.soak.wire import SoakRoute
+
+LISTENER_HOST = "198.18.0.1"
+URGENT_PORTS = dict(zip(SERVICES, (443, 8443), strict=True))
+PATIENT_PORT_OFFSET = 1
+URGENT_PRIORITY, PATIENT_PRIORITY = 0, 1
+URGENT_OBJECTIVE_MS, PATIENT_OBJECTIVE_MS = 250, 800
+URGENT_LIMIT_MS, PATIENT_LIMIT_MS = 1500, 2500
+
+
+def _urgent(service: str, port: int) -> SoakRoute:
+    listener = Endpoint(LISTENER_HOST, port)
+    return SoakRoute(listener, service, URGENT_PRIORITY, URGENT_OBJECTIVE_MS, URGENT_LIMIT_MS)
+
+
+def _patient(service: str, port: int) -> SoakRoute:
+    listener = Endpoint(LISTENER_HOST, port + PATIENT_PORT_OFFSET)
+    return SoakRoute(listener, service, PATIENT_PRIORITY, PATIENT_OBJECTIVE_MS, PATIENT_LIMIT_MS)
+
+
+ROUTES = (
+    *(_urgent(service, port) for service, port in URGENT_PORTS.items()),
+    *(_patient(service, port) for service, port in URGENT_PORTS.items()),
+)
+BY_LISTENER = {route.listener: route for route in ROUTES}
+
+
+def route_of(listener: Endpoint) -> SoakRoute:
+    """Return the route of a listener, one without a service where there is none."""
+    return BY_LISTENER.get(listener, SoakRoute(listener, ""))
--- a/src/jasperwalk_lab/soak/run.py
+++ b/src/jasperwalk_lab/soak/run.py
@@ -16,21 +16,19 @@
 from jasperwalk_lab.fleet import make_run_folder
 from jasperwalk_lab.soak.callers import Callers, Router
 from jasperwalk_lab.soak.checks import BACK_SECONDS, check_all
-from jasperwalk_lab.soak.fleet import SERVICES, SIZES, SoakFleet, SoakSize
+from jasperwalk_lab.soak.fleet import SERVICES, SIZES, ZONES, SoakFleet, SoakSize
 from jasperwalk_lab.soak.history import MachineStall, ProcessUse, SoakHistory
 from jasperwalk_lab.soak.hosts import COLD_SECONDS, SoakHost
 from jasperwalk_lab.soak.http_calls import HttpCaller
 from jasperwalk_lab.soak.injector import SoakInjector
 from jasperwalk_lab.soak.operators import Operators
+from jasperwalk_lab.soak.pressure import CALM_SECONDS, plan_with_pressure
 from jasperwalk_lab.soak.report import SoakReport, make_report, write_page
+from jasperwalk_lab.soak.routes import ROUTES, route_of
 from jasperwalk_lab.soak.running_hosts import RunningHosts
-from jasperwalk_lab.soak.schedule import plan_run
+from jasperwalk_lab.soak.rushes import RushingCallers
 from jasperwalk_lab.soak.wire import READY_PATH, SoakConfiguration, SoakRoute
 
-LISTENERS = {
-    service: Endpoint("198.18.0.1", port)
-    for service, port in zip(SERVICES, (443, 8443), strict=True)
-}
 COLD_FLOWS_PER_SECOND = 8.0
 MOST_COLD_FLOWS = 8
 """What the agents keep to; the check counts what reaches the hosts."""
@@ -75,22 +73,41 @@
     ) -> None:
         self._fleet = fleet
         self._size = size
-        self._seconds = seconds
+        self._seconds = CALM_SECONDS + seconds
         self._progress = progress
-        self._planned = plan_run(fleet.names(), seconds, seed)
+        self._planned = plan_with_pressure(fleet.names(), seconds, seed)
         self._began_at = time.monotonic()
         self._drawn = random.Random(f"traffic {seed}")
         self.history = SoakHistory()
         self._hosts = RunningHosts(self._make_host)
         self._router = Router(fleet.balancers, fleet.supervisor.exists)
         self._callers = Callers(
-            fleet.callers, self._router, self._clock, self.history, self._hosts.all, self._drawn
+            fleet.callers,
+            self._router,
+            self._clock,
+            self.history,
+            self._hosts.all,
+            route_of,
+            self._drawn,
+        )
+        ordinary_per_second = (
+            size.short_requests_per_second + size.long_callers / LONG_PAUSE_SECONDS
+        )
+        rushing = RushingCallers(
+            self._callers.request_once, ROUTES, ZONES, ordinary_per_second, self._drawn
         )
         self._operators = Operators(
             fleet.replicas(), _configuration, self._clock, self.history, self._drawn
         )
         self._injector = SoakInjector(
-            fleet, self._hosts, self._operators, self._clock, self.history, progress, self._drawn
+            fleet,
+            self._hosts,
+            self._operators,
+            rushing,
+            self._clock,
+            self.history,
+            progress,
+            self._drawn,
         )
         self._first_use: dict[str, tuple[int, int]] = {}
 
@@ -104,7 +121,7 @@
             generation,
             self._clock,
             self.history,
-            _service_of,
+            route_of,
             self._drawn,
             is_cold,
         )
@@ -146,6 +163,9 @@
     def _forget_the_start(self) -> None:
         """Count times from here; the configuration of before still has to be held."""
         self.history.openings.clear()
+        self.history.hosts_began = [
+            msgspec.structs.replace(each, at=0.0) for each in self.history.hosts_began
+        ]
         for host in self._hosts.all():
             host.started_at = -COLD_SECONDS
 
@@ -157,16 +177,17 @@
                     await asyncio.sleep(0.1)
 
     def _long_requests(self) -> list[Coroutine[Any, Any, None]]:
-        listeners = list(LISTENERS.values())
         return [
-            self._callers.request_now_and_then(listeners[number % 2], LONG_PAUSE_SECONDS)
+            self._callers.request_now_and_then(
+                ROUTES[number % len(ROUTES)].listener, LONG_PAUSE_SECONDS
+            )
             for number in range(self._size.long_callers)
         ]
 
     async def _short_requests(self) -> None:
         async with asyncio.TaskGroup() as tasks:
             while True:
-                listener = self._drawn.choice(list(LISTENERS.values()))
+                listener = self._drawn.choice(ROUTES).listener
                 tasks.create_task(self._callers.request_once(listener))
                 await asyncio.sleep(self._drawn.expovariate(self._size.short_requests_per_second))
 
@@ -203,13 +224,8 @@
 
 
 def _configuration(version: int) -> SoakConfiguration:
-    routes = tuple(SoakRoute(listener, service) for service, listener in LISTENERS.items())
     idle = SoakRoute(Endpoint("198.18.0.2", 1000 + version % 1000), SERVICES[0])
-    return SoakConfiguration(version, (*routes, idle), COLD_SECONDS, COLD_FLOWS_PER_SECOND)
-
-
-def _service_of(listener: Endpoint) -> str:
-    return next((name for name, each in LISTENERS.items() if each == listener), "")
+    return SoakConfiguration(version, (*ROUTES, idle), COLD_SECONDS, COLD_FLOWS_PER_SECOND)
 
 
 async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
--- /dev/null
+++ b/src/jasperwalk_lab/soak/rushes.py
@@ -0,0 +1,64 @@
+"""Callers that rush: several times the ordinary load for some seconds, within bounds."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk_lab.soak.pressure import Rush, RushWidth
+from jasperwalk_lab.soak.wire import SoakRoute
+
+RUSH_FACTOR = 5.0
+"""Load of a rush as a multiple of the ordinary one, on top of it."""
+MOST_PER_SECOND = 400.0
+"""Rate that no rush exceeds: the stand-ins share the machine with what they test."""
+MOST_AT_ONCE = 600
+"""Requests of a rush that wait at once; further ones are left out."""
+
+RequestOnce = Callable[[Endpoint, str], Coroutine[Any, Any, None]]
+"""Has one request answered on a flow of its own, by callers in a zone (empty: anywhere)."""
+
+
+class RushingCallers:
+    """Starts the requests of rushes."""
+
+    def __init__(
+        self,
+        request_once: RequestOnce,
+        routes: Sequence[SoakRoute],
+        zones: Sequence[str],
+        ordinary_per_second: float,
+        drawn: random.Random,
+    ) -> None:
+        self._request_once = request_once
+        self._routes = routes
+        self._zones = zones
+        self._per_second = min(RUSH_FACTOR * ordinary_per_second, MOST_PER_SECOND)
+        self._drawn = drawn
+
+    async def rush(self, rush: Rush, seconds: float) -> None:
+        """Send requests at the rush's rate for some seconds; return when they have ended."""
+        loop = asyncio.get_running_loop()
+        routes, ends_at = self.routes_of(rush), loop.time() + seconds
+        running: set[asyncio.Task[None]] = set()
+        while loop.time() < ends_at:
+            if len(running) < MOST_AT_ONCE:
+                listener = self._drawn.choice(routes).listener
+                task = asyncio.create_task(self._request_once(listener, self.zone_of(rush)))
+                running.add(task)
+                task.add_done_callback(running.discard)
+            await asyncio.sleep(self._drawn.expovariate(self._per_second))
+        await asyncio.gather(*running)
+
+    def routes_of(self, rush: Rush) -> list[SoakRoute]:
+        """Return the routes that a rush asks for."""
+        if rush.width is not RushWidth.KIND:
+            return list(self._routes)
+        return [each for each in self._routes if str(each.priority) == rush.value]
+
+    def zone_of(self, rush: Rush) -> str:
+        """Return where the callers of a rush are: each of them in some zone."""
+        return rush.value if rush.width is RushWidth.ZONE else self._drawn.choice(self._zones)
--- a/src/jasperwalk_lab/soak/schedule.py
+++ b/src/jasperwalk_lab/soak/schedule.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from jasperwalk_lab.soak.faults import SHAPES, FaultKind, PlannedFault, TargetGroup
+from jasperwalk_lab.soak.faults import PRESSURE, SHAPES, FaultKind, PlannedFault, TargetGroup
 
 FIRST_FAULT_SECONDS = 2.0
 LAST_FAULT_BEFORE_END_SECONDS = 8.0
@@ -30,6 +30,7 @@
 """Time within which the faults of a rush begin."""
 RUSH_FAULTS = (4, 8)
 """Fewest and most faults of a rush in the smallest fleet."""
+STRUCK_KINDS = tuple(kind for kind in FaultKind if kind not in PRESSURE)
 RUSH_NEVER_STRIKES = frozenset((FaultKind.CONTROL_WIPED, FaultKind.ALL_KILLED))
 """A lost disk beside dead replicas may be more than has to be borne."""
 DISK_CALM_SECONDS = 8.0
@@ -55,6 +56,7 @@
             TargetGroup.AGENT: self.agents,
             TargetGroup.HOST: self.agents,
             TargetGroup.ZONE: self.zones,
+            TargetGroup.CALLERS: (EVERYTHING,),
             TargetGroup.ALL: (EVERYTHING,),
         }[group]
 
@@ -65,6 +67,7 @@
     TargetGroup.AGENT: AGENTS_OUT_AT_ONCE,
     TargetGroup.HOST: AGENTS_OUT_AT_ONCE,
     TargetGroup.ZONE: 1,
+    TargetGroup.CALLERS: 1,
     TargetGroup.ALL: 1,
 }
 
@@ -83,7 +86,7 @@
 def plan_rushes(names: SoakNames, seconds: float, seed: int) -> list[PlannedFault]:
     """Plan the rushes of a run of `seconds`, in the order of their beginning."""
     drawn = random.Random(f"rushes {seed}")
-    kinds = [kind for kind in FaultKind if kind not in RUSH_NEVER_STRIKES]
+    kinds = [kind for kind in STRUCK_KINDS if kind not in RUSH_NEVER_STRIKES]
     scale = _scale(names)
     latest = seconds - LAST_FAULT_BEFORE_END_SECONDS
     planned: list[PlannedFault] = []
@@ -132,7 +135,7 @@
     scale = _scale(names)
     while at < seconds - LAST_FAULT_BEFORE_END_SECONDS:
         if not deck:
-            deck = drawn.sample(list(FaultKind), len(FaultKind))
+            deck = drawn.sample(STRUCK_KINDS, len(STRUCK_KINDS))
         kind = deck.pop()
         if SHAPES[kind].group is TargetGroup.ALL:
             # Everything is killed only while nothing else is out of order.
--- a/src/jasperwalk_lab/soak/wire.py
+++ b/src/jasperwalk_lab/soak/wire.py
@@ -137,6 +137,10 @@
 
     listener: Endpoint
     service: str
+    priority: int = 1
+    """0 is the most urgent."""
+    objective_ms: int = 500
+    limit_ms: int = 2000
 
 
 class SoakConfiguration(msgspec.Struct, frozen=True):
@@ -158,7 +162,9 @@
                     "host": route.listener.host,
                     "pathPrefix": f"/{route.listener.port}/",
                     "routeType": "safe",
-                    "timeoutMs": 2000,
+                    "timeoutMs": route.limit_ms,
+                    "targetLatencyMs": route.objective_ms,
+                    "priority": route.priority,
                     "service": route.service,
                 }
                 for route in self.routes
--- /dev/null
+++ b/tests/lab/soak/test_refusal_checks.py
@@ -0,0 +1,125 @@
+"""The checks of refusals pass what is right and find what is not."""
+
+import pytest
+
+from jasperwalk_lab.soak.faults import FaultKind, HappenedFault, PlannedFault
+from jasperwalk_lab.soak.history import (
+    FlowAsked,
+    HostBegan,
+    OpeningTaken,
+    RequestRefused,
+    RequestRun,
+    SoakHistory,
+)
+from jasperwalk_lab.soak.refusal_checks import (
+    FAULT_REACH_SECONDS,
+    WAIT_SECONDS,
+    ran_though_refused,
+    urgency_breaks,
+)
+
+URGENT, PATIENT = 0, 1
+REFUSED_AT = 20.0
+REFUSED = RequestRefused(REFUSED_AT, "q1", "f-refused", "web", URGENT)
+HOSTS = ("h1", "h2")
+
+
+def opening(host, at, priority=PATIENT, flow=None):
+    return OpeningTaken(at, host, "web", "web", "north", flow or f"{host}-{at}", priority)
+
+
+def history(openings, sent_at=REFUSED_AT - 0.1, refused=REFUSED, faults=()):
+    """A run in which each opening was first sent at one moment."""
+    flows = {each.flow for each in openings}
+    return SoakHistory(
+        openings=list(openings),
+        asked=[FlowAsked(sent_at, flow) for flow in sorted(flows)],
+        refused=[refused],
+        hosts_began=[HostBegan(0.0, f"agent-{host}", host, "web") for host in HOSTS],
+        faults=list(faults),
+    )
+
+
+def breaks(made, **bounds):
+    return [each.refused.request_id for each in urgency_breaks(made, **bounds)]
+
+
+AT_BOTH = [opening("h1", REFUSED_AT + 0.2), opening("h2", REFUSED_AT + 0.3)]
+
+
+def test_less_urgent_requests_begun_at_every_host_after_a_refusal_break_the_promise():
+    (found,) = urgency_breaks(history(AT_BOTH))
+    assert found.counts == {"h1": 1, "h2": 1}
+
+
+RIGHT = {
+    "it may have been refused at the other host": history(AT_BOTH[:1]),
+    "they were begun before": history([opening(host, REFUSED_AT - 0.05) for host in HOSTS]),
+    "they were sent after": history(AT_BOTH, sent_at=REFUSED_AT + 0.1),
+    "they began long after": history([opening(h, REFUSED_AT + WAIT_SECONDS + 0.1) for h in HOSTS]),
+    "they are as urgent": history([opening(h, REFUSED_AT + 0.2, URGENT) for h in HOSTS]),
+    "copies of packets that arrived before": history(
+        [
+            opening(host, at, flow=f"{host}-one")
+            for host in HOSTS
+            for at in (REFUSED_AT - 0.05, REFUSED_AT + 0.2)
+        ]
+    ),
+    "its host turned it away": history(
+        AT_BOTH, refused=RequestRefused(REFUSED_AT, "q1", "f", "web", URGENT, is_by_host=True)
+    ),
+    "another service": history(
+        AT_BOTH, refused=RequestRefused(REFUSED_AT, "q1", "f", "export", URGENT)
+    ),
+}
+
+
+@pytest.mark.parametrize("made", RIGHT.values(), ids=RIGHT.keys())
+def test_what_breaks_no_promise_of_urgency(made):
+    assert breaks(made) == []
+
+
+def test_a_host_that_took_the_place_of_another_counts_in_its_place():
+    made = history([AT_BOTH[0], opening("h3", REFUSED_AT + 0.3)])
+    assert breaks(made) == []
+    made.hosts_began.append(HostBegan(10.0, "agent-h2", "h3", "web"))
+    assert breaks(made) == ["q1"]
+
+
+def test_a_least_share_of_less_urgent_requests_is_allowed():
+    urgent = [opening(h, REFUSED_AT + at / 100, URGENT) for h in HOSTS for at in range(1, 10)]
+    made = history([*AT_BOTH, *urgent])
+    assert breaks(made, least_share=0.1) == []
+    assert breaks(made, least_share=0.09) == ["q1"]
+
+
+@pytest.mark.parametrize(
+    ("kind", "ended_before", "found"),
+    [
+        (FaultKind.AGENT_KILLED, FAULT_REACH_SECONDS - 0.1, []),
+        (FaultKind.AGENT_KILLED, FAULT_REACH_SECONDS + 0.1, ["q1"]),
+        (FaultKind.CALLERS_RUSH, 0.0, ["q1"]),
+        (FaultKind.HOST_SLOW, 0.0, ["q1"]),
+    ],
+)
+def test_only_refusals_for_want_of_room_count(kind, ended_before, found):
+    ended_at = REFUSED_AT - ended_before
+    happened = HappenedFault(PlannedFault(1.0, kind, "x", 1.0), 1.0, ended_at)
+    assert breaks(history(AT_BOTH, faults=[happened])) == found
+
+
+@pytest.mark.parametrize(
+    ("run", "is_by_host", "found"),
+    [
+        (RequestRun(21.0, "q1", "h1", "web", "web", "f-other"), False, True),
+        (RequestRun(21.0, "q9", "h1", "web", "web", "f-refused"), False, True),
+        (RequestRun(19.0, "q1", "h1", "web", "web", "f-refused"), True, True),
+        (RequestRun(19.0, "q9", "h1", "web", "web", "f-refused"), True, False),
+        (RequestRun(21.0, "q2", "h1", "web", "web", "f-other"), False, False),
+    ],
+    ids=["same ID", "same flow", "refused by its host", "an earlier one of the flow", "another"],
+)
+def test_what_was_refused_and_ran_is_found(run, is_by_host, found):
+    refused = RequestRefused(REFUSED_AT, "q1", "f-refused", "web", URGENT, is_by_host)
+    made = SoakHistory(runs=[run], refused=[refused])
+    assert bool(list(ran_though_refused(made))) == found
--- a/tests/lab/soak/test_soak_checks.py
+++ b/tests/lab/soak/test_soak_checks.py
@@ -18,7 +18,9 @@
 from jasperwalk_lab.soak.history import (
     ConfigurationAcknowledged,
     ConfigurationRead,
+    FlowAsked,
     HostAtEnd,
+    HostBegan,
     HostCold,
     HostDrained,
     MachineStall,
@@ -28,6 +30,7 @@
     ProcessUse,
     RequestEnded,
     RequestOutcome,
+    RequestRefused,
     RequestRun,
     SoakHistory,
     UnusableTaken,
@@ -122,6 +125,16 @@
     SoakPromise.NO_EXIT: {"ended_processes": ["agent-1"]},
     SoakPromise.STOPS_IN_TIME: {"killed_at_stop": [ProcessKilledAtStop(9.0, "agent-1")]},
     SoakPromise.OTHER_WRITERS: {"unusable_taken": [UnusableTaken(9.0, "agent-1", b"{}")]},
+    SoakPromise.URGENT_FIRST: {
+        "hosts_began": [HostBegan(0.0, "agent-1", "h1", "web")],
+        "asked": [FlowAsked(9.0, "f2")],
+        "openings": [OpeningTaken(9.2, "h1", "web", "web", "north", "f2", 1)],
+        "refused": [RequestRefused(9.1, "q1", "f1", "web", 0)],
+    },
+    SoakPromise.REFUSED_NOT_RUN: {
+        "refused": [RequestRefused(9.0, "q1", "f1", "web", 0)],
+        "runs": [RequestRun(9.1, "q1", "h1", "web", "web", "f1")],
+    },
     SoakPromise.RESOURCES: {"uses": [ProcessUse("agent-0", 30 << 20, 90 << 20, 20, 20)]},
 }
 
--- /dev/null
+++ b/tests/lab/soak/test_soak_rushes.py
@@ -0,0 +1,64 @@
+"""Who rushes, and that rushes stay within their bounds."""
+
+import asyncio
+import random
+
+import pytest
+
+from jasperwalk_lab.soak import rushes
+from jasperwalk_lab.soak.pressure import Rush, RushWidth
+from jasperwalk_lab.soak.routes import ROUTES, route_of
+from jasperwalk_lab.soak.rushes import MOST_PER_SECOND, RUSH_FACTOR, RushingCallers
+
+ZONES = ("north", "south")
+
+
+def rushing(request_once=None, per_second=20.0):
+    return RushingCallers(request_once, ROUTES, ZONES, per_second, random.Random(1))
+
+
+@pytest.mark.parametrize(
+    ("rush", "priorities", "zones"),
+    [
+        (Rush(RushWidth.ALL), {0, 1}, {"north", "south"}),
+        (Rush(RushWidth.KIND, "0"), {0}, {"north", "south"}),
+        (Rush(RushWidth.ZONE, "south"), {0, 1}, {"south"}),
+    ],
+    ids=["all", "a kind of request", "a zone"],
+)
+def test_a_rush_has_its_own_callers(rush, priorities, zones):
+    callers = rushing()
+    assert {each.priority for each in callers.routes_of(rush)} == priorities
+    assert {callers.zone_of(rush) for _ in range(50)} == zones
+    assert Rush.parse(rush.target) == rush
+
+
+def test_a_rush_is_several_times_the_ordinary_load_within_a_bound():
+    assert rushing(per_second=20.0)._per_second == 20.0 * RUSH_FACTOR
+    assert rushing(per_second=1e6)._per_second == MOST_PER_SECOND
+
+
+def test_no_more_requests_wait_at_once_than_the_bound(monkeypatch):
+    monkeypatch.setattr(rushes, "MOST_AT_ONCE", 3)
+    waiting, most = set(), 0
+
+    async def request_once(listener, zone):
+        nonlocal most
+        waiting.add(asyncio.current_task())
+        most = max(most, len(waiting))
+        await asyncio.sleep(0.05)
+        waiting.discard(asyncio.current_task())
+
+    asyncio.run(rushing(request_once, 1e6).rush(Rush(RushWidth.ALL), 0.2))
+    assert most == 3
+    assert not waiting
+
+
+def test_each_service_has_two_routes_that_differ():
+    assert {route.service: 0 for route in ROUTES}.keys() == {"web", "export"}
+    for service in ("web", "export"):
+        urgent, patient = [route for route in ROUTES if route.service == service]
+        assert urgent.priority < patient.priority
+        assert urgent.objective_ms < patient.objective_ms
+        assert urgent.limit_ms < patient.limit_ms
+        assert route_of(urgent.listener) == urgent
--- a/tests/lab/soak/test_soak_schedule.py
+++ b/tests/lab/soak/test_soak_schedule.py
@@ -3,9 +3,16 @@
 import pytest
 
 from jasperwalk_lab.errors import LabSettingsError
-from jasperwalk_lab.soak.faults import SHAPES, FaultKind, TargetGroup
+from jasperwalk_lab.soak.faults import PRESSURE, SHAPES, FaultKind, TargetGroup
 from jasperwalk_lab.soak.injector import covers_every_kind
 from jasperwalk_lab.soak.kept_seeds import KeptSeed, read_kept_seeds
+from jasperwalk_lab.soak.pressure import (
+    CALM_SECONDS,
+    Rush,
+    RushWidth,
+    plan_pressure,
+    plan_with_pressure,
+)
 from jasperwalk_lab.soak.schedule import (
     LAST_FAULT_BEFORE_END_SECONDS,
     MOST_OUT,
@@ -33,6 +40,8 @@
 
 def test_a_few_schedules_have_every_kind_of_fault():
     drawn = {fault.kind for seed in range(20) for fault in plan_soak(NAMES, 120.0, seed)}
+    assert drawn == set(FaultKind) - PRESSURE
+    drawn = {fault.kind for seed in range(20) for fault in plan_with_pressure(NAMES, 120.0, seed)}
     assert drawn == set(FaultKind)
     assert covers_every_kind()
 
@@ -120,3 +129,34 @@
     assert [most_out(LARGE, group) for group in (TargetGroup.CONTROL, TargetGroup.AGENT)] == [2, 40]
     assert {group: most_out(NAMES, group) for group in TargetGroup} == MOST_OUT
     assert len(plan_run(LARGE, 60.0, 1)) > 2 * len(plan_run(NAMES, 60.0, 1))
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_run_begins_with_a_rush_of_each_width_and_no_fault(seed):
+    planned = plan_with_pressure(NAMES, 60.0, seed)
+    calm = [each for each in planned if each.at < CALM_SECONDS]
+    assert {each.kind for each in calm} <= PRESSURE
+    assert all(each.ends_at < CALM_SECONDS for each in calm)
+    rushes = [Rush.parse(e.target) for e in calm if e.kind is FaultKind.CALLERS_RUSH]
+    assert sorted(each.width for each in rushes) == sorted(RushWidth)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_pressure_leaves_the_faults_of_a_seed_as_they_are(seed):
+    planned = plan_with_pressure(NAMES, 60.0, seed)
+    struck = [each for each in planned if each.kind not in PRESSURE]
+    shifted = [round(each.at + CALM_SECONDS, 2) for each in plan_run(NAMES, 60.0, seed)]
+    assert [each.at for each in struck] == shifted
+    last = CALM_SECONDS + 60.0 - LAST_FAULT_BEFORE_END_SECONDS + 1.0
+    assert max(each.ends_at for each in planned) <= last
+
+
+def test_a_rush_also_meets_faults():
+    planned = plan_with_pressure(NAMES, 120.0, 1)
+    rushes = [each for each in plan_pressure(NAMES, 120.0, 1) if each.at > CALM_SECONDS]
+    assert any(
+        fault.at < rush.ends_at and rush.at < fault.ends_at
+        for rush in rushes
+        for fault in planned
+        if fault.kind not in PRESSURE
+    )
