Soak: connections abandoned without a reset, and late calls of crashed hosts

Connections to replicas that stand go silent for good while new ones work; a crashed host's call arrives after another start has taken its place.

--- a/src/jasperwalk_lab/soak/faults.py
+++ b/src/jasperwalk_lab/soak/faults.py
@@ -59,6 +59,8 @@
     ZONE_ORDERS_IN_A_ROW = "zone-orders-in-a-row"
     CALLERS_RUSH = "callers-rush"
     HOST_SLOW = "host-slow"
+    CONTROL_LINKS_ABANDONED = "control-links-abandoned"
+    HOST_SPEAKS_LATE = "host-speaks-late"
 
 
 class FaultShape(msgspec.Struct, frozen=True):
@@ -108,7 +110,11 @@
     FaultKind.ZONE_ORDERS_IN_A_ROW: FaultShape(TargetGroup.ZONE, 1.0, 2.0, is_planned=True),
     FaultKind.CALLERS_RUSH: FaultShape(TargetGroup.CALLERS, 2.0, 3.0, is_planned=True),
     FaultKind.HOST_SLOW: FaultShape(TargetGroup.HOST, 2.0, 4.0, is_planned=True),
+    FaultKind.CONTROL_LINKS_ABANDONED: FaultShape(TargetGroup.ALL, 0.1, 0.2),
+    FaultKind.HOST_SPEAKS_LATE: FaultShape(TargetGroup.HOST, 0.3, 2.5),
 }
+LATER_KINDS = (FaultKind.CONTROL_LINKS_ABANDONED, FaultKind.HOST_SPEAKS_LATE)
+"""Kinds with random numbers of their own: the schedules of kept seeds stay as they were."""
 PRESSURE = frozenset((FaultKind.CALLERS_RUSH, FaultKind.HOST_SLOW))
 """Load beyond what hosts bear. It excuses no broken promise, and `pressure` alone plans it."""
 
--- a/src/jasperwalk_lab/soak/hosts.py
+++ b/src/jasperwalk_lab/soak/hosts.py
@@ -183,6 +183,15 @@
             started_unix_ms=self.started_unix_ms,
         )
 
+    async def announce_late(self, is_draining: bool) -> None:
+        """Have a call arrive that the host sent before it crashed."""
+        self._calls += 1
+        self.is_draining = is_draining
+        heartbeat = self._heartbeat()
+        caller = HttpCaller()
+        await caller.call(self.place.calls, "PUT", heartbeat.path(), heartbeat.body())
+        caller.close()
+
     async def announce_like_other_writers(self) -> None:
         """Send announcements that name no host to use, under this host's name."""
         heartbeat = self._heartbeat()
--- a/src/jasperwalk_lab/soak/injector.py
+++ b/src/jasperwalk_lab/soak/injector.py
@@ -199,6 +199,19 @@
         await asyncio.sleep(fault.seconds)
         host.turns_away = False
 
+    async def _abandon_links(self, _fault: PlannedFault) -> None:
+        """Let nothing through on any connection to a replica that stands; new ones work."""
+        for relay in self._fleet.control_relays.values():
+            relay.silence_standing()
+
+    async def _speak_late(self, fault: PlannedFault) -> None:
+        """Let a host crash, another start in its place, and a call of the former one arrive."""
+        former = self._hosts.beside(fault.target)
+        await former.crash()
+        await self._hosts.start(fault.target, is_cold=True)
+        await asyncio.sleep(fault.seconds)
+        await former.announce_late(is_draining=self._drawn.choice((True, False)))
+
     async def _rush_callers(self, fault: PlannedFault) -> None:
         await self._rushing.rush(Rush.parse(fault.target), fault.seconds)
 
@@ -258,6 +271,8 @@
         FaultKind.HOST_TURNS_AWAY: _turn_away,
         FaultKind.ZONE_DRAINED: _drain_zone,
         FaultKind.CALLERS_RUSH: _rush_callers,
+        FaultKind.CONTROL_LINKS_ABANDONED: _abandon_links,
+        FaultKind.HOST_SPEAKS_LATE: _speak_late,
         FaultKind.HOST_SLOW: _slow_host,
         FaultKind.ALL_KILLED: _kill_all,
         FaultKind.HOST_STARTED_AGAIN: _start_host_again,
--- a/src/jasperwalk_lab/soak/schedule.py
+++ b/src/jasperwalk_lab/soak/schedule.py
@@ -10,7 +10,14 @@
 
 import msgspec
 
-from jasperwalk_lab.soak.faults import PRESSURE, SHAPES, FaultKind, PlannedFault, TargetGroup
+from jasperwalk_lab.soak.faults import (
+    LATER_KINDS,
+    PRESSURE,
+    SHAPES,
+    FaultKind,
+    PlannedFault,
+    TargetGroup,
+)
 
 FIRST_FAULT_SECONDS = 2.0
 LAST_FAULT_BEFORE_END_SECONDS = 8.0
@@ -26,11 +33,13 @@
 EVERYTHING = "everything"
 RUSH_EVERY_SECONDS = (9.0, 15.0)
 """Shortest and longest time between the beginnings of two rushes."""
+LATER_KINDS_EVERY_SECONDS = (5.0, 10.0)
+"""Shortest and longest time between two faults of `LATER_KINDS`."""
 RUSH_SECONDS = 1.0
 """Time within which the faults of a rush begin."""
 RUSH_FAULTS = (4, 8)
 """Fewest and most faults of a rush in the smallest fleet."""
-STRUCK_KINDS = tuple(kind for kind in FaultKind if kind not in PRESSURE)
+STRUCK_KINDS = tuple(k for k in FaultKind if k not in PRESSURE and k not in LATER_KINDS)
 RUSH_NEVER_STRIKES = frozenset((FaultKind.CONTROL_WIPED, FaultKind.ALL_KILLED))
 """A lost disk beside dead replicas may be more than has to be borne."""
 DISK_CALM_SECONDS = 8.0
@@ -104,6 +113,22 @@
     return sorted(planned, key=lambda each: each.at)
 
 
+def plan_later_kinds(names: SoakNames, seconds: float, seed: int) -> list[PlannedFault]:
+    """Plan the faults of `LATER_KINDS`, whatever else is out of order."""
+    drawn = random.Random(f"later kinds {seed}")
+    planned: list[PlannedFault] = []
+    at = drawn.uniform(*LATER_KINDS_EVERY_SECONDS)
+    while at < seconds - LAST_FAULT_BEFORE_END_SECONDS:
+        kind = drawn.choice(LATER_KINDS)
+        shape = SHAPES[kind]
+        length = round(drawn.uniform(shape.shortest, shape.longest), 2)
+        target = drawn.choice(names.of(shape.group))
+        planned.append(PlannedFault(round(at, 2), kind, target, length))
+        at += drawn.uniform(*LATER_KINDS_EVERY_SECONDS)
+    latest = seconds - LAST_FAULT_BEFORE_END_SECONDS + 1.0
+    return [each for each in planned if each.ends_at <= latest]
+
+
 def _scale(names: SoakNames) -> int:
     return min(MOST_SCALE, max(1, len(names.agents) // SMALLEST_AGENTS))
 
