Bound the wait for a relayed request, and keep framed connections alive by TCP

Cause: an agent waited without a limit for the request on a connection that another agent had opened and on which nothing came any more; and on a relayed answer that rests, either side could wait on a connection that nobody can be reached on.

Ruled out: a time-out for answers that rest, which may be streams.

Before: test_a_request_that_does_not_come_is_a_typed_refusal[relay] waits for ever. After: it passes, and tests/simulator, tests/agent, tests/transport. The simulator's connection got the same call.

Left: keep-alive does not see a process that stands still, nor a relay between that goes on answering.

--- a/src/jasperwalk/agent/relay_server.py
+++ b/src/jasperwalk/agent/relay_server.py
@@ -31,6 +31,8 @@
 
 RelayHandler = Callable[[RelayRequest, ResponseSink], Awaitable[Outcome]]
 """Runs a relayed request here."""
+REQUEST_SECONDS = 5.0
+"""Time within which the other agent has sent its request, whole."""
 
 
 class RelaySink:
@@ -59,8 +61,11 @@
 
 
 async def serve_relay(connection: FramedConnection, handler: RelayHandler) -> None:
-    """Serve one relayed request; the handler is cancelled when the connection ends."""
-    relayed = REQUEST_DECODER.decode(await connection.receive())
+    """Serve one relayed request; the handler is cancelled when the connection ends.
+
+    Raises `RequestTimeout` where no request comes.
+    """
+    relayed = REQUEST_DECODER.decode(await connection.receive_request(REQUEST_SECONDS))
     await run_until_closed(connection, handler(relayed, RelaySink(connection)))
 
 
--- a/src/jasperwalk/transport/client.py
+++ b/src/jasperwalk/transport/client.py
@@ -12,6 +12,7 @@
 from jasperwalk.transport.errors import ConnectFailed, ConnectionLost
 from jasperwalk.transport.framed import HELLO_TIMEOUT_SECONDS, FramedConnection, explain_tls
 from jasperwalk.transport.hello import Hello
+from jasperwalk.transport.keep_alive import keep_alive
 
 if TYPE_CHECKING:
     from jasperwalk.transport.tls import LinkTls
@@ -43,6 +44,7 @@
         raise explain_tls(error) from error
     except OSError as error:
         raise ConnectFailed(endpoint=str(endpoint), reason=str(error)) from error
+    keep_alive(writer)
     connection = FramedConnection(reader, writer)
     try:
         if tls is None:
--- a/src/jasperwalk/transport/server.py
+++ b/src/jasperwalk/transport/server.py
@@ -14,6 +14,7 @@
 from jasperwalk.transport.errors import TlsError, TransportError, UnhandledKind
 from jasperwalk.transport.framed import HELLO_TIMEOUT_SECONDS, FramedConnection
 from jasperwalk.transport.hello import ConnectionKind, Hello
+from jasperwalk.transport.keep_alive import keep_alive
 
 if TYPE_CHECKING:
     from jasperwalk.transport.tls import LinkTls
@@ -84,6 +85,7 @@
         if len(self._tasks) >= MAXIMUM_CONNECTIONS:
             writer.transport.abort()
             return
+        keep_alive(writer)
         certificate = writer.get_extra_info("peercert")
         task = asyncio.ensure_future(self._serve(FramedConnection(reader, writer), certificate))
         self._tasks.add(task)
--- a/src/jasperwalk_lab/simulator/network.py
+++ b/src/jasperwalk_lab/simulator/network.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from jasperwalk.addresses import Endpoint
-from jasperwalk.transport.errors import ConnectFailed, ConnectionLost
+from jasperwalk.transport.errors import ConnectFailed, ConnectionLost, RequestTimeout
 from jasperwalk.transport.hello import Hello
 from jasperwalk_lab.simulator.clock import SimulatedProcess
 
@@ -207,6 +207,14 @@
             await self._arrived.wait()
         return self._inbox.popleft()
 
+    async def receive_request(self, timeout_seconds: float) -> bytes:
+        """Return the next frame; raises `RequestTimeout`, or as `receive` does."""
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                return await self.receive()
+        except TimeoutError as error:
+            raise RequestTimeout(timeout_seconds=timeout_seconds) from error
+
     def abort(self) -> None:
         """Drop the connection."""
         if not self.closed:
--- a/tests/transport/test_silent_callers.py
+++ b/tests/transport/test_silent_callers.py
@@ -8,16 +8,19 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 from structlog.testing import capture_logs
 
 from jasperwalk.addresses import Endpoint
+from jasperwalk.agent import relay_server
 from jasperwalk.control.fleet import joining, operator_desk
 from jasperwalk.control.fleet.joining import JoinDesk, ask_to_join
 from jasperwalk.control.fleet.messages import JoinReply, JoinRequest, JoinStatus
 from jasperwalk.control.fleet.operator_desk import OperatorDesk
-from jasperwalk.transport import http_connection
+from jasperwalk.transport import client, http_connection, keep_alive
+from jasperwalk.transport import server as framed_server
 from jasperwalk.transport.client import connect
 from jasperwalk.transport.hello import ConnectionKind, make_hello
 from jasperwalk.transport.http_messages import HttpResponse
@@ -31,8 +34,16 @@
 }
 
 
+async def serve_no_relay(connection):
+    await relay_server.serve_relay(connection, lambda *_: never())
+
+
+DESKS[ConnectionKind.RELAY] = serve_no_relay
+
+
 @pytest.mark.parametrize("kind", list(DESKS))
 def test_a_request_that_does_not_come_is_a_typed_refusal(monkeypatch, kind):
+    monkeypatch.setattr(relay_server, "REQUEST_SECONDS", 0.05)
     monkeypatch.setattr(joining, "ANSWER_TIMEOUT_SECONDS", 0.05)
     monkeypatch.setattr(operator_desk, "REQUEST_SECONDS", 0.05)
 
@@ -132,3 +143,27 @@
         return answer
 
     assert asyncio.run(scenario()) == reply
+
+
+def test_both_sides_of_a_framed_connection_are_kept_alive(monkeypatch):
+    asked = []
+    real = keep_alive.keep_alive
+
+    def note(writer):
+        real(writer)
+        connection = writer.get_extra_info("socket")
+        asked.append(connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE))
+
+    monkeypatch.setattr(client, "keep_alive", note)
+    monkeypatch.setattr(framed_server, "keep_alive", note)
+
+    async def scenario():
+        hello = make_hello(ConnectionKind.PEER, "c", "zagreb")
+        server = FramedServer(ANY_PORT, hello, {ConnectionKind.PEER: lambda _: never()})
+        await server.start()
+        connection = await connect(server.endpoint, hello)
+        connection.abort()
+        await server.close()
+
+    asyncio.run(scenario())
+    assert asked == [1, 1]
