--- a/src/jasperwalk_lab/soak/injector.py
+++ b/src/jasperwalk_lab/soak/injector.py
@@ -11,13 +11,17 @@
 from jasperwalk_lab.soak.fleet import SoakFleet
 from jasperwalk_lab.soak.history import ProcessKilledAtStop, SoakHistory
 from jasperwalk_lab.soak.operators import Operators
+from jasperwalk_lab.soak.pressure import Rush
 from jasperwalk_lab.soak.processes import ProcessNotRunning, SoakProcess
 from jasperwalk_lab.soak.relays import LinkCondition
 from jasperwalk_lab.soak.running_hosts import RunningHosts
+from jasperwalk_lab.soak.rushes import RushingCallers
 
 LOSS = 0.3
 SLOW_LINK_SECONDS = 0.15
 SLOW_STORAGE_SECONDS = 0.4
+SLOWNESS = 6.0
+"""How many times as long as usual slow hosts work."""
 DRAIN_SECONDS = 0.8
 
 Clock = Callable[[], float]
@@ -66,6 +70,7 @@
         fleet: SoakFleet,
         hosts: RunningHosts,
         operators: Operators,
+        rushing: RushingCallers,
         clock: Clock,
         history: SoakHistory,
         progress: Progress,
@@ -74,6 +79,7 @@
         self._fleet = fleet
         self._hosts = hosts
         self._operators = operators
+        self._rushing = rushing
         self._clock = clock
         self._history = history
         self._progress = progress
@@ -193,6 +199,28 @@
         await asyncio.sleep(fault.seconds)
         host.turns_away = False
 
+    async def _abandon_links(self, _fault: PlannedFault) -> None:
+        """Let nothing through on any connection to a replica that stands; new ones work."""
+        for relay in self._fleet.control_relays.values():
+            relay.silence_standing()
+
+    async def _speak_late(self, fault: PlannedFault) -> None:
+        """Let a host crash, another start in its place, and a call of the former one arrive."""
+        former = self._hosts.beside(fault.target)
+        await former.crash()
+        await self._hosts.start(fault.target, is_cold=True)
+        await asyncio.sleep(fault.seconds)
+        await former.announce_late(is_draining=self._drawn.choice((True, False)))
+
+    async def _rush_callers(self, fault: PlannedFault) -> None:
+        await self._rushing.rush(Rush.parse(fault.target), fault.seconds)
+
+    async def _slow_host(self, fault: PlannedFault) -> None:
+        host = self._hosts.beside(fault.target)
+        host.slowness = SLOWNESS
+        await asyncio.sleep(fault.seconds)
+        host.slowness = 1.0
+
     async def _drain_zone(self, fault: PlannedFault) -> None:
         await self._operators.drain_zone(fault.target, drained=True)
         await asyncio.sleep(fault.seconds)
@@ -242,6 +270,10 @@
         FaultKind.HOST_REPLACED: _replace_host,
         FaultKind.HOST_TURNS_AWAY: _turn_away,
         FaultKind.ZONE_DRAINED: _drain_zone,
+        FaultKind.CALLERS_RUSH: _rush_callers,
+        FaultKind.CONTROL_LINKS_ABANDONED: _abandon_links,
+        FaultKind.HOST_SPEAKS_LATE: _speak_late,
+        FaultKind.HOST_SLOW: _slow_host,
         FaultKind.ALL_KILLED: _kill_all,
         FaultKind.HOST_STARTED_AGAIN: _start_host_again,
         FaultKind.HOST_IMPERSONATED: _impersonate_host,
