--- /dev/null
+++ b/tests/scheduling/rush_replay.py
@@ -0,0 +1,118 @@
+"""Callers of several zones at hosts with slots: a small stand-in for the queue of an agent."""
+
+import heapq
+import random
+from collections import Counter
+from itertools import count
+
+SERVICE_SECONDS = 0.05
+OBJECTIVE_SECONDS = 0.3
+LONGEST_WAIT_SECONDS = 0.9
+WAITING_PER_SLOT = 7
+ASKED_HOSTS = 4
+RUSH_FROM, RUSH_UNTIL, PLAYED_UNTIL = 2.0, 6.0, 8.0
+
+
+class FirstOfAll:
+    """No shares: the request that the queue names first, whatever its group."""
+
+    def note_served(self, group, seconds, now):
+        pass
+
+    def neediest(self, groups, now):
+        return next(iter(groups))
+
+    def most_over(self, waiting, now):
+        return next(iter(waiting))
+
+
+class Host:
+    """Slots and a queue, newest first within a group; a full queue lets an oldest request go."""
+
+    def __init__(self, shares, slots, source):
+        self.shares, self.slots, self.source = shares, slots, source
+        self.busy = 0
+        self.waiting = []
+        self.groups_begun = []
+
+    def load(self):
+        return (self.busy + len(self.waiting)) / self.slots
+
+    def arrive(self, group, now):
+        """Return the requests that are let go: (group, arrived at)."""
+        self.waiting.append((group, now))
+        if len(self.waiting) <= WAITING_PER_SLOT * self.slots or self.busy < self.slots:
+            return []
+        oldest_first = Counter(group for group, _ in self.waiting)
+        over = self.shares.most_over(oldest_first, now)
+        gone = next(each for each in self.waiting if each[0] == over)
+        self.waiting.remove(gone)
+        return [gone]
+
+    def begin(self, now):
+        """Return the requests begun with their ends, and those that waited too long."""
+        expired = [each for each in self.waiting if now - each[1] > LONGEST_WAIT_SECONDS]
+        self.waiting = [each for each in self.waiting if each not in expired]
+        begun = []
+        while self.busy < self.slots and self.waiting:
+            newest_first = list(dict.fromkeys(group for group, _ in reversed(self.waiting)))
+            group = self.shares.neediest(newest_first, now)
+            request = next(each for each in reversed(self.waiting) if each[0] == group)
+            self.waiting.remove(request)
+            self.busy += 1
+            self.shares.note_served(group, SERVICE_SECONDS, now)
+            begun.append((request, now + self.source.expovariate(1 / SERVICE_SECONDS)))
+        return begun, expired
+
+
+class Replay:
+    """Plays arrivals of groups at hosts; `rates` are arrivals a second outside the rush.
+
+    `rush` names how many times the rates of some groups come in the rush. `came` and `in_time`
+    count requests by group, of those that came during the rush.
+    """
+
+    def __init__(self, make_shares, rates, rush, hosts=1, slots=4, seed=1):
+        self.source = random.Random(seed)
+        self.hosts = [Host(make_shares(), slots, self.source) for _ in range(hosts)]
+        self.rates, self.rush = rates, rush
+        self.came, self.in_time = Counter(), Counter()
+        self.begun = Counter()
+
+    def run(self):
+        order = count()
+        events = []
+        for group, rate in self.rates.items():
+            heapq.heappush(events, (self.source.expovariate(rate), next(order), group, None))
+        while events:
+            now, _, group, ended = heapq.heappop(events)
+            if ended is None:
+                host = self.arrival(group, now)
+                next_at = now + self.source.expovariate(self.rate(group, now))
+                if next_at < PLAYED_UNTIL:
+                    heapq.heappush(events, (next_at, next(order), group, None))
+            else:
+                host, arrived_at = ended
+                host.busy -= 1
+                if self.counts(arrived_at) and now - arrived_at <= OBJECTIVE_SECONDS:
+                    self.in_time[group] += 1
+            begun, _ = host.begin(now)
+            for (of_group, arrived_at), ends_at in begun:
+                self.begun[of_group] += self.counts(now)
+                event = (ends_at, next(order), of_group, (host, arrived_at))
+                heapq.heappush(events, event)
+        return self
+
+    def rate(self, group, now):
+        is_rush = RUSH_FROM <= now < RUSH_UNTIL
+        return self.rates[group] * (self.rush.get(group, 1.0) if is_rush else 1.0)
+
+    def counts(self, now):
+        return RUSH_FROM <= now < RUSH_UNTIL
+
+    def arrival(self, group, now):
+        self.came[group] += self.counts(now)
+        asked = self.source.sample(self.hosts, min(ASKED_HOSTS, len(self.hosts)))
+        host = min(asked, key=Host.load)
+        host.arrive(group, now)
+        return host
