Read weights of callers' zones from an agent's settings, and a switch for fair shares

Cause: an operator could not say that callers of one zone may have more of a busy host than others. Table [caller_group_weights], checked before the rest: msgspec names no key of a table (`$[...]`) and no line, so a weight of 0, below 0, not finite or no number is found by hand and told with both. The text of a file is read once and decoded as UTF-8, as tomllib did. No decision uses the weights yet.

--- a/src/jasperwalk/fleet/settings.py
+++ b/src/jasperwalk/fleet/settings.py
@@ -14,6 +14,7 @@
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.errors import JasperwalkError
+from jasperwalk.fleet.group_weights import WEIGHTS_TABLE, find_weight_problem, weights_by_group
 
 SettingsType = TypeVar("SettingsType", bound=msgspec.Struct)
 
@@ -41,6 +42,9 @@
     request_scheduling: bool = True
     """An agent orders the requests for its host by the terms of their routes, where these differ
     between the routes of its service."""
+    fair_shares: bool = True
+    """An agent whose host is busy serves the groups of callers that wait by weighted fair shares.
+    It rests on `request_scheduling`, which tells the groups apart."""
 
 
 class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -115,6 +119,12 @@
 
     It holds until the configuration has come; without it nothing limits a cold host until then.
     """
+    caller_group_weights: dict[str, float] = {}
+    """The weight of callers of each zone, where it is not 1: their part of a busy host."""
+
+    def group_weights(self) -> dict[int, float]:
+        """Return the weights by the numbers of the callers' groups."""
+        return weights_by_group(self.caller_group_weights)
 
     def replicas(self) -> list[Endpoint]:
         """Return the control replicas that the settings name."""
@@ -129,10 +139,16 @@
 def read_settings(path: str, settings_type: type[SettingsType]) -> SettingsType:
     """Read a settings file; raises `InvalidSettings`."""
     try:
-        with open(path, "rb") as file:
-            content = tomllib.load(file)
-        return msgspec.convert(content, settings_type)
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+        content = tomllib.loads(text)
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise InvalidSettings(path, str(error)) from error
+    if WEIGHTS_TABLE in settings_type.__struct_fields__:
+        problem = find_weight_problem(content, text)
+        if problem is not None:
+            raise InvalidSettings(path, problem.describe())
+    try:
+        return msgspec.convert(content, settings_type)
     except msgspec.ValidationError as error:
         raise InvalidSettings(path, str(error)) from error
