Keep flows with terms in their zone while one of its hosts has room

Cause: the cost of another zone (0.12 requests for each slot) is less than one request on any host of up to 8 slots, so at light load most flows crossed zones while their own had slots free. Only routes with terms; others choose as before.

--- /dev/null
+++ b/bench/fair_shares.py
@@ -0,0 +1,69 @@
+"""Fair shares of a host: the time of one decision, beside one without shares."""
+
+from __future__ import annotations
+
+import random
+import statistics
+import time
+from collections.abc import Callable
+
+from bench.harness import MICROSECONDS, Figure
+from jasperwalk.scheduling.fair_shares import FairShares
+
+GROUP_COUNTS = (4, 19)
+"""Groups with something waiting: a small deployment's zones, and those of the largest one."""
+WAITING_PER_GROUP = 3
+DECISIONS = 20_000
+ROUNDS = 9
+REQUEST_SECONDS = 0.05
+SEED = 20261202
+BARE = "the first group"
+
+Decision = Callable[[float], int]
+
+
+def measure() -> list[Figure]:
+    """Measure whose request is next and whose is let go; takes a few seconds."""
+    return [figure for count in GROUP_COUNTS for figure in _measure(count)]
+
+
+def _measure(count: int) -> list[Figure]:
+    groups = list(range(count))
+    waiting = dict.fromkeys(groups, WAITING_PER_GROUP)
+    waiting[0] *= 2
+    shares = _used_shares(groups)
+
+    def next_and_note(now: float) -> int:
+        group = shares.neediest(groups, now)
+        shares.note_served(group, REQUEST_SECONDS, now)
+        return group
+
+    bare = _median_time(lambda _now: next(iter(groups)))
+    decisions: dict[str, Decision] = {
+        "next": next_and_note,
+        "let-go": lambda now: shares.most_over(waiting, now),
+    }
+    return [
+        Figure(f"fair-shares.{name}.{count}-groups", _median_time(decide), "us", bare, BARE)
+        for name, decide in decisions.items()
+    ]
+
+
+def _used_shares(groups: list[int]) -> FairShares:
+    """Return shares of a host that has served all groups."""
+    source = random.Random(SEED)
+    shares = FairShares()
+    for step in range(100 * len(groups)):
+        shares.note_served(source.choice(groups), REQUEST_SECONDS, REQUEST_SECONDS * step)
+    return shares
+
+
+def _median_time(decide: Decision) -> float:
+    """Return the microseconds of a decision."""
+    times = []
+    for _ in range(ROUNDS):
+        started = time.process_time()
+        for step in range(DECISIONS):
+            decide(1000.0 + 0.001 * step)
+        times.append(MICROSECONDS * (time.process_time() - started) / DECISIONS)
+    return statistics.median(times)
--- a/bench/suites.py
+++ b/bench/suites.py
@@ -7,7 +7,15 @@
 
 import click
 
-from bench import agent, balancer, consensus, datagrams, distribution, overload
+from bench import (
+    agent,
+    balancer,
+    consensus,
+    datagrams,
+    distribution,
+    fair_shares,
+    overload,
+)
 from bench.harness import DEFAULT_OUTPUT, Figure, make_report
 from jasperwalk_lab.machine import machine_facts, write_json
 
@@ -18,6 +26,7 @@
     "consensus": consensus.measure,
     "distribution": distribution.measure,
     "datagrams": datagrams.measure,
+    "fair-shares": fair_shares.measure,
 }
 
 
--- a/src/jasperwalk/fleet/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -68,6 +68,9 @@
 BULK_OTHER_ZONE_COST = 1.0
 """The same for uploads, whose every packet crosses: another zone only where this one is busier
 by a request for each slot."""
+NEAR_LOAD_PER_SLOT = 0.7
+"""Requests for each slot below which a host of this zone is as good for a caller as any other: it
+most likely has a slot free, so the flow need not cross zones."""
 LOAD_FRESH_SECONDS = 1.0
 """Age up to which what is known of an agent's load counts whole. A balancer that sends an agent
 several flows a second always has such a figure."""
@@ -306,18 +309,32 @@
         now: float,
         is_bulk: bool = False,
         regions: Collection[str] = (),
+        stays_near: bool = False,
     ) -> Target | None:
         """Return the least loaded usable candidate for a flow key, None where there is none.
 
-        `regions` are those that the flow's hosts may be in, empty where every region may.
+        `regions` are those that the flow's hosts may be in, empty where every region may. A flow
+        that `stays_near` leaves this zone only if none of its candidates here has room.
         """
         usable = [each for each in self._of_service(service, regions) if each.is_usable(now)]
         candidates = [each for each in _ranked(usable, key, CANDIDATES) if each not in excluded]
+        if stays_near:
+            candidates = self._with_room_near(candidates, now) or candidates
         other_zone_cost = BULK_OTHER_ZONE_COST if is_bulk else OTHER_ZONE_COST
         return min(
             candidates, key=lambda target: self._cost(target, other_zone_cost, now), default=None
         )
 
+    def _with_room_near(self, candidates: Sequence[Target], now: float) -> list[Target]:
+        """Return the candidates of this zone whose hosts most likely have a slot free."""
+        return [
+            target
+            for target in candidates
+            if target.record.zone == self.zone
+            and now >= max(target.suspect_until, target.refuses_until)
+            and target.relative_load(now) < NEAR_LOAD_PER_SLOT
+        ]
+
     def _cost(self, target: Target, other_zone_cost: float, now: float) -> float:
         cost = target.relative_load(now) + self.source.random() * JITTER
         if target.record.zone != self.zone:
--- a/tests/balancer/datagrams/test_route_terms.py
+++ b/tests/balancer/datagrams/test_route_terms.py
@@ -6,7 +6,7 @@
 from jasperwalk.flows.frames import FLAG_TERMS, REQUEST_HEAD, decode_opening
 from jasperwalk.flows.routes import FlowRoute, RouteBackend, RouteSet
 from jasperwalk.flows.terms import RouteTerms
-from tests.balancer.datagrams.support import Bench, record
+from tests.balancer.datagrams.support import Bench, address_of, record
 from tests.flows.support import LISTENER, OPENING, from_caller
 
 URGENT = RouteTerms(1, 400, 3000)
@@ -53,3 +53,13 @@
     route_two(bench, ORDINARY)
     flags, _ = sent_opening(bench, from_caller(OPENING))
     assert not flags & FLAG_TERMS
+
+
+@pytest.mark.parametrize(("terms", "asked"), [(URGENT, 2), (ORDINARY, 1)])
+def test_where_routes_differ_flows_stay_in_their_zone_while_it_has_room(terms, asked):
+    bench = Bench(record(1, zone="b"), record(2, zone="a"))
+    route_two(bench, terms)
+    endpoint = address_of(2)
+    bench.pool.at((endpoint.host, endpoint.port)).note_load(1.5, 1.0)
+    bench.core.receive(from_caller(OPENING), 1.0)
+    assert bench.take_opening()[0] == asked
--- a/tests/fleet/test_targets.py
+++ b/tests/fleet/test_targets.py
@@ -8,6 +8,7 @@
     CANDIDATES,
     LOAD_FRESH_SECONDS,
     LOAD_HALF_LIFE_SECONDS,
+    NEAR_LOAD_PER_SLOT,
     SEARCHED_CANDIDATES,
     UNLISTED_USABLE_SECONDS,
     TargetPool,
@@ -61,6 +62,58 @@
     assert chosen(made) == "agent-1"
 
 
+def two_zones(own_load, own_capacity=4):
+    """Return a pool with an idle agent of another zone and one of this zone with some load."""
+    made = pool(record(1, zone="b"), record(2, zone="a", capacity=own_capacity))
+    load(made, 2, own_load)
+    return made
+
+
+def chosen_near(made, excluded=(), now=1.0):
+    target = made.choose("web", KEY, excluded, now, stays_near=True)
+    return None if target is None else target.record.name
+
+
+@pytest.mark.parametrize("capacity", [1, 2, 4])
+def test_a_flow_that_stays_near_does_not_leave_a_zone_with_room(capacity):
+    busy = NEAR_LOAD_PER_SLOT * capacity
+    made = two_zones(0.99 * busy, capacity)
+    assert {chosen(made) for _ in range(20)} == {"agent-1"}
+    assert {chosen_near(made) for _ in range(20)} == {"agent-2"}
+    assert {chosen_near(two_zones(busy, capacity)) for _ in range(20)} == {"agent-1"}
+
+
+def test_flows_that_stay_near_fill_their_zone_and_then_others():
+    made = two_zones(0.0)
+    drawn = []
+    for _ in range(20):
+        target = made.choose("web", KEY, (), 1.0, stays_near=True)
+        target.note_sent(1.0)
+        drawn.append(target.record.name)
+    room = round(4 * NEAR_LOAD_PER_SLOT)
+    assert set(drawn[:room]) == {"agent-2"}
+    assert "agent-1" in drawn[room : room + 2]
+    assert 9 <= drawn.count("agent-1") <= 11
+
+
+def test_a_flow_that_stays_near_leaves_agents_that_refuse_or_do_not_answer():
+    for held in ("suspect_until", "refuses_until"):
+        made = two_zones(0.0)
+        endpoint = address_of(2)
+        setattr(made.at((endpoint.host, endpoint.port)), held, 2.0)
+        assert chosen_near(made) == "agent-1"
+
+
+def test_a_flow_that_stays_near_is_not_held_to_an_agent_that_was_asked():
+    made = two_zones(0.0)
+    endpoint = address_of(2)
+    assert chosen_near(made, [made.at((endpoint.host, endpoint.port))]) == "agent-1"
+
+
+def test_where_a_zone_has_no_agents_flows_that_stay_near_go_to_others():
+    assert chosen_near(pool(record(1, zone="b"))) == "agent-1"
+
+
 def test_an_unlisted_agent_is_usable_for_a_while():
     made = pool(record(1))
     made.update(FleetUpdate(False, [], [address_of(1)]), 1.0)
