--- a/src/jasperwalk/agent/datagrams/caller_packets.py
+++ b/src/jasperwalk/agent/datagrams/caller_packets.py
@@ -129,12 +129,13 @@
             return self._joins(waiting, packet)
         if not self.parts.orders_requests() or not self._begins_request(flow, packet):
             return False
-        if not self.parts.queue and self.parts.has_room(now):
-            return False
         listener = self.parts.codec.listener_of(key)
         terms = self.parts.learned.find(listener, flow.balancer)
         if terms is None:
             return False
+        if not self.parts.queue and self.parts.has_room(now):
+            self.parts.queue.note_begun(terms, self.parts.table.under_way.usual_seconds, now)
+            return False
         number = self.parts.codec.data_number(packet)
         if self.parts.queue.hold(key, packet, number, terms, now) is None:
             return False
--- a/src/jasperwalk/agent/datagrams/flow_admission.py
+++ b/src/jasperwalk/agent/datagrams/flow_admission.py
@@ -10,7 +10,7 @@
 from jasperwalk.agent.datagrams.waiting_requests import WaitingRequests
 from jasperwalk.flows.codec import SocketAddress
 from jasperwalk.flows.frames import FrameKind, OpeningTerms, RefusalReason
-from jasperwalk.scheduling.waiting_request import WaitingRequest
+from jasperwalk.scheduling.waiting_request import UNNAMED_TERMS, WaitingRequest
 
 
 @dataclass(eq=False, repr=False)
@@ -42,6 +42,8 @@
             return
         if not is_copy:
             self._admit(key, sender, now)
+            route = terms.route or UNNAMED_TERMS
+            parts.queue.note_begun(route, parts.table.under_way.usual_seconds, now)
         parts.answers.reply(FrameKind.ACCEPTED, 0, key, sender, now)
         parts.warm_up.note_passed(now)
         parts.to_host(packet)
--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -40,7 +40,12 @@
 )
 from jasperwalk.observability.decisions import DecisionLog
 from jasperwalk.observability.latency import LatencyCounts
-from jasperwalk.scheduling.request_order import DEFAULT_LEAST_SHARE, NoShares, UrgencyOrder
+from jasperwalk.scheduling.request_order import (
+    DEFAULT_LEAST_SHARE,
+    GroupShares,
+    NoShares,
+    UrgencyOrder,
+)
 from jasperwalk.scheduling.request_scheduler import RequestScheduler
 
 
@@ -62,6 +67,8 @@
     """New flows a second that any cold host bears, None where the settings name none."""
     least_share: float = DEFAULT_LEAST_SHARE
     """Part of the requests begun that is left to less urgent ones while they wait."""
+    shares: GroupShares = field(default_factory=NoShares)
+    """Shares the host's time between groups of callers."""
     counters: AgentCounters = field(default_factory=AgentCounters)
     host_latency: LatencyCounts = field(default_factory=LatencyCounts)
     """From a request's last packet to the first packet of its answer."""
@@ -75,7 +82,7 @@
         self.answers = BalancerAnswers(self._tag, self.host, self._load, self.to_balancer)
         self.meter = LoadMeter(self.started_at)
         self.table = HeldFlows(self.meter, self.flow_lifetime_seconds)
-        self.queue = RequestScheduler(UrgencyOrder(NoShares(), self.least_share))
+        self.queue = RequestScheduler(UrgencyOrder(self.shares, self.least_share))
         self.watch = HostWatch(self.host, self.log)
         self.warm_up = WarmUpLimit(self.warm_up_floor, self.started_at)
         self.admission = HostAdmission(
--- a/src/jasperwalk/agent/datagrams/process.py
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -39,6 +39,8 @@
 from jasperwalk.flows.frames import FrameKind
 from jasperwalk.flows.sockets import DatagramSocket
 from jasperwalk.observability.decisions import DecisionLog, affordable_lines_per_second
+from jasperwalk.scheduling.fair_shares import FairShares
+from jasperwalk.scheduling.request_order import GroupShares, NoShares
 from jasperwalk.transport.http_messages import HttpHandler
 from jasperwalk.transport.http_server import HttpServer, serving
 
@@ -55,6 +57,11 @@
 """Makes the handler of the host's calls."""
 
 
+def _shares(settings: AgentNodeSettings) -> GroupShares:
+    """Return how the host's time is shared between groups of callers."""
+    return FairShares(settings.group_weights()) if settings.policies.fair_shares else NoShares()
+
+
 class AgentProcess:
     """Owns an agent's parts; `run` serves until its stop event is set."""
 
@@ -97,6 +104,7 @@
             zone=settings.zone,
             warm_up_floor=settings.warm_up_floor,
             least_share=settings.least_share,
+            shares=_shares(settings),
         )
         self.helper = SearchHelper(
             codec=codec,
--- a/src/jasperwalk/scheduling/request_scheduler.py
+++ b/src/jasperwalk/scheduling/request_scheduler.py
@@ -120,6 +120,10 @@
             self._openings -= request.opens_flow
         return request
 
+    def note_begun(self, terms: CarriedTerms, seconds: float, now: float) -> None:
+        """Note a request that was begun without waiting; it counts against its group's share."""
+        self.order.shares.note_served(terms.group, seconds, now)
+
     def let_go_least_promising(self, most: int, now: float) -> list[WaitingRequest]:
         """Take the new flows that are too many where this many may wait."""
         let_go = []
--- a/tests/agent/datagrams/support.py
+++ b/tests/agent/datagrams/support.py
@@ -12,6 +12,7 @@
     encode_request,
     service_tag,
 )
+from jasperwalk.scheduling.request_order import NoShares
 from tests.flows.support import (
     CALLER,
     OPENING,
@@ -32,7 +33,7 @@
 class Bench:
     """An agent, its host's state, and what left it."""
 
-    def __init__(self, phase=HostPhase.READY, started_at=0.0, warm_up_floor=None):
+    def __init__(self, phase=HostPhase.READY, started_at=0.0, warm_up_floor=None, shares=None):
         self.host_packets, self.replies, self.caller_packets = [], [], []
         self.host = HostState()
         self.agent = FlowAgent(
@@ -49,6 +50,7 @@
             flow_lifetime_seconds=LIFETIME,
             zone=ZONE,
             warm_up_floor=warm_up_floor,
+            shares=NoShares() if shares is None else shares,
         )
         if phase is not HostPhase.UNKNOWN:
             self.say(phase, 1)
--- a/tests/agent/datagrams/test_request_scheduling.py
+++ b/tests/agent/datagrams/test_request_scheduling.py
@@ -20,6 +20,7 @@
     service_tag,
 )
 from jasperwalk.flows.terms import CarriedTerms
+from jasperwalk.scheduling.fair_shares import FairShares
 from jasperwalk.scheduling.request_scheduler import LONGEST_HOLD_SECONDS
 from tests.agent.datagrams.support import BALANCER, CAPACITY, Bench
 from tests.flows.support import (
@@ -354,3 +355,28 @@
     """Without terms requests of open flows reach the host at once, and new flows alone wait."""
     assert Rush(seed, has_terms=False).play() <= 10
     assert Rush(seed, has_terms=True).play() >= 30
+
+
+def test_a_rush_of_one_group_of_callers_stays_with_that_group():
+    """Ten flows of callers that rush, and one of another group that comes last but one."""
+    host = Host(shares=FairShares())
+    rushing = CarriedTerms(1, 0.4, 3.0, group=1)
+    calm = CarriedTerms(1, 0.4, 3.0, group=2)
+    for port in range(1, FULL + 1):
+        host.open_with(port, HOLDS, rushing, 1.0)
+    host.begun()
+    for port in range(10, 13):
+        host.open_with(port, HOLDS, rushing, 1.001, waits=True)
+    host.open_with(50, HOLDS, calm, 1.01, waits=True)
+    host.open_with(13, HOLDS, rushing, 1.02, waits=True)
+    host.answer(1, HOLDS, 1.04, ENDING)
+    assert host.begun() == [(50, HOLDS.port)]
+
+
+def test_requests_that_did_not_wait_count_against_their_groups_share():
+    host = Host(shares=FairShares())
+    for port in range(1, 6):
+        host.open_with(port, FEEDS, FEED_TERMS, 0.5)
+        host.ask(port, 1, 0.5)
+        host.answer(port, FEEDS, 0.5)
+    assert host.agent.shares.neediest([FEED_TERMS.group, 99], 0.6) == 99
