--- a/src/jasperwalk/agent/datagrams/admission.py
+++ b/src/jasperwalk/agent/datagrams/admission.py
@@ -7,12 +7,15 @@
 
 from jasperwalk.agent.datagrams.host import HostState
 from jasperwalk.agent.datagrams.host_response import HostResponse
+from jasperwalk.agent.datagrams.pace_watch import PaceWatch
 from jasperwalk.agent.datagrams.warm_up import WarmUpLimit
 from jasperwalk.fleet.messages import DrainedZones, HostPhase
 from jasperwalk.flows.frames import FULL_LOAD_PER_SLOT, OpeningTerms, RefusalReason
 from jasperwalk.scheduling.request_outcomes import RequestOutcomes
 
-COPIES_PASS = frozenset((RefusalReason.FULL, RefusalReason.RETURNED, RefusalReason.FAILING))
+COPIES_PASS = frozenset(
+    (RefusalReason.FULL, RefusalReason.RETURNED, RefusalReason.FAILING, RefusalReason.SLOW)
+)
 """Refusals that keep new flows from a host, but not copies of the opening of one that it has."""
 MAY_WAIT = frozenset((RefusalReason.FULL, RefusalReason.WARMING_UP))
 """Refusals that pass by themselves: the host ends a request, or a second ends."""
@@ -38,6 +41,8 @@
     requests: RequestOutcomes
     warm_up: WarmUpLimit
     own_zone: str
+    pace: PaceWatch | None = None
+    """What keeps flows from a slow host, None where nothing does."""
     _drained: DrainedZones = field(default=NO_ZONES)
 
     def take_zones(self, zones: DrainedZones) -> bool:
@@ -51,10 +56,12 @@
         """Tell whether the host's zone takes no new flows."""
         return (self.host.zone or self.own_zone) in self._drained.zones
 
-    def refusal(self, busy: int, terms: OpeningTerms, now: float) -> RefusalReason | None:
+    def refusal(
+        self, busy: int, terms: OpeningTerms, now: float, flow_key: bytes | None = None
+    ) -> RefusalReason | None:
         """Return why the host does not take a new flow, None where it does.
 
-        `busy` counts requests under way.
+        `busy` counts requests under way. `flow_key` tells the kind of request, where it is known.
         """
         host = self.host
         if host.phase is HostPhase.DRAINING:
@@ -63,10 +70,10 @@
             return RefusalReason.NOT_READY
         if self.is_zone_drained():
             return RefusalReason.ZONE_DRAINED
-        return self._refusal_of_ready_host(busy, terms, now)
+        return self._refusal_of_ready_host(busy, terms, now, flow_key)
 
     def _refusal_of_ready_host(
-        self, busy: int, terms: OpeningTerms, now: float
+        self, busy: int, terms: OpeningTerms, now: float, flow_key: bytes | None
     ) -> RefusalReason | None:
         host = self.host
         if self.response.refuses(host.announced_at, now):
@@ -76,6 +83,10 @@
         # A flow that may wait has found no other host: a failing one is better than none.
         if not terms.waits and self.requests.refuses(terms.repeatable, now):
             return RefusalReason.FAILING
+        if self.pace is not None:
+            reason = self.pace.refusal(flow_key, busy, terms, now)
+            if reason is not None:
+                return reason
         if busy >= most_requests(host.capacity):
             return RefusalReason.FULL
         is_reached = self.warm_up.is_reached(host.slow_until, now)
--- a/src/jasperwalk/agent/datagrams/counters.py
+++ b/src/jasperwalk/agent/datagrams/counters.py
@@ -19,6 +19,9 @@
     flows_refused: int = 0
     flows_refused_zone_drained: int = 0
     flows_refused_warming_up: int = 0
+    flows_refused_slow: int = 0
+    """Flows that a slow host would have served too late; of balancers that tell no terms they are
+    refused as by a full host and not counted here."""
     flows_waited: int = 0
     flows_waited_in_vain: int = 0
     flows_opened_elsewhere: int = 0
@@ -31,6 +34,7 @@
         self.flows_refused += 1
         self.flows_refused_zone_drained += reason is RefusalReason.ZONE_DRAINED
         self.flows_refused_warming_up += reason is RefusalReason.WARMING_UP
+        self.flows_refused_slow += reason is RefusalReason.SLOW
 
     flows_abandoned: int = 0
     """Admitted flows whose callers had left."""
--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -22,6 +22,7 @@
 from jasperwalk.agent.datagrams.host_response import SILENT_LOAD_FACTOR
 from jasperwalk.agent.datagrams.host_watch import HostWatch
 from jasperwalk.agent.datagrams.load import LoadMeter
+from jasperwalk.agent.datagrams.pace_watch import PaceWatch
 from jasperwalk.agent.datagrams.waiting_flows import WaitingFlows
 from jasperwalk.agent.datagrams.warm_up import WarmUpLimit
 from jasperwalk.errors import MalformedMessage
@@ -62,18 +63,26 @@
     wait_latency: LatencyCounts = field(default_factory=LatencyCounts)
     flow_idle_seconds: float = float("inf")
     """Longest rest of a flow that is kept."""
+    measures_pace: bool = True
+    """False to measure nothing of the host's pace."""
 
     def __post_init__(self) -> None:
         """Prepare what every frame needs."""
         self._tag = service_tag(self.service)
         self.answers = BalancerAnswers(self._tag, self.host, self._load, self.to_balancer)
         self.meter = LoadMeter(self.started_at)
-        self.table = HeldFlows(self.meter, self.flow_lifetime_seconds)
+        self.pace = PaceWatch(self.codec, self.host, self.log, self.measures_pace)
+        self.table = HeldFlows(self.meter, self.flow_lifetime_seconds, self.pace.note_ended)
         self.queue = AdmissionQueue()
-        self.watch = HostWatch(self.host, self.log)
+        self.watch = HostWatch(self.host, self.log, self.pace)
         self.warm_up = WarmUpLimit(self.warm_up_floor, self.started_at)
         self.admission = HostAdmission(
-            self.host, self.watch.response, self.watch.requests, self.warm_up, self.zone
+            self.host,
+            self.watch.response,
+            self.watch.requests,
+            self.warm_up,
+            self.zone,
+            self.pace,
         )
         self.knowledge = FlowKnowledge(
             self.host, self.warm_up, self.started_at, self.flow_lifetime_seconds
@@ -228,6 +237,7 @@
     def _note_caller_packet(self, flow: HeldFlow, packet: bytes, now: float) -> None:
         if self.codec.payload_bytes(packet) and flow.is_new_data(self.codec.data_number(packet)):
             flow.asked_at = now
+            self.pace.note_asked(flow, packet, now)
             self.table.set_busy(flow, True, now)
         if self.codec.is_ending(packet) or self.codec.is_reset(packet):
             flow.caller_ended = True
@@ -246,10 +256,10 @@
         self._expire_half_open(now)
         flow = self.table.get(key)
         is_copy = flow is not None and not flow.has_ended()
-        reason = self._refusal(tag, terms, now)
+        reason = self._refusal(tag, terms, now, key)
         reason = None if is_copy and reason in COPIES_PASS else reason
         if reason in MAY_WAIT and not is_copy and self.waiting.lets_wait(key, packet, terms, now):
-            self.answers.reply(FrameKind.ACCEPTED, 0, key, sender, now)
+            self.answers.reply(FrameKind.ACCEPTED, self.pace.told(key, now), key, sender, now)
             return
         if reason is not None:
             self.counters.note_refusal(reason)
@@ -257,7 +267,7 @@
             return
         if not is_copy:
             self._admit(key, sender, now)
-        self.answers.reply(FrameKind.ACCEPTED, 0, key, sender, now)
+        self.answers.reply(FrameKind.ACCEPTED, self.pace.told(key, now), key, sender, now)
         self.warm_up.note_passed(now)
         self.to_host(packet)
 
@@ -274,11 +284,13 @@
             self.warm_up.note_passed(now)
             self.to_host(waiting.packet)
 
-    def _refusal(self, tag: int, terms: OpeningTerms, now: float) -> RefusalReason | None:
+    def _refusal(
+        self, tag: int, terms: OpeningTerms, now: float, key: bytes | None = None
+    ) -> RefusalReason | None:
         """Return why a new flow is refused now, None where it is taken."""
         if tag != self._tag:
             return RefusalReason.OTHER_SERVICE
-        return self.admission.refusal(self.meter.busy, terms, now)
+        return self.admission.refusal(self.meter.busy, terms, now, key)
 
     def zones_changed(self, zones: DrainedZones, now: float) -> None:
         """Take the drained zones; flows that wait for a host in one of them are reset at once.
@@ -363,6 +375,7 @@
             self.counters.requests_answered += 1
             self.host_latency.observe(now - flow.asked_at)
             self.watch.note_answered(now)
+            self.pace.note_answered(flow, now)
         self.table.set_busy(flow, False, now)
 
     def _note_host_reset(self, flow: HeldFlow, now: float) -> None:
--- a/src/jasperwalk/agent/datagrams/held_flows.py
+++ b/src/jasperwalk/agent/datagrams/held_flows.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from jasperwalk.agent.datagrams.half_open import HalfOpenFlows
@@ -24,6 +25,8 @@
 
     meter: LoadMeter
     lifetime_seconds: float
+    note_ended: Callable[[HeldFlow, float], None] | None = None
+    """Told of each flow that has no request under way any more, None where nobody is."""
     half_open: HalfOpenFlows = field(default_factory=HalfOpenFlows)
     _flows: dict[bytes, HeldFlow] = field(default_factory=dict)
 
@@ -54,6 +57,8 @@
         if flow.busy != busy:
             flow.busy = busy
             self.meter.change(1 if busy else -1, now)
+            if not busy and self.note_ended is not None:
+                self.note_ended(flow, now)
 
     def drop(self, key: bytes, flow: HeldFlow, now: float) -> None:
         """Forget a flow."""
--- a/src/jasperwalk/agent/datagrams/host_watch.py
+++ b/src/jasperwalk/agent/datagrams/host_watch.py
@@ -4,16 +4,21 @@
 
 from jasperwalk.agent.datagrams.host import HostState
 from jasperwalk.agent.datagrams.host_response import HostResponse
+from jasperwalk.agent.datagrams.pace_watch import PaceWatch
 from jasperwalk.observability.decisions import DecisionLog
 from jasperwalk.scheduling.request_outcomes import RequestOutcomes
 
 
 class HostWatch:
-    """Passes on what the host does, to `response` and `requests`; sans-IO, times are seconds."""
+    """Passes on what the host does, to `response`, `requests` and `pace`; sans-IO.
 
-    def __init__(self, host: HostState, log: DecisionLog) -> None:
+    Times are seconds.
+    """
+
+    def __init__(self, host: HostState, log: DecisionLog, pace: PaceWatch) -> None:
         self._host = host
         self._log = log
+        self.pace = pace
         self.response = HostResponse()
         self.requests = RequestOutcomes()
 
@@ -21,6 +26,7 @@
         """Note that the host gets an opening packet."""
         self.response.note_asked(now)
         self.requests.note_admitted(now)
+        self.pace.note_admitted(now)
 
     def note_answered(self, now: float) -> None:
         """Note that the host began to answer a request."""
@@ -58,9 +64,11 @@
         """Note that another host has taken the place of this one."""
         self.response.note_taken()
         self.requests.forget()
+        self.pace.note_replaced()
 
     def check(self, now: float) -> None:
         """Log that the host no longer answers, or does again; call every second."""
+        self.pace.check(now)
         if self.response.has_turned(now):
             event = "host-silent" if self.response.is_silent(now) else "host-answers-again"
             self._log.note(event, **self._host.describe(now))
--- /dev/null
+++ b/src/jasperwalk/agent/datagrams/pace_watch.py
@@ -0,0 +1,116 @@
+"""What an agent makes of its host's pace: log lines, what balancers learn, what is refused."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from jasperwalk.agent.datagrams.held_flow import HeldFlow
+from jasperwalk.agent.datagrams.host import HostState
+from jasperwalk.flows.codec import PacketCodec
+from jasperwalk.flows.frames import OpeningTerms, RefusalReason
+from jasperwalk.flows.pace import UNKNOWN_PACE, encode_pace
+from jasperwalk.observability.decisions import DecisionLog
+from jasperwalk.scheduling.host_pace import HostPace
+from jasperwalk.scheduling.slow_host import SlowHost
+
+
+@dataclass(eq=False, repr=False)
+class PaceWatch:
+    """Measures the host's requests by their listener; sans-IO, times are seconds.
+
+    With `is_wanted` False it measures nothing, tells nothing and refuses nothing.
+    """
+
+    codec: PacketCodec
+    host: HostState
+    log: DecisionLog
+    is_wanted: bool = True
+    pace: HostPace = field(default_factory=HostPace)
+
+    def __post_init__(self) -> None:
+        """Prepare the judgement."""
+        self.slow_host = SlowHost(self.pace)
+
+    def note_asked(self, flow: HeldFlow, packet: bytes, now: float) -> None:
+        """Note that a packet with a request, or with a further part of it, goes to the host."""
+        if self.is_wanted:
+            listener = self.codec.listener_of(self.codec.flow_key(packet))
+            self.pace.note_asked(flow, listener, self.host.capacity, now)
+
+    def note_answered(self, flow: HeldFlow, now: float) -> None:
+        """Note that the host began to answer a request.
+
+        A host that is slow from its start says so itself; what it takes then is not usual.
+        """
+        if not self.is_wanted:
+            return
+        if now < self.host.slow_until:
+            self.pace.note_ended(flow, self.host.capacity, now)
+            return
+        self.pace.note_answered(flow, self.host.capacity, now)
+        self.check(now)
+
+    def note_ended(self, flow: HeldFlow, now: float) -> None:
+        """Note that a flow has no request under way any more."""
+        if self.is_wanted:
+            self.pace.note_ended(flow, self.host.capacity, now)
+
+    def note_admitted(self, now: float) -> None:
+        """Note that the host gets a new flow."""
+        self.slow_host.note_admitted(now)
+
+    def note_replaced(self) -> None:
+        """Note that another host has taken the place of this one."""
+        self.pace.forget()
+        self.slow_host.forget()
+
+    def check(self, now: float) -> None:
+        """Log that the host turned slow, or is as usual again."""
+        if not self.is_wanted or not self.slow_host.judge(now):
+            return
+        self.log.note(
+            "host-slow" if self.slow_host.is_slow() else "host-usual-again",
+            pace_ms=self.pace_ms(now),
+            usual_ms=round(1000 * (self.pace.usual_seconds() or 0.0), 1),
+            samples=self.pace.observations(),
+            newest_ms=self._newest_age_ms(now),
+            **self.host.describe(now),
+        )
+
+    def _newest_age_ms(self, now: float) -> int:
+        """Return the age of the newest measured request, -1 where there is none."""
+        age_seconds = self.pace.newest_age_seconds(now)
+        return -1 if age_seconds is None else round(1000 * age_seconds)
+
+    def pace_ms(self, now: float) -> float:
+        """Return what a typical request takes now, in milliseconds; 0.0 where it is not known."""
+        return round(1000 * (self.pace.seconds(None, now) or 0.0), 1)
+
+    def told(self, flow_key: bytes, now: float) -> int:
+        """Return the pace as a balancer learns it with the acceptance of this flow."""
+        if not self.is_wanted:
+            return UNKNOWN_PACE
+        return encode_pace(self.pace.seconds(self.codec.listener_of(flow_key), now))
+
+    def refusal(
+        self, flow_key: bytes | None, busy: int, terms: OpeningTerms, now: float
+    ) -> RefusalReason | None:
+        """Return why a slow host does not take a new flow, None where it does.
+
+        A balancer that tells terms knows the reason `SLOW`; for others the host is full.
+        """
+        self.check(now)
+        if terms.waits or not self.slow_host.is_slow():
+            return None
+        kind = None if flow_key is None else self.codec.listener_of(flow_key)
+        remaining = _remaining_seconds(terms)
+        if not self.slow_host.refuses(kind, busy, self.host.capacity, remaining, now):
+            return None
+        return RefusalReason.FULL if terms.route is None else RefusalReason.SLOW
+
+
+def _remaining_seconds(terms: OpeningTerms) -> float | None:
+    """Return the time until the caller wants its answer, None where its route names none."""
+    if terms.route is None or not terms.route.objective_seconds:
+        return None
+    return terms.route.objective_seconds - terms.age_seconds
--- a/src/jasperwalk/agent/datagrams/process.py
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -96,6 +96,7 @@
             flow_lifetime_seconds=settings.flow_lifetime_ms / 1000,
             zone=settings.zone,
             warm_up_floor=settings.warm_up_floor,
+            measures_pace=settings.policies.host_pace,
         )
         self.helper = SearchHelper(
             codec=codec,
@@ -135,6 +136,8 @@
                 "flows_waiting": lambda: len(self.core.queue),
                 "zone_drained": self.core.admission.is_zone_drained,
                 "host_failing": self.core.watch.requests.is_failing,
+                "host_slow": self.core.pace.slow_host.is_slow,
+                "host_pace_ms": lambda: self.core.pace.pace_ms(time.monotonic()),
                 "host_ready": lambda: self.host.phase is HostPhase.READY,
                 "agents": lambda: len(self.helper.pool),
                 "searches": lambda: len(self.helper.searches),
--- a/src/jasperwalk/balancer/datagrams/flow_opener.py
+++ b/src/jasperwalk/balancer/datagrams/flow_opener.py
@@ -16,6 +16,7 @@
 from jasperwalk.fleet.targets import (
     FAILING_SECONDS,
     REFUSING_SECONDS,
+    SLOW_SECONDS,
     SUSPECT_SECONDS,
     Target,
     TargetPool,
@@ -45,6 +46,7 @@
     RefusalReason.ZONE_DRAINED: REFUSING_SECONDS,
     RefusalReason.WARMING_UP: REFUSING_SECONDS,
     RefusalReason.FAILING: FAILING_SECONDS,
+    RefusalReason.SLOW: SLOW_SECONDS,
 }
 """Refusals that say nothing of the host's load and hold for other flows too, and for how long."""
 
@@ -147,8 +149,10 @@
             target = self._choose(key, opening, tuple(opening.answers), now)
             if target is not None:
                 # Asking an agent that is known to be full, and then the next one, costs a
-                # balancer more than the flow itself.
-                opening.waits = target.relative_load(now) >= FULL_LOAD_PER_SLOT
+                # balancer more than the flow itself. One that may be slow says so only of flows
+                # that do not wait, and others would be the better choice then.
+                is_full = target.relative_load(now) >= FULL_LOAD_PER_SLOT
+                opening.waits = is_full and not target.was_slow()
                 return target
         if not opening.answers:
             return None
@@ -196,6 +200,7 @@
         was_accepted = opening.is_accepted()
         if reply.kind is FrameKind.ACCEPTED:
             opening.answers[target] = OpeningAnswer.ACCEPTED
+            self.pool.note_pace(target, self.codec.listener_of(key), reply.flags, now)
             if not was_accepted:
                 flow.target = target
                 self._opened(key, flow, opening, now)
@@ -209,6 +214,8 @@
     def _note_refusal(self, key: bytes, target: Target, reply: AgentReply, now: float) -> None:
         refuses_seconds = REFUSES_FOR_SECONDS.get(RefusalReason(reply.flags), 0.0)
         target.refuses_until = max(target.refuses_until, now + refuses_seconds)
+        if reply.flags == RefusalReason.SLOW and self.pool.weighs_pace:
+            target.note_slow(now)
         self.counters.open_retries += 1
         self.log.note(
             "flow-refused",
--- a/src/jasperwalk/balancer/datagrams/process.py
+++ b/src/jasperwalk/balancer/datagrams/process.py
@@ -76,7 +76,12 @@
         self._link_routes: dict[Endpoint, FlowRoute] = {}
         self._link_version = 0
         self.routes = RouteTable(caller_group(settings.zone))
-        self.pool = TargetPool(settings.zone, self._random, settings.zone_regions)
+        self.pool = TargetPool(
+            settings.zone,
+            self._random,
+            settings.zone_regions,
+            weighs_pace=settings.policies.host_pace,
+        )
         bound = sockets or bind_balancer(settings)
         self._callers = DatagramSocket(bound.callers, self._packet, self._take_in)
         self._frames = DatagramSocket(bound.frames, self._frame)
--- /dev/null
+++ b/src/jasperwalk/fleet/host_paces.py
@@ -0,0 +1,142 @@
+"""How the hosts of a service compare in pace, as one balancer learns it from its agents' answers.
+
+An agent tells how long its host takes for a request of the kind that was accepted. Kinds differ, so
+a figure is compared with the median of the newest figures of the same kind; what is kept of an
+agent is that ratio. Figures age: what a host did seconds ago says little of it now, and an agent
+that is not asked could not correct a wrong figure.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Sequence
+from typing import Protocol
+
+import msgspec
+
+from jasperwalk.flows.pace import decode_pace
+
+EQUAL_FACTOR = 1.5
+"""Hosts within this factor of the median count as equal: requests of one kind differ by as much."""
+HIGHEST_FACTOR = 4.0
+"""A pace changes the expected wait by at most this factor; four waits are more than an agent lets
+requests queue for."""
+LOWEST_FACTOR = 0.5
+"""The same for fast hosts: all balancers together shall not overrun one."""
+WHOLE_SECONDS = 1.0
+"""Age up to which a figure counts whole."""
+NEUTRAL_SECONDS = 2.0
+"""Age from which it counts nothing, so that a slow host is tried again."""
+MOST_SLOW_SHARE = 0.5
+"""Where more of a service's hosts than this are known as slow, none counts as such: the others
+could not take their load."""
+LEAST_FIGURES = 5
+"""Figures of a kind that a median rests on at least."""
+FIGURES_PER_KIND = 32
+FIGURE_SECONDS = 30.0
+"""Figures older than this are not compared with."""
+MOST_KINDS = 128
+"""Kinds that are compared; the one that was not heard of for longest makes room."""
+MEDIAN_SECONDS = 0.1
+"""A median that was worked out less long ago is used again, and so is a count of slow hosts."""
+
+
+class WeighedHost(Protocol):
+    """A host as the comparison needs it."""
+
+    def pace_weight(self, now: float) -> float:
+        """Return what the known pace counts for now: 1.0 for as usual, more for slow."""
+
+
+class SlowCount(msgspec.Struct, frozen=True):
+    """Whether few enough hosts of a service were known as slow, and when they were counted."""
+
+    counted_at: float
+    is_bearable: bool
+
+
+class KindFigures:
+    """The newest figures of one kind of request, in seconds, and their median."""
+
+    __slots__ = ("_figures", "_median", "_median_at")
+
+    def __init__(self) -> None:
+        self._figures: deque[tuple[float, float]] = deque(maxlen=FIGURES_PER_KIND)
+        self._median: float | None = None
+        self._median_at = float("-inf")
+
+    def add(self, seconds: float, now: float) -> None:
+        """Take a figure."""
+        self._figures.append((now, seconds))
+
+    def median(self, now: float) -> float | None:
+        """Return the median of the newest figures, None where there are too few."""
+        if now - self._median_at >= MEDIAN_SECONDS:
+            self._median = self._work_out(now)
+            self._median_at = now
+        return self._median
+
+    def _work_out(self, now: float) -> float | None:
+        while self._figures and now - self._figures[0][0] > FIGURE_SECONDS:
+            self._figures.popleft()
+        if len(self._figures) < LEAST_FIGURES:
+            return None
+        seconds = sorted(figure for _, figure in self._figures)
+        return seconds[len(seconds) // 2]
+
+
+class HostPaces:
+    """Compares figures within kinds; a kind is a service and a listener."""
+
+    def __init__(self) -> None:
+        self._kinds: OrderedDict[tuple[str, bytes], KindFigures] = OrderedDict()
+        self._slow_counts: dict[str, SlowCount] = {}
+
+    def factor(self, service: str, listener: bytes, code: int, now: float) -> float | None:
+        """Take a figure; return how many times as long as usual its host takes.
+
+        That is 1.0 for what counts as equal, and None where nothing can be said.
+        """
+        seconds = decode_pace(code)
+        if seconds is None:
+            return None
+        figures = self._figures_of((service, listener))
+        figures.add(seconds, now)
+        median = figures.median(now)
+        return None if median is None else bounded_factor(seconds / median)
+
+    def may_weigh(self, service: str, hosts: Sequence[WeighedHost], now: float) -> bool:
+        """Tell whether few enough of a service's hosts are known as slow to do without them."""
+        count = self._slow_counts.get(service)
+        if count is None or now - count.counted_at >= MEDIAN_SECONDS:
+            slow = sum(host.pace_weight(now) > 1.0 for host in hosts)
+            count = SlowCount(now, slow <= MOST_SLOW_SHARE * len(hosts))
+            self._slow_counts[service] = count
+        return count.is_bearable
+
+    def _figures_of(self, kind: tuple[str, bytes]) -> KindFigures:
+        figures = self._kinds.get(kind)
+        if figures is None:
+            figures = self._kinds[kind] = KindFigures()
+            if len(self._kinds) > MOST_KINDS:
+                self._kinds.popitem(last=False)
+        else:
+            self._kinds.move_to_end(kind)
+        return figures
+
+
+def bounded_factor(ratio: float) -> float:
+    """Return the factor that a ratio of paces counts as."""
+    if 1.0 / EQUAL_FACTOR <= ratio <= EQUAL_FACTOR:
+        return 1.0
+    return min(max(ratio, LOWEST_FACTOR), HIGHEST_FACTOR)
+
+
+def factor_at_age(factor: float, age_seconds: float) -> float:
+    """Return what a factor still counts for at an age."""
+    if factor == 1.0 or age_seconds >= NEUTRAL_SECONDS:
+        return 1.0
+    if age_seconds <= WHOLE_SECONDS:
+        return factor
+    worth = (NEUTRAL_SECONDS - age_seconds) / (NEUTRAL_SECONDS - WHOLE_SECONDS)
+    return float(factor**worth)
--- a/src/jasperwalk/fleet/settings.py
+++ b/src/jasperwalk/fleet/settings.py
@@ -41,6 +41,9 @@
     request_scheduling: bool = True
     """An agent orders the requests for its host by the terms of their routes, where these differ
     between the routes of its service."""
+    host_pace: bool = True
+    """An agent measures how long its host takes for a request, tells balancers and keeps flows from
+    a host that is much slower than usual; a balancer weighs agents by what they tell."""
 
 
 class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/jasperwalk/fleet/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from jasperwalk.addresses import Endpoint
+from jasperwalk.fleet.host_paces import HIGHEST_FACTOR, HostPaces, factor_at_age
 from jasperwalk.fleet.messages import HOSTLESS, DrainedZones, FleetUpdate, HostPhase, NodeRecord
 from jasperwalk.flows.codec import SocketAddress
 from jasperwalk.flows.frames import (
@@ -63,6 +64,8 @@
 FAILING_SECONDS = 0.5
 """The same for one that refused because its host fails its requests. All balancers of a service
 together still ask it often enough for its trials, five a second."""
+SLOW_SECONDS = 0.5
+"""The same for one that refused because its host is much slower than usual; trials as well."""
 OTHER_ZONE_COST = 0.12
 """What crossing zones adds to an agent's relative load: bytes between zones are paid for."""
 BULK_OTHER_ZONE_COST = 1.0
@@ -102,6 +105,9 @@
     sent_at: float = 0.0
     suspect_until: float = float("-inf")
     refuses_until: float = float("-inf")
+    pace_factor: float = 1.0
+    """How many times as long as usual its host takes for a request, and `pace_at` when told."""
+    pace_at: float = float("-inf")
     zone_drained: bool = False
     """True while the host's zone takes no new flows."""
     slow_until: float = float("-inf")
@@ -133,6 +139,15 @@
         self.sent_since += 1
         self.sent_at = now
 
+    def note_slow(self, now: float) -> None:
+        """Note that the agent refused a new flow because its host is slow."""
+        self.pace_factor = HIGHEST_FACTOR
+        self.pace_at = now
+
+    def was_slow(self) -> bool:
+        """Tell whether the host was slow by the last that its agent told, however long ago."""
+        return self.pace_factor > 1.0
+
     def note_question(self, now: float) -> None:
         """Note that the agent was asked whether it holds a flow."""
         if self.silent_since is None:
@@ -172,6 +187,20 @@
         load = (load + sent) / capacity
         return (load + 1.0 / capacity) * SLOW_START_FACTOR if now < self.slow_until else load
 
+    def pace_weight(self, now: float) -> float:
+        """Return what the known pace counts for now: 1.0 for as usual, more for slow."""
+        return factor_at_age(self.pace_factor, now - self.pace_at)
+
+    def weighed_load(self, now: float) -> float:
+        """Return the expected wait, counted in requests of usual length for each slot.
+
+        A new request waits for those before it, and it is itself worked on as slowly. Where the
+        pace is as usual this is the relative load.
+        """
+        load = self.relative_load(now)
+        weight = self.pace_weight(now)
+        return load if weight == 1.0 else (load + 1.0) * weight - 1.0
+
     def is_lost(self, now: float) -> bool:
         """Tell whether the directory has not listed the agent for so long that it is gone."""
         if self.unlisted_since is None:
@@ -227,6 +256,9 @@
     _targets: dict[Endpoint, Target] = field(default_factory=dict)
     _by_service: dict[str, list[Target]] = field(default_factory=dict)
     _by_address: dict[SocketAddress, Target] = field(default_factory=dict)
+    weighs_pace: bool = True
+    """False to weigh agents by their load alone, whatever they tell of their hosts' pace."""
+    _paces: HostPaces = field(default_factory=HostPaces)
     directory_since: float | None = None
     """When the first agents were received from a home, None before."""
 
@@ -314,12 +346,25 @@
         usable = [each for each in self._of_service(service, regions) if each.is_usable(now)]
         candidates = [each for each in _ranked(usable, key, CANDIDATES) if each not in excluded]
         other_zone_cost = BULK_OTHER_ZONE_COST if is_bulk else OTHER_ZONE_COST
+        by_pace = self.weighs_pace and self._paces.may_weigh(service, usable, now)
         return min(
-            candidates, key=lambda target: self._cost(target, other_zone_cost, now), default=None
+            candidates,
+            key=lambda target: self._cost(target, other_zone_cost, by_pace, now),
+            default=None,
         )
 
-    def _cost(self, target: Target, other_zone_cost: float, now: float) -> float:
-        cost = target.relative_load(now) + self.source.random() * JITTER
+    def note_pace(self, target: Target, listener: bytes, code: int, now: float) -> None:
+        """Take what an agent told of its host's pace for requests of a listener."""
+        if not self.weighs_pace:
+            return
+        factor = self._paces.factor(target.record.service, listener, code, now)
+        if factor is not None:
+            target.pace_factor = factor
+            target.pace_at = now
+
+    def _cost(self, target: Target, other_zone_cost: float, by_pace: bool, now: float) -> float:
+        load = target.weighed_load(now) if by_pace else target.relative_load(now)
+        cost = load + self.source.random() * JITTER
         if target.record.zone != self.zone:
             cost += other_zone_cost
         if now < max(target.suspect_until, target.refuses_until):
--- a/src/jasperwalk/flows/frames.py
+++ b/src/jasperwalk/flows/frames.py
@@ -35,7 +35,7 @@
     """Balancer: search this flow on my behalf, and pass its packet on. The flags count the tags
     of the services that may hold it, which come before the packet."""
     ACCEPTED = 11
-    """Agent: the new flow went to my host."""
+    """Agent: the new flow went to my host; the flags tell its pace (`flows.pace`)."""
     REFUSED = 12
     """Agent: my host does not take this new flow; the flags hold a `RefusalReason`."""
     HELD = 13
@@ -69,6 +69,9 @@
     FAILING = 9
     """The host fails many of its requests; it gets some that may be repeated, and else none while
     another host takes them."""
+    SLOW = 10
+    """The host is much slower than usual and would answer too late. Said only to balancers that
+    tell terms: earlier ones take a reason that they do not know for a malformed frame."""
 
 
 class LocateVerdict(enum.IntEnum):
--- /dev/null
+++ b/src/jasperwalk/flows/pace.py
@@ -0,0 +1,31 @@
+"""A host's pace in one byte, as agents tell it in the flags of an `ACCEPTED` answer.
+
+The scale is logarithmic, because decisions compare paces by their ratio. Earlier releases send 0,
+which says nothing, and do not read it.
+"""
+
+from __future__ import annotations
+
+import math
+
+UNKNOWN_PACE = 0
+SHORTEST_PACE_SECONDS = 0.0005
+"""What code 1 stands for; shorter times are told as this one."""
+CODES_PER_DOUBLING = 16
+"""Steps of 4%, and 33 s at the end of the scale: no caller waits longer for an answer."""
+HIGHEST_PACE = 0xFF
+
+
+def encode_pace(seconds: float | None) -> int:
+    """Return the code of a time for one request, `UNKNOWN_PACE` for None and for no time."""
+    if seconds is None or not 0.0 < seconds < math.inf:
+        return UNKNOWN_PACE
+    code = 1 + round(CODES_PER_DOUBLING * math.log2(seconds / SHORTEST_PACE_SECONDS))
+    return min(max(code, 1), HIGHEST_PACE)
+
+
+def decode_pace(code: int) -> float | None:
+    """Return the seconds that a code stands for, None where it says nothing."""
+    if not 0 < code <= HIGHEST_PACE:
+        return None
+    return float(SHORTEST_PACE_SECONDS * 2.0 ** ((code - 1) / CODES_PER_DOUBLING))
--- /dev/null
+++ b/src/jasperwalk/scheduling/host_pace.py
@@ -0,0 +1,190 @@
+"""How long a host takes for a request now, and how that compares with what is usual for it.
+
+Load pattern: a host turns several times slower for some seconds and goes on taking flows. Nobody
+announces it, and its requests are answered, though late.
+
+Measured is the time for which each request holds a slot (`slot_use`). Requests of different kinds
+take different times, so each is compared with what its own kind usually takes at this host; a
+change of the mix of kinds changes nothing. The host's slowness is the median of the newest of these
+ratios: a few long requests among many do not move it. A request that still holds its slot counts
+with the time that it has taken so far, once that is more than usual, so a slow host shows before
+it answers.
+
+What is usual for a kind is its median, followed by small steps in proportion (stochastic
+approximation, Robbins and Monro 1951): a few seconds of a slow host barely move it, and a host that
+stays slow becomes usual after some minutes.
+
+Sans-IO; times are seconds.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Hashable
+
+from jasperwalk.scheduling.slot_use import FollowedRequest, SlotUse
+
+WINDOW_SECONDS = 0.5
+"""Requests that ended in this time make up the slowness: about the time that a caller waits."""
+STALE_SECONDS = 2.0
+"""A request that ended longer ago says nothing of the host now."""
+LEAST_OBSERVATIONS = 2
+"""Requests that the slowness rests on at least; a single one may be long by itself."""
+MAXIMUM_OBSERVATIONS = 64
+"""The newest observations that are kept: a bound of memory and of the work for a median."""
+NOTICEABLE_FACTOR = 1.5
+"""A request that is not answered yet counts from this ratio on: most requests differ by less."""
+USUAL_STEP = 1.01
+"""Factor by which a request moves what is usual for its kind: 70 requests double it."""
+LEARNING_REQUESTS = 5
+"""Requests whose median is the first value of what is usual for a kind."""
+MOST_KINDS = 64
+"""Kinds that are told apart; all further ones count as one."""
+RECKONING_SECONDS = 0.02
+"""A slowness that was worked out less long ago is used again: requests take longer than that."""
+TYPICAL_SHARE = 1 / 16
+"""Weight of the newest request in the typical time."""
+
+
+class UsualTime:
+    """What requests of one kind usually take; `seconds` is None until enough were seen."""
+
+    __slots__ = ("_first", "seconds")
+
+    def __init__(self) -> None:
+        self.seconds: float | None = None
+        self._first: list[float] = []
+
+    def note(self, seconds: float) -> None:
+        """Take the time of one more request."""
+        if self.seconds is None:
+            self._learn(seconds)
+        elif seconds > self.seconds:
+            self.seconds *= USUAL_STEP
+        elif seconds < self.seconds:
+            self.seconds /= USUAL_STEP
+
+    def _learn(self, seconds: float) -> None:
+        self._first.append(seconds)
+        if len(self._first) >= LEARNING_REQUESTS:
+            self.seconds = _median(self._first)
+            self._first = []
+
+
+class HostPace:
+    """Measures one host. Requests and kinds are named by any hashable values."""
+
+    def __init__(self) -> None:
+        self._slots = SlotUse()
+        self._usual: dict[Hashable, UsualTime] = {}
+        self._other_kinds = UsualTime()
+        self._ratios: deque[tuple[float, float]] = deque(maxlen=MAXIMUM_OBSERVATIONS)
+        """When each request ended and how many times as long as usual it took, oldest first."""
+        self._typical_seconds: float | None = None
+        self._slowness: float | None = None
+        self._reckoned_at = float("-inf")
+
+    # What is observed
+
+    def note_asked(self, request: Hashable, kind: Hashable, slots: int, now: float) -> None:
+        """Note that a request, or a further part of it, was passed on to the host."""
+        self._slots.begin(request, kind, slots, now)
+
+    def note_answered(self, request: Hashable, slots: int, now: float) -> None:
+        """Note the first packet of the host's answer to a request."""
+        ended = self._slots.end(request, slots, now)
+        if ended is None:
+            return
+        seconds = now - ended.started_at
+        if seconds <= 0.0:
+            return
+        usual = self._usual_of(ended.kind)
+        if usual.seconds is not None:
+            self._ratios.append((now, seconds / usual.seconds))
+            self._note_typical(usual.seconds)
+        usual.note(seconds)
+
+    def note_ended(self, request: Hashable, slots: int, now: float) -> None:
+        """Note that a request ended without a measurable answer."""
+        self._slots.end(request, slots, now)
+
+    def _usual_of(self, kind: Hashable) -> UsualTime:
+        usual = self._usual.get(kind)
+        if usual is not None:
+            return usual
+        if len(self._usual) >= MOST_KINDS:
+            return self._other_kinds
+        usual = self._usual[kind] = UsualTime()
+        return usual
+
+    def _note_typical(self, seconds: float) -> None:
+        if self._typical_seconds is None:
+            self._typical_seconds = seconds
+        else:
+            self._typical_seconds += TYPICAL_SHARE * (seconds - self._typical_seconds)
+
+    def forget(self) -> None:
+        """Measure anew: another host has taken the place."""
+        self._slots.forget()
+        self._usual.clear()
+        self._other_kinds = UsualTime()
+        self._ratios.clear()
+        self._typical_seconds = None
+        self._reckoned_at = float("-inf")
+
+    # What follows from it
+
+    def slowness(self, now: float) -> float | None:
+        """Return how many times as long as usual requests take now, None where it is not known."""
+        if not 0.0 <= now - self._reckoned_at < RECKONING_SECONDS:
+            self._slowness = self._reckon(now)
+            self._reckoned_at = now
+        return self._slowness
+
+    def _reckon(self, now: float) -> float | None:
+        ratios = self._newest_ratios(now) + self._lower_bounds(now)
+        return _median(ratios) if len(ratios) >= LEAST_OBSERVATIONS else None
+
+    def _newest_ratios(self, now: float) -> list[float]:
+        """Return the ratios in the window, and older ones up to the least number."""
+        newest: list[float] = []
+        for ended_at, ratio in reversed(self._ratios):
+            age = now - ended_at
+            if age > STALE_SECONDS or (age > WINDOW_SECONDS and len(newest) >= LEAST_OBSERVATIONS):
+                break
+            newest.append(ratio)
+        return newest
+
+    def _lower_bounds(self, now: float) -> list[float]:
+        """Return the ratios so far of requests that noticeably take longer than usual."""
+        ratios = [self._ratio_so_far(request, now) for request in self._slots.at_work()]
+        return [ratio for ratio in ratios if ratio > NOTICEABLE_FACTOR]
+
+    def _ratio_so_far(self, request: FollowedRequest, now: float) -> float:
+        usual = self._usual.get(request.kind, self._other_kinds).seconds
+        return 0.0 if usual is None else (now - request.started_at) / usual
+
+    def usual_seconds(self, kind: Hashable = None) -> float | None:
+        """Return what requests of a kind usually take; of an unknown kind, of the typical one."""
+        usual = self._usual.get(kind)
+        known = None if usual is None else usual.seconds
+        return self._typical_seconds if known is None else known
+
+    def seconds(self, kind: Hashable, now: float) -> float | None:
+        """Return how long a request of a kind holds a slot now, None where it is not known."""
+        usual = self.usual_seconds(kind)
+        slowness = self.slowness(now)
+        return usual if usual is None or slowness is None else usual * slowness
+
+    def observations(self) -> int:
+        """Return how many measured requests are kept."""
+        return len(self._ratios)
+
+    def newest_age_seconds(self, now: float) -> float | None:
+        """Return how long ago the newest measured request ended, None where there is none."""
+        return now - self._ratios[-1][0] if self._ratios else None
+
+
+def _median(values: list[float]) -> float:
+    """Return the median, the lower one of two: what is not surely slow is not slow."""
+    return sorted(values)[(len(values) - 1) // 2]
--- /dev/null
+++ b/src/jasperwalk/scheduling/slot_use.py
@@ -0,0 +1,99 @@
+"""How long each request held one of a host's slots, from what passes the agent beside the host.
+
+A host works on as many requests as it has slots, in the order in which they came, and queues the
+rest. So a request is at work from when it came or, where all slots were held, from when one became
+free. A host that takes another order answers a request that counts as queued: that one then takes
+the place of the request that counts as at work for the shortest time. Either way the times sum up
+to the time in which slots were held, so the mean is right whatever the order is.
+
+Sans-IO; times are seconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable, Iterable
+
+MOST_REQUESTS = 1024
+"""Requests that are followed at once; further ones are not measured."""
+
+
+class FollowedRequest:
+    """A request that the host has not begun to answer."""
+
+    __slots__ = ("asked_at", "kind", "started_at")
+
+    def __init__(self, kind: Hashable, asked_at: float) -> None:
+        self.kind = kind
+        self.asked_at = asked_at
+        self.started_at = asked_at
+        """When it took its slot; means nothing while it is queued."""
+
+
+class SlotUse:
+    """Follows the requests at one host; requests are named by any hashable value."""
+
+    def __init__(self) -> None:
+        self._at_work: dict[Hashable, FollowedRequest] = {}
+        self._queued: dict[Hashable, FollowedRequest] = {}
+
+    def __len__(self) -> int:
+        """Return the number of requests that are followed."""
+        return len(self._at_work) + len(self._queued)
+
+    def begin(self, name: Hashable, kind: Hashable, slots: int, now: float) -> None:
+        """Note that a request was passed on; one that was not whole yet begins anew."""
+        if name in self._at_work or name in self._queued:
+            self._take_incomplete_out(name)
+        request = FollowedRequest(kind, now)
+        if len(self._at_work) < slots:
+            self._at_work[name] = request
+        elif len(self) < MOST_REQUESTS:
+            self._queued[name] = request
+
+    def _take_incomplete_out(self, name: Hashable) -> None:
+        """Take a request out that the host cannot have worked on; its slot was free meanwhile."""
+        request = self._at_work.pop(name, None)
+        if request is None:
+            del self._queued[name]
+        elif self._queued:
+            self._start_next(request.started_at)
+
+    def end(self, name: Hashable, slots: int, now: float) -> FollowedRequest | None:
+        """Note that a request ended; return it, None where it was not followed.
+
+        It held a slot from its `started_at` until `now`.
+        """
+        request = self._at_work.pop(name, None)
+        if request is None:
+            request = self._end_queued(name)
+            if request is None:
+                return None
+        while self._queued and len(self._at_work) < slots:
+            self._start_next(now)
+        return request
+
+    def _end_queued(self, name: Hashable) -> FollowedRequest | None:
+        """End a request that counts as queued: it held the slot that became free last."""
+        request = self._queued.pop(name, None)
+        if request is None or not self._at_work:
+            return request
+        overtaken = max(self._at_work, key=lambda each: self._at_work[each].started_at)
+        waits = self._at_work.pop(overtaken)
+        request.started_at = max(waits.started_at, request.asked_at)
+        self._queued = {overtaken: waits, **self._queued}
+        return request
+
+    def _start_next(self, free_since: float) -> None:
+        name = next(iter(self._queued))
+        request = self._queued.pop(name)
+        request.started_at = max(request.asked_at, free_since)
+        self._at_work[name] = request
+
+    def at_work(self) -> Iterable[FollowedRequest]:
+        """Return the requests that hold a slot."""
+        return self._at_work.values()
+
+    def forget(self) -> None:
+        """Follow no request any more."""
+        self._at_work.clear()
+        self._queued.clear()
