--- a/src/jasperwalk/agent/datagrams/pace_watch.py
+++ b/src/jasperwalk/agent/datagrams/pace_watch.py
@@ -70,7 +70,7 @@
             return
         self.log.note(
             "host-slow" if self.slow_host.is_slow() else "host-usual-again",
-            pace_ms=self.pace_ms(now),
+            pace_ms=self.pace_ms(),
             usual_ms=round(1000 * (self.pace.usual_seconds() or 0.0), 1),
             samples=self.pace.observations(),
             newest_ms=self._newest_age_ms(now),
@@ -82,15 +82,16 @@
         age_seconds = self.pace.newest_age_seconds(now)
         return -1 if age_seconds is None else round(1000 * age_seconds)
 
-    def pace_ms(self, now: float) -> float:
+    def pace_ms(self) -> float:
         """Return what a typical request takes now, in milliseconds; 0.0 where it is not known."""
-        return round(1000 * (self.pace.seconds(None, now) or 0.0), 1)
+        return round(1000 * (self.slow_host.seconds(None) or 0.0), 1)
 
     def told(self, flow_key: bytes, now: float) -> int:
         """Return the pace as a balancer learns it with the acceptance of this flow."""
         if not self.is_wanted:
             return UNKNOWN_PACE
-        return encode_pace(self.pace.seconds(self.codec.listener_of(flow_key), now))
+        self.check(now)
+        return encode_pace(self.slow_host.seconds(self.codec.listener_of(flow_key)))
 
     def refusal(
         self, flow_key: bytes | None, busy: int, terms: OpeningTerms, now: float
--- a/src/jasperwalk/agent/datagrams/process.py
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -137,7 +137,7 @@
                 "zone_drained": self.core.admission.is_zone_drained,
                 "host_failing": self.core.watch.requests.is_failing,
                 "host_slow": self.core.pace.slow_host.is_slow,
-                "host_pace_ms": lambda: self.core.pace.pace_ms(time.monotonic()),
+                "host_pace_ms": self.core.pace.pace_ms,
                 "host_ready": lambda: self.host.phase is HostPhase.READY,
                 "agents": lambda: len(self.helper.pool),
                 "searches": lambda: len(self.helper.searches),
--- a/src/jasperwalk/fleet/host_paces.py
+++ b/src/jasperwalk/fleet/host_paces.py
@@ -71,7 +71,7 @@
 
     def median(self, now: float) -> float | None:
         """Return the median of the newest figures, None where there are too few."""
-        if now - self._median_at >= MEDIAN_SECONDS:
+        if self._median is None or now - self._median_at >= MEDIAN_SECONDS:
             self._median = self._work_out(now)
             self._median_at = now
         return self._median
--- a/src/jasperwalk/fleet/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -142,7 +142,6 @@
     def note_slow(self, now: float) -> None:
         """Note that the agent refused a new flow because its host is slow."""
         self.pace_factor = HIGHEST_FACTOR
-        self.pace_at = now
 
     def was_slow(self) -> bool:
         """Tell whether the host was slow by the last that its agent told, however long ago."""
@@ -198,6 +197,8 @@
         pace is as usual this is the relative load.
         """
         load = self.relative_load(now)
+        if self.pace_factor == 1.0:
+            return load
         weight = self.pace_weight(now)
         return load if weight == 1.0 else (load + 1.0) * weight - 1.0
 
--- a/src/jasperwalk/scheduling/host_pace.py
+++ b/src/jasperwalk/scheduling/host_pace.py
@@ -21,6 +21,7 @@
 
 from collections import deque
 from collections.abc import Hashable
+from itertools import islice
 
 from jasperwalk.scheduling.slot_use import FollowedRequest, SlotUse
 
@@ -28,8 +29,8 @@
 """Requests that ended in this time make up the slowness: about the time that a caller waits."""
 STALE_SECONDS = 2.0
 """A request that ended longer ago says nothing of the host now."""
-LEAST_OBSERVATIONS = 2
-"""Requests that the slowness rests on at least; a single one may be long by itself."""
+LEAST_OBSERVATIONS = 3
+"""Requests that the slowness rests on at least; one or two may be long by themselves."""
 MAXIMUM_OBSERVATIONS = 64
 """The newest observations that are kept: a bound of memory and of the work for a median."""
 NOTICEABLE_FACTOR = 1.5
@@ -170,11 +171,15 @@
         known = None if usual is None else usual.seconds
         return self._typical_seconds if known is None else known
 
-    def seconds(self, kind: Hashable, now: float) -> float | None:
-        """Return how long a request of a kind holds a slot now, None where it is not known."""
-        usual = self.usual_seconds(kind)
-        slowness = self.slowness(now)
-        return usual if usual is None or slowness is None else usual * slowness
+    def newest_ratios(self, count: int) -> list[float]:
+        """Return how many times as long as usual the newest requests took, whatever their age."""
+        return [ratio for _, ratio in islice(reversed(self._ratios), count)]
+
+    def keep_newest(self, count: int) -> None:
+        """Forget what requests took before the newest ones; what is usual stays."""
+        while len(self._ratios) > count:
+            self._ratios.popleft()
+        self._reckoned_at = float("-inf")
 
     def observations(self) -> int:
         """Return how many measured requests are kept."""
--- a/src/jasperwalk/scheduling/slow_host.py
+++ b/src/jasperwalk/scheduling/slow_host.py
@@ -2,8 +2,8 @@
 
 A slow host still serves some requests in time: those whose callers want their answers late enough.
 Any other is late there and in time elsewhere, so it is refused. A flow that found no other host is
-taken, so that a service whose hosts are all slow loses none. The figure ages (`host_pace`): without
-requests a host counts as usual again after two seconds; trials tell sooner.
+taken, so that a service whose hosts are all slow loses none. A host without requests shows nothing:
+it stays slow for the agent until a trial tells otherwise, or until the judgement is old.
 
 Sans-IO; times are seconds.
 """
@@ -25,6 +25,13 @@
 """A slow host that has no request and has got no flow for this long gets one, whatever its expected
 time. Requests that are under way tell as much as a trial."""
 
+USUAL_IN_A_ROW = 2
+"""The newest requests that took as long as usual and end the judgement, however far apart: a host
+that gets only trials has too few for a figure."""
+JUDGEMENT_SECONDS = 6.0
+"""A judgement that no request has borne out for this long is given up: by then others would take
+the host for usual long since, and a trial that finds it slow costs one late answer."""
+
 
 class SlowHost:
     """Judges one host by its pace and decides about its new flows."""
@@ -32,6 +39,9 @@
     def __init__(self, pace: HostPace) -> None:
         self._pace = pace
         self._is_slow = False
+        self._slowness = 1.0
+        """The last that was known, and when."""
+        self._known_at = float("-inf")
         self._admitted_at = float("-inf")
 
     def is_slow(self) -> bool:
@@ -40,14 +50,32 @@
 
     def judge(self, now: float) -> bool:
         """Judge the host; return True where the judgement changed."""
-        slowness = self._pace.slowness(now)
         before = self._is_slow
-        if slowness is None:
+        slowness = self._pace.slowness(now)
+        if before and self._has_recovered():
+            self._pace.keep_newest(USUAL_IN_A_ROW)
+            self._slowness = 1.0
             self._is_slow = False
-        else:
+        elif slowness is not None:
+            self._slowness, self._known_at = slowness, now
             self._is_slow = slowness >= (USUAL_FACTOR if before else SLOW_FACTOR)
+        elif not before or now - self._known_at >= JUDGEMENT_SECONDS:
+            self._slowness = 1.0
+            self._is_slow = False
         return self._is_slow != before
 
+    def _has_recovered(self) -> bool:
+        newest = self._pace.newest_ratios(USUAL_IN_A_ROW)
+        return len(newest) == USUAL_IN_A_ROW and max(newest) < USUAL_FACTOR
+
+    def seconds(self, kind: Hashable) -> float | None:
+        """Return how long a request of a kind holds a slot now, None where it is not known.
+
+        That is by the last judgement.
+        """
+        usual = self._pace.usual_seconds(kind)
+        return None if usual is None else usual * self._slowness
+
     def note_admitted(self, now: float) -> None:
         """Note that the host gets a new flow."""
         self._admitted_at = now
@@ -65,12 +93,12 @@
             return False
         if remaining_seconds is None:
             return busy >= slots
-        return self.expected_seconds(kind, busy, slots, now) > OBJECTIVE_SHARE * remaining_seconds
+        return self.expected_seconds(kind, busy, slots) > OBJECTIVE_SHARE * remaining_seconds
 
-    def expected_seconds(self, kind: Hashable, busy: int, slots: int, now: float) -> float:
+    def expected_seconds(self, kind: Hashable, busy: int, slots: int) -> float:
         """Return how long a new request waits for a slot and holds it, 0.0 where not known."""
-        own = self._pace.seconds(kind, now)
-        typical = self._pace.seconds(None, now)
+        own = self.seconds(kind)
+        typical = self.seconds(None)
         if own is None or typical is None:
             return 0.0
         ahead = max(0, busy + 1 - slots)
@@ -79,4 +107,6 @@
     def forget(self) -> None:
         """Judge anew: another host has taken the place."""
         self._is_slow = False
+        self._slowness = 1.0
+        self._known_at = float("-inf")
         self._admitted_at = float("-inf")
--- /dev/null
+++ b/tests/balancer/datagrams/test_host_pace.py
@@ -0,0 +1,112 @@
+"""What a balancer does with the pace that agents tell, and with the refusal of a slow host."""
+
+import pytest
+
+from jasperwalk.addresses import Endpoint
+from jasperwalk.fleet.host_paces import HIGHEST_FACTOR, LEAST_FIGURES
+from jasperwalk.fleet.targets import SLOW_SECONDS
+from jasperwalk.flows.frames import FULL_LOAD_PER_SLOT, FrameKind, RefusalReason
+from jasperwalk.flows.pace import UNKNOWN_PACE, encode_pace
+from tests.balancer.datagrams.support import Bench, address_of, record
+from tests.flows.support import OPENING, from_caller, key_of
+
+USUAL, SLOW = 0.05, 0.4
+CAPACITY = 4
+HOSTS = 3
+
+
+class PaceBench(Bench):
+    """Opens flows whose agents answer as told."""
+
+    def __init__(self):
+        super().__init__(*(record(number + 1) for number in range(HOSTS)))
+        self.port = 1000
+
+    def open(self, now):
+        """Send an opening packet; return the agent that is asked and whether it may wait."""
+        self.port += 1
+        self.caller = Endpoint("100.64.0.7", self.port)
+        self.core.receive(from_caller(OPENING, caller=self.caller), now)
+        return self.take_opening()
+
+    def accept(self, number, seconds, now):
+        flags = UNKNOWN_PACE if seconds is None else encode_pace(seconds)
+        self.answer(number, FrameKind.ACCEPTED, now, flags, key=key_of(self.caller))
+
+    def refuse_slow(self, number, now):
+        self.answer(number, FrameKind.REFUSED, now, RefusalReason.SLOW, key=key_of(self.caller))
+
+    def target(self, number):
+        endpoint = address_of(number)
+        return self.pool.at((endpoint.host, endpoint.port))
+
+    def learn_usual(self):
+        for _ in range(4 * LEAST_FIGURES):
+            number, _ = self.open(0.5)
+            self.accept(number, USUAL, 0.5)
+
+
+def test_an_acceptance_that_tells_a_slow_host_keeps_new_flows_away():
+    bench = PaceBench()
+    bench.learn_usual()
+    slow, _ = bench.open(1.0)
+    bench.accept(slow, SLOW, 1.0)
+    assert bench.target(slow).pace_factor == HIGHEST_FACTOR
+    asked = []
+    for _ in range(6):
+        number, _ = bench.open(1.1)
+        bench.accept(number, USUAL, 1.1)
+        asked.append(number)
+    assert slow not in asked
+
+
+@pytest.mark.parametrize("flags", [UNKNOWN_PACE, 1, 255])
+def test_what_is_told_with_other_answers_is_not_a_pace(flags):
+    bench = PaceBench()
+    bench.learn_usual()
+    number, _ = bench.open(1.0)
+    bench.answer(number, FrameKind.HELD, 1.0, flags, key=key_of(bench.caller))
+    assert bench.target(number).pace_factor == 1.0
+
+
+def test_an_agent_whose_host_is_slow_is_passed_over_for_a_while():
+    bench = PaceBench()
+    slow, _ = bench.open(1.0)
+    bench.refuse_slow(slow, 1.0)
+    other, _ = bench.take_opening()
+    bench.accept(other, None, 1.0)
+    assert other != slow
+    for now, load in ((1.0 + SLOW_SECONDS - 0.01, 5.0), (1.0 + SLOW_SECONDS, 5.0)):
+        for number in range(1, HOSTS + 1):
+            bench.target(number).note_load(0.0 if number == slow else load, now)
+        asked, _ = bench.open(now)
+        bench.accept(asked, None, now)
+        assert (asked == slow) is (now >= 1.0 + SLOW_SECONDS)
+
+
+def test_a_flow_does_not_wait_at_a_slow_host_before_others_were_asked():
+    bench = PaceBench()
+    slow, _ = bench.open(1.0)
+    bench.refuse_slow(slow, 1.0)
+    bench.accept(bench.take_opening()[0], None, 1.0)
+    now = 1.0 + SLOW_SECONDS
+    full = CAPACITY * FULL_LOAD_PER_SLOT
+    for number in range(1, HOSTS + 1):
+        bench.target(number).note_load(full if number == slow else 3 * full, now)
+    assert bench.open(now) == (slow, False)
+    bench.refuse_slow(slow, now)
+    other, waits = bench.take_opening()
+    assert (other != slow, waits) == (True, True)
+
+
+def test_a_flow_that_all_hosts_refuse_as_slow_may_wait_in_the_end():
+    bench = PaceBench()
+    number, waits = bench.open(1.0)
+    asked = [(number, waits)]
+    while not waits:
+        bench.refuse_slow(number, 1.0)
+        number, waits = bench.take_opening()
+        asked.append((number, waits))
+    assert len(asked) == HOSTS + 1
+    bench.accept(number, SLOW, 1.0)
+    assert bench.resets == []
--- /dev/null
+++ b/tests/fleet/test_host_paces.py
@@ -0,0 +1,168 @@
+"""How a balancer weighs agents by what they tell of their hosts' pace."""
+
+import random
+
+import pytest
+
+from jasperwalk.fleet.host_paces import (
+    EQUAL_FACTOR,
+    FIGURE_SECONDS,
+    HIGHEST_FACTOR,
+    LEAST_FIGURES,
+    LOWEST_FACTOR,
+    MOST_KINDS,
+    MOST_SLOW_SHARE,
+    NEUTRAL_SECONDS,
+    WHOLE_SECONDS,
+    HostPaces,
+    bounded_factor,
+    factor_at_age,
+)
+from jasperwalk.fleet.messages import FleetUpdate
+from jasperwalk.fleet.targets import TargetPool
+from jasperwalk.flows.pace import HIGHEST_PACE, UNKNOWN_PACE, encode_pace
+from tests.balancer.datagrams.support import SEED, address_of, record
+from tests.flows.support import LISTENER
+
+HOSTS = 8
+USUAL = 0.05
+KIND = LISTENER.pack()
+OTHER_KIND = b"other!"
+
+
+class Bench:
+    """A balancer's agents, all but the first as usual."""
+
+    def __init__(self, weighs_pace=True, hosts=HOSTS):
+        self.pool = TargetPool("a", random.Random(SEED), weighs_pace=weighs_pace)
+        records = [record(number + 1) for number in range(hosts)]
+        self.pool.update(FleetUpdate(True, records, []), 0.0)
+
+    def target(self, number):
+        endpoint = address_of(number)
+        return self.pool.at((endpoint.host, endpoint.port))
+
+    def tell(self, number, seconds, now=1.0, kind=KIND):
+        self.pool.note_pace(self.target(number), kind, encode_pace(seconds), now)
+
+    def tell_usual(self, now=0.8, numbers=range(2, HOSTS + 1)):
+        for number in numbers:
+            self.tell(number, USUAL, now)
+
+    def chosen(self, count=200, now=1.0, loads=None):
+        source = random.Random(3)
+        names = []
+        for _ in range(count):
+            for number in range(1, HOSTS + 1):
+                load = source.random() if loads is None else loads
+                self.target(number).note_load(load, now)
+            names.append(self.pool.choose("web", source.randbytes(12), (), now).record.name)
+        return names
+
+
+def test_a_slow_host_is_not_chosen_while_others_have_room():
+    bench = Bench()
+    bench.tell_usual()
+    bench.tell(1, 8 * USUAL)
+    assert "agent-1" not in bench.chosen()
+
+
+def test_a_slow_host_is_chosen_where_others_are_far_busier():
+    bench = Bench()
+    bench.tell_usual()
+    bench.tell(1, 8 * USUAL)
+    for number in range(2, HOSTS + 1):
+        bench.target(number).note_load(4 * HIGHEST_FACTOR, 1.0)
+    assert bench.pool.choose("web", b"key", (), 1.0).record.name == "agent-1"
+
+
+def test_a_fast_host_gets_more():
+    bench = Bench()
+    bench.tell_usual()
+    bench.tell(1, USUAL / 3)
+    assert bench.chosen().count("agent-1") > 200 / HOSTS * 2
+
+
+@pytest.mark.parametrize("ratio", [1.0, 1.4, 1 / 1.4])
+def test_between_equals_every_choice_is_as_without_figures(ratio):
+    assert max(ratio, 1 / ratio) < EQUAL_FACTOR
+    plain, weighed = Bench(weighs_pace=False), Bench()
+    for bench in (plain, weighed):
+        bench.tell_usual()
+        bench.tell(1, ratio * USUAL)
+    assert plain.chosen(1000) == weighed.chosen(1000)
+
+
+def test_switched_off_nothing_is_weighed():
+    plain, told = Bench(weighs_pace=False), Bench(weighs_pace=False)
+    told.tell_usual()
+    told.tell(1, 100 * USUAL)
+    assert plain.chosen() == told.chosen()
+
+
+def test_agents_that_tell_nothing_are_chosen_as_before():
+    plain, silent = Bench(weighs_pace=False), Bench()
+    for number in range(1, HOSTS + 1):
+        silent.pool.note_pace(silent.target(number), KIND, UNKNOWN_PACE, 1.0)
+    assert plain.chosen() == silent.chosen()
+
+
+@pytest.mark.parametrize(
+    ("code", "bound"), [(HIGHEST_PACE, HIGHEST_FACTOR), (1, LOWEST_FACTOR)], ids=["slow", "fast"]
+)
+def test_a_wrong_figure_changes_the_cost_by_a_bounded_factor_and_ages(code, bound):
+    bench = Bench()
+    bench.tell_usual()
+    target = bench.target(1)
+    bench.pool.note_pace(target, KIND, code, 1.0)
+    target.note_load(2.0, 1.0)
+    load = target.relative_load(1.0)
+    assert target.weighed_load(1.0) + 1.0 == pytest.approx(bound * (load + 1.0))
+    old = 1.0 + NEUTRAL_SECONDS
+    assert target.weighed_load(old) == target.relative_load(old)
+
+
+def test_a_figure_counts_less_with_age():
+    weights = [factor_at_age(4.0, age) for age in (0.0, WHOLE_SECONDS, 1.5, NEUTRAL_SECONDS, 99.0)]
+    assert weights == pytest.approx([4.0, 4.0, 2.0, 1.0, 1.0])
+
+
+@pytest.mark.parametrize("ratio", [0.0, 1e-9, 0.5, 1.0, 1.5, 4.0, 1e9])
+def test_every_ratio_gives_a_bounded_factor(ratio):
+    assert LOWEST_FACTOR <= bounded_factor(ratio) <= HIGHEST_FACTOR
+
+
+def test_where_too_many_hosts_are_slow_none_counts_as_such():
+    slow = range(1, 2 + round(MOST_SLOW_SHARE * HOSTS))
+    bench, plain = Bench(), Bench(weighs_pace=False)
+    for _ in range(LEAST_FIGURES):
+        bench.tell_usual(numbers=range(max(slow) + 1, HOSTS + 1))
+    for number in slow:
+        bench.tell(number, 8 * USUAL)
+    assert all(bench.target(number).pace_factor == HIGHEST_FACTOR for number in slow)
+    assert bench.chosen() == plain.chosen()
+
+
+def test_kinds_are_compared_each_with_itself():
+    bench = Bench()
+    for number in range(1, HOSTS + 1):
+        bench.tell(number, USUAL)
+    for number in range(1, HOSTS + 1):
+        bench.tell(number, 20 * USUAL, 1.2, OTHER_KIND)
+    assert {bench.target(number).pace_factor for number in range(1, HOSTS + 1)} == {1.0}
+
+
+def test_nothing_is_compared_with_few_or_old_figures():
+    paces = HostPaces()
+    for number in range(LEAST_FIGURES - 1):
+        assert paces.factor("web", KIND, encode_pace(USUAL), 0.2 * number) is None
+    assert paces.factor("web", KIND, encode_pace(USUAL), 1.0) == 1.0
+    late = 1.0 + FIGURE_SECONDS + 1.0
+    assert paces.factor("web", KIND, encode_pace(9 * USUAL), late) is None
+
+
+def test_the_number_of_kinds_is_bounded():
+    paces = HostPaces()
+    for number in range(3 * MOST_KINDS):
+        paces.factor("web", number.to_bytes(6, "big"), encode_pace(USUAL), 1.0)
+    assert len(paces._kinds) <= MOST_KINDS
--- /dev/null
+++ b/tests/flows/test_pace.py
@@ -0,0 +1,59 @@
+"""The pace of a host in one byte."""
+
+import pytest
+
+from jasperwalk.errors import MalformedMessage
+from jasperwalk.flows.frames import (
+    AgentReply,
+    FrameKind,
+    RefusalReason,
+    decode_reply,
+    encode_reply,
+    service_tag,
+)
+from jasperwalk.flows.pace import (
+    CODES_PER_DOUBLING,
+    HIGHEST_PACE,
+    UNKNOWN_PACE,
+    decode_pace,
+    encode_pace,
+)
+from tests.flows.support import key_of
+
+
+def reply(kind, flags):
+    return AgentReply(kind, flags, service_tag("web"), 1.5, 2, key_of(), b"")
+
+
+@pytest.mark.parametrize("seconds", [0.0005, 0.004, 0.044, 0.352, 1.0, 20.0])
+def test_a_pace_comes_back_within_half_a_step(seconds):
+    told = decode_pace(encode_pace(seconds))
+    assert told == pytest.approx(seconds, rel=2 ** (0.5 / CODES_PER_DOUBLING) - 1)
+
+
+@pytest.mark.parametrize("seconds", [None, 0.0, -1.0, float("inf"), float("nan")])
+def test_what_is_no_time_is_not_known(seconds):
+    assert encode_pace(seconds) == UNKNOWN_PACE
+
+
+@pytest.mark.parametrize(("seconds", "code"), [(1e-9, 1), (1e9, HIGHEST_PACE)])
+def test_times_beyond_the_scale_are_told_as_its_ends(seconds, code):
+    assert encode_pace(seconds) == code
+
+
+@pytest.mark.parametrize("code", [UNKNOWN_PACE, -1, HIGHEST_PACE + 1])
+def test_a_code_that_says_nothing(code):
+    assert decode_pace(code) is None
+
+
+@pytest.mark.parametrize("code", range(HIGHEST_PACE + 1))
+def test_an_acceptance_may_carry_any_code(code):
+    sent = reply(FrameKind.ACCEPTED, code)
+    assert decode_reply(encode_reply(sent), 12).flags == code
+
+
+def test_a_refusal_of_a_slow_host_is_known_and_one_after_it_is_malformed():
+    sent = reply(FrameKind.REFUSED, RefusalReason.SLOW)
+    assert decode_reply(encode_reply(sent), 12) == sent
+    with pytest.raises(MalformedMessage):
+        decode_reply(encode_reply(reply(FrameKind.REFUSED, max(RefusalReason) + 1)), 12)
--- /dev/null
+++ b/tests/scheduling/test_host_pace.py
@@ -0,0 +1,235 @@
+"""The pace of one host: what makes it slow, and what does not."""
+
+import random
+
+import pytest
+
+from jasperwalk.scheduling.host_pace import (
+    LEARNING_REQUESTS,
+    MAXIMUM_OBSERVATIONS,
+    MOST_KINDS,
+    STALE_SECONDS,
+    HostPace,
+)
+from jasperwalk.scheduling.slow_host import (
+    JUDGEMENT_SECONDS,
+    SLOW_FACTOR,
+    TRIAL_SECONDS,
+    USUAL_FACTOR,
+    SlowHost,
+)
+
+WORK_SECONDS = 0.05
+LONG_FACTOR = 7.0
+LONG_SHARE = 0.03
+SLOW_WORK_FACTOR = 8.0
+SEEN_WITHIN_SECONDS = 1.0
+
+
+class Play:
+    """One host that is kept busy; each slot works on one request after the other."""
+
+    def __init__(self, slots=2, kinds=(("kind", WORK_SECONDS),), long_share=0.0, seed=5):
+        self.random = random.Random(seed)
+        self.pace, self.slots = HostPace(), slots
+        self.kinds, self.long_share = kinds, long_share
+        self.slow_host = SlowHost(self.pace)
+        self.now, self.factor = 0.0, 1.0
+        self.ends, self.number = [], 0
+        self.seen_slow = []
+
+    def begin(self):
+        kind, seconds = self.random.choice(self.kinds)
+        if self.random.random() < self.long_share:
+            seconds *= LONG_FACTOR
+        self.number += 1
+        self.pace.note_asked(self.number, kind, self.slots, self.now)
+        end = self.now + seconds * self.factor * self.random.uniform(0.8, 1.2)
+        self.ends.append((end, self.number))
+
+    def run(self, until):
+        while self.now < until:
+            while len(self.ends) < self.slots:
+                self.begin()
+            next_end = min(self.ends)
+            self.now = min(next_end[0], self.now + 0.02, until)
+            if self.now == next_end[0]:
+                self.ends.remove(next_end)
+                self.pace.note_answered(next_end[1], self.slots, self.now)
+            self.slow_host.judge(self.now)
+            self.seen_slow.append((self.now, self.slow_host.is_slow()))
+        return self
+
+    def share_slow(self):
+        return sum(is_slow for _, is_slow in self.seen_slow) / len(self.seen_slow)
+
+
+def one(pace, name, start, end, kind="kind", slots=1):
+    pace.note_asked(name, kind, slots, start)
+    pace.note_answered(name, slots, end)
+
+
+@pytest.mark.parametrize("slots", [1, 2, 4])
+def test_a_slow_host_is_seen_soon_and_is_usual_again_after(slots):
+    play = Play(slots).run(5.0)
+    assert not play.slow_host.is_slow()
+    play.factor = SLOW_WORK_FACTOR
+    play.run(5.0 + SEEN_WITHIN_SECONDS)
+    assert play.slow_host.is_slow()
+    assert play.slow_host.seconds("kind") > SLOW_FACTOR * WORK_SECONDS
+    play.run(10.0)
+    assert play.slow_host.is_slow()
+    play.factor = 1.0
+    play.run(10.0 + SEEN_WITHIN_SECONDS)
+    assert not play.slow_host.is_slow()
+    assert play.slow_host.seconds("kind") == pytest.approx(WORK_SECONDS, rel=0.3)
+
+
+def test_a_slow_host_is_seen_before_it_has_answered():
+    play = Play(4).run(5.0)
+    for number in range(4):
+        play.pace.note_asked(f"late {number}", "kind", 8, play.now)
+    now = play.now + SLOW_FACTOR * WORK_SECONDS + STALE_SECONDS + 0.1
+    assert play.slow_host.judge(now)
+    assert play.slow_host.is_slow()
+
+
+@pytest.mark.parametrize("slots", [1, 2, 4])
+@pytest.mark.parametrize("seed", range(3))
+def test_a_few_long_requests_do_not_make_a_host_slow(slots, seed):
+    play = Play(slots, long_share=LONG_SHARE, seed=seed).run(60.0)
+    assert play.share_slow() < 0.01
+
+
+def test_one_long_request_does_not_make_a_host_slow():
+    play = Play(1).run(5.0)
+    play.factor = LONG_FACTOR
+    play.ends.clear()
+    play.begin()
+    play.factor = 1.0
+    play.run(8.0)
+    assert play.share_slow() == 0.0
+
+
+def test_another_mix_of_kinds_does_not_make_a_host_slow():
+    quick, long = ("quick", 0.01), ("long", 0.01 * 2 * SLOW_FACTOR)
+    play = Play(2, kinds=(quick, long)).run(5.0)
+    play.kinds = (long,)
+    play.run(10.0)
+    play.kinds = (quick,)
+    play.run(15.0)
+    assert play.share_slow() == 0.0
+
+
+def test_a_queue_does_not_make_a_host_slow():
+    pace = HostPace()
+    for number in range(20):
+        one(pace, number, 0.1 * number, 0.1 * number + WORK_SECONDS)
+    for number in range(8):
+        pace.note_asked(f"burst {number}", "kind", 1, 2.0)
+    for number in range(8):
+        pace.note_answered(f"burst {number}", 1, 2.0 + WORK_SECONDS * (number + 1))
+    assert pace.slowness(2.4) == pytest.approx(1.0, abs=0.1)
+
+
+def test_nothing_is_known_before_enough_requests_and_after_a_while():
+    pace = HostPace()
+    assert (pace.slowness(0.0), pace.usual_seconds("kind")) == (None, None)
+    for number in range(LEARNING_REQUESTS + 3):
+        one(pace, number, number * 0.1, number * 0.1 + WORK_SECONDS)
+    assert pace.slowness(1.0) == pytest.approx(1.0)
+    assert pace.slowness(1.0 + STALE_SECONDS) is None
+    assert pace.usual_seconds("kind") == pytest.approx(WORK_SECONDS, rel=0.02)
+
+
+def test_a_host_that_stays_slow_becomes_usual():
+    play = Play(2).run(5.0)
+    play.factor = 2 * SLOW_FACTOR
+    play.run(120.0)
+    assert not play.slow_host.is_slow()
+
+
+def test_another_host_is_judged_anew():
+    play = Play(2).run(5.0)
+    play.factor = SLOW_WORK_FACTOR
+    play.run(7.0)
+    play.pace.forget()
+    play.slow_host.forget()
+    assert not play.slow_host.is_slow()
+    assert play.slow_host.seconds("kind") is None
+
+
+def test_memory_is_bounded():
+    pace = HostPace()
+    for number in range(4 * MOST_KINDS):
+        one(pace, number, number * 1.0, number + 0.1, kind=number)
+        one(pace, "again", number + 0.2, number + 0.3, kind="again")
+    assert len(pace._usual) <= MOST_KINDS
+    assert pace.observations() <= MAXIMUM_OBSERVATIONS
+
+
+def slow_play():
+    play = Play(2).run(5.0)
+    play.factor = SLOW_WORK_FACTOR
+    return play.run(7.0)
+
+
+@pytest.mark.parametrize(
+    ("remaining_seconds", "busy", "refused"),
+    [
+        (5.0, 2, False),
+        (5.0, 40, True),
+        (SLOW_WORK_FACTOR * WORK_SECONDS * 2, 1, False),
+        (SLOW_WORK_FACTOR * WORK_SECONDS / 2, 1, True),
+        (-1.0, 1, True),
+        (None, 1, False),
+        (None, 2, True),
+    ],
+)
+def test_a_slow_host_takes_what_it_serves_in_time(remaining_seconds, busy, refused):
+    play = slow_play()
+    play.slow_host.note_admitted(play.now)
+    assert play.slow_host.refuses("kind", busy, 2, remaining_seconds, play.now) is refused
+
+
+def test_an_idle_slow_host_gets_a_trial_now_and_then():
+    play = slow_play()
+    play.slow_host.note_admitted(play.now)
+    now = play.now + TRIAL_SECONDS
+    assert play.slow_host.refuses("kind", 0, 2, 0.1, now - 0.01)
+    assert not play.slow_host.refuses("kind", 0, 2, 0.1, now)
+    assert play.slow_host.refuses("kind", 1, 2, 0.1, now)
+
+
+def test_a_host_as_usual_refuses_nothing():
+    play = Play(2).run(5.0)
+    assert not play.slow_host.refuses("kind", 100, 2, 0.001, play.now)
+
+
+def test_a_slow_host_without_requests_stays_slow_until_the_judgement_is_old():
+    play = slow_play()
+    for _, name in play.ends:
+        play.pace.note_ended(name, 2, play.now)
+    assert not play.slow_host.judge(play.now + STALE_SECONDS + 0.1)
+    assert play.slow_host.is_slow()
+    assert play.slow_host.judge(play.now + JUDGEMENT_SECONDS + STALE_SECONDS + 0.1)
+    assert not play.slow_host.is_slow()
+
+
+def test_two_trials_as_usual_end_the_judgement_however_far_apart():
+    play = slow_play()
+    for _, name in play.ends:
+        play.pace.note_ended(name, 2, play.now)
+    for number, is_slow in enumerate((True, False)):
+        now = play.now + (number + 1) * (STALE_SECONDS + 0.1)
+        one(play.pace, f"trial {number}", now, now + WORK_SECONDS, slots=2)
+        play.slow_host.judge(now + WORK_SECONDS)
+        assert play.slow_host.is_slow() is is_slow
+
+
+def test_the_judgement_does_not_waver_between_its_bounds():
+    assert USUAL_FACTOR < SLOW_FACTOR
+    play = slow_play()
+    play.factor = (USUAL_FACTOR + SLOW_FACTOR) / 2 * 1.2
+    play.run(8.0)
+    assert play.slow_host.is_slow()
--- /dev/null
+++ b/tests/scheduling/test_slot_use.py
@@ -0,0 +1,83 @@
+"""How long requests held a slot, where more of them are under way than the host has slots."""
+
+import random
+
+import pytest
+
+from jasperwalk.scheduling.slot_use import MOST_REQUESTS, SlotUse
+
+
+def held(use, name, slots, now):
+    request = use.end(name, slots, now)
+    return None if request is None else now - request.started_at
+
+
+def test_a_request_at_a_free_slot_holds_it_from_when_it_came():
+    use = SlotUse()
+    use.begin("a", "kind", 2, 1.0)
+    use.begin("b", "kind", 2, 1.1)
+    assert held(use, "b", 2, 1.4) == pytest.approx(0.3)
+    assert held(use, "a", 2, 1.5) == pytest.approx(0.5)
+
+
+def test_the_time_in_which_all_slots_were_held_is_not_counted():
+    use = SlotUse()
+    use.begin("a", "kind", 1, 1.0)
+    use.begin("b", "kind", 1, 1.1)
+    assert held(use, "a", 1, 1.5) == pytest.approx(0.5)
+    assert held(use, "b", 1, 1.6) == pytest.approx(0.1)
+
+
+def test_a_queued_request_that_is_answered_first_had_the_slot():
+    use = SlotUse()
+    use.begin("a", "kind", 1, 1.0)
+    use.begin("b", "kind", 1, 1.1)
+    assert held(use, "b", 1, 1.5) == pytest.approx(0.4)
+    assert held(use, "a", 1, 1.7) == pytest.approx(0.2)
+
+
+def test_a_request_that_was_not_whole_leaves_its_slot_to_the_next():
+    use = SlotUse()
+    use.begin("upload", "kind", 1, 1.0)
+    use.begin("b", "kind", 1, 1.1)
+    use.begin("upload", "kind", 1, 1.2)
+    assert held(use, "b", 1, 1.3) == pytest.approx(0.2)
+    assert held(use, "upload", 1, 1.5) == pytest.approx(0.2)
+
+
+def test_a_request_that_is_not_followed_ends_without_a_figure():
+    assert SlotUse().end("a", 1, 1.0) is None
+
+
+def test_the_number_of_requests_is_bounded():
+    use = SlotUse()
+    for name in range(2 * MOST_REQUESTS):
+        use.begin(name, "kind", 1, 1.0)
+    assert len(use) <= MOST_REQUESTS
+
+
+@pytest.mark.parametrize("order", ["first", "last", "random"])
+@pytest.mark.parametrize("slots", [1, 2, 4])
+def test_the_times_sum_up_to_what_the_slots_were_held_whatever_the_order(order, slots):
+    source = random.Random(7)
+    use, counted, worked = SlotUse(), 0.0, 0.0
+    now, queue, at_work = 0.0, [], {}
+    position = {"first": lambda: 0, "last": lambda: -1}.get(
+        order, lambda: source.randrange(len(queue))
+    )
+    arrivals = [(0.01 * number + 0.005 * source.random(), number) for number in range(400)]
+    while arrivals or at_work:
+        ends_next = min(at_work.items(), key=lambda each: each[1], default=(None, float("inf")))
+        if arrivals and arrivals[0][0] < ends_next[1]:
+            now, name = arrivals.pop(0)
+            use.begin(name, "kind", slots, now)
+            queue.append(name)
+        else:
+            name, now = ends_next
+            del at_work[name]
+            counted += held(use, name, slots, now)
+        while queue and len(at_work) < slots:
+            work = 0.01 * slots * source.uniform(0.5, 1.5)
+            worked += work
+            at_work[queue.pop(position())] = now + work
+    assert counted == pytest.approx(worked, rel=0.02)
