--- /dev/null
+++ b/bench/host_pace.py
@@ -0,0 +1,92 @@
+"""Benchmark of measuring a host's pace: each request, each judgement, each choice of an agent."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+
+from bench.harness import MICROSECONDS, Figure
+from jasperwalk.addresses import Endpoint
+from jasperwalk.fleet.messages import FleetUpdate, HostPhase, NodeRecord, NodeRole
+from jasperwalk.fleet.targets import TargetPool
+from jasperwalk.flows.pace import encode_pace
+from jasperwalk.scheduling.host_pace import RECKONING_SECONDS, HostPace
+from jasperwalk.scheduling.slow_host import SlowHost
+
+SEED = 20261202
+COUNT = 20_000
+ROUNDS = 7
+SLOTS = 2
+WORK_SECONDS = 0.05
+BETWEEN_SECONDS = 0.02
+AGENTS = 45
+SERVICE = "web"
+LISTENER = b"listen"
+
+
+def measure() -> list[Figure]:
+    """Measure everything; takes a few seconds."""
+    plain, weighed = _choice_time(False), _choice_time(True)
+    return [
+        Figure("host-pace.request.time", _best(_requests), "us"),
+        Figure("host-pace.judgement.time", _judgement_time(), "us"),
+        Figure("host-pace.choice.time", weighed, "us", plain, "by load alone"),
+    ]
+
+
+def _best(work: Callable[[], None]) -> float:
+    """Return the microseconds of the fastest round's step; other load only slows rounds down."""
+    times = []
+    for _ in range(ROUNDS):
+        started = time.process_time()
+        work()
+        times.append(time.process_time() - started)
+    return MICROSECONDS * min(times) / COUNT
+
+
+def _requests(pace: HostPace | None = None) -> None:
+    """Take requests and their answers."""
+    pace = pace or HostPace()
+    for number in range(COUNT):
+        now = BETWEEN_SECONDS * number
+        pace.note_asked(number, LISTENER, SLOTS, now)
+        pace.note_answered(number, SLOTS, now + WORK_SECONDS)
+
+
+def _judgement_time() -> float:
+    """Time a judgement that is worked out anew; an agent does so each `RECKONING_SECONDS`."""
+    pace = HostPace()
+    _requests(pace)
+    slow_host = SlowHost(pace)
+    start = BETWEEN_SECONDS * COUNT
+
+    def judge() -> None:
+        for number in range(COUNT):
+            # Back and forth, so that the same requests stay in the window.
+            slow_host.judge(start + 2 * RECKONING_SECONDS * (number % 2))
+
+    return _best(judge)
+
+
+def _choice_time(weighs_pace: bool) -> float:
+    """Time the choice of an agent where hosts are equal."""
+    pool = TargetPool("a", random.Random(SEED), weighs_pace=weighs_pace)
+    records = [_record(number) for number in range(AGENTS)]
+    pool.update(FleetUpdate(True, records, []), 0.0)
+    for target in pool.all_targets():
+        pool.note_pace(target, LISTENER, encode_pace(WORK_SECONDS), 0.0)
+    keys = [random.Random(number).randbytes(12) for number in range(COUNT // 10)]
+
+    def choose() -> None:
+        for number, key in enumerate(keys):
+            pool.choose(SERVICE, key, (), number / len(keys))
+
+    return _best(choose) * COUNT / len(keys)
+
+
+def _record(number: int) -> NodeRecord:
+    endpoint = Endpoint(f"127.0.1.{number + 1}", 7602)
+    return NodeRecord(
+        f"a{number}", 1, NodeRole.AGENT, "a", endpoint, SERVICE, HostPhase.READY, SLOTS
+    )
--- a/bench/suites.py
+++ b/bench/suites.py
@@ -7,7 +7,7 @@
 
 import click
 
-from bench import agent, balancer, consensus, datagrams, distribution, overload
+from bench import agent, balancer, consensus, datagrams, distribution, host_pace, overload
 from bench.harness import DEFAULT_OUTPUT, Figure, make_report
 from jasperwalk_lab.machine import machine_facts, write_json
 
@@ -18,6 +18,7 @@
     "consensus": consensus.measure,
     "distribution": distribution.measure,
     "datagrams": datagrams.measure,
+    "host-pace": host_pace.measure,
 }
 
 
