--- a/bench/suites.py
+++ b/bench/suites.py
@@ -14,6 +14,7 @@
     datagrams,
     distribution,
     fair_shares,
+    host_pace,
     overload,
 )
 from bench.harness import DEFAULT_OUTPUT, Figure, make_report
@@ -27,6 +28,7 @@
     "distribution": distribution.measure,
     "datagrams": datagrams.measure,
     "fair-shares": fair_shares.measure,
+    "host-pace": host_pace.measure,
 }
 
 
--- a/src/jasperwalk/agent/datagrams/caller_packets.py
+++ b/src/jasperwalk/agent/datagrams/caller_packets.py
@@ -168,6 +168,7 @@
     def _send(self, flow: HeldFlow, packet: bytes, now: float) -> None:
         codec = self.parts.codec
         if codec.payload_bytes(packet) and flow.is_new_data(codec.data_number(packet)):
+            self.parts.pace.note_asked(flow, packet, now)
             self.parts.table.note_asked(flow, now)
         if codec.is_ending(packet) or codec.is_reset(packet):
             flow.caller_ended = True
--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -25,6 +25,7 @@
 from jasperwalk.agent.datagrams.host_packets import HostPackets
 from jasperwalk.agent.datagrams.host_watch import HostWatch
 from jasperwalk.agent.datagrams.load import LoadMeter
+from jasperwalk.agent.datagrams.pace_watch import PaceWatch
 from jasperwalk.agent.datagrams.parts import AgentParts
 from jasperwalk.agent.datagrams.waiting_requests import WaitingRequests
 from jasperwalk.agent.datagrams.warm_up import WarmUpLimit
@@ -75,18 +76,26 @@
     wait_latency: LatencyCounts = field(default_factory=LatencyCounts)
     flow_idle_seconds: float = float("inf")
     """Longest rest of a flow that is kept."""
+    measures_pace: bool = True
+    """False to measure nothing of the host's pace."""
 
     def __post_init__(self) -> None:
         """Make the parts."""
         self._tag = service_tag(self.service)
         self.answers = BalancerAnswers(self._tag, self.host, self._load, self.to_balancer)
         self.meter = LoadMeter(self.started_at)
-        self.table = HeldFlows(self.meter, self.flow_lifetime_seconds)
+        self.pace = PaceWatch(self.codec, self.host, self.log, self.measures_pace)
+        self.table = HeldFlows(self.meter, self.flow_lifetime_seconds, self.pace.note_ended)
         self.queue = RequestScheduler(UrgencyOrder(self.shares, self.least_share))
-        self.watch = HostWatch(self.host, self.log)
+        self.watch = HostWatch(self.host, self.log, self.pace)
         self.warm_up = WarmUpLimit(self.warm_up_floor, self.started_at)
         self.admission = HostAdmission(
-            self.host, self.watch.response, self.watch.requests, self.warm_up, self.zone
+            self.host,
+            self.watch.response,
+            self.watch.requests,
+            self.warm_up,
+            self.zone,
+            self.pace,
         )
         self.knowledge = FlowKnowledge(
             self.host, self.warm_up, self.started_at, self.flow_lifetime_seconds
@@ -103,6 +112,7 @@
             table=self.table,
             queue=self.queue,
             watch=self.watch,
+            pace=self.pace,
             warm_up=self.warm_up,
             admission=self.admission,
             counters=self.counters,
--- a/src/jasperwalk/agent/datagrams/host_packets.py
+++ b/src/jasperwalk/agent/datagrams/host_packets.py
@@ -66,6 +66,7 @@
             parts.host_latency.observe(now - flow.asked_at)
             parts.watch.note_answered(now)
             parts.table.note_answered(flow, now)
+            parts.pace.note_answered(flow, now)
         parts.table.set_busy(flow, False, now)
 
     def _note_reset(self, key: bytes, flow: HeldFlow, now: float) -> None:
--- a/src/jasperwalk/agent/datagrams/process.py
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -105,6 +105,7 @@
             warm_up_floor=settings.warm_up_floor,
             least_share=settings.least_share,
             shares=_shares(settings),
+            measures_pace=settings.policies.host_pace,
         )
         self.helper = SearchHelper(
             codec=codec,
@@ -145,6 +146,8 @@
                 "requests_waiting": lambda: len(self.core.queue),
                 "zone_drained": self.core.admission.is_zone_drained,
                 "host_failing": self.core.watch.requests.is_failing,
+                "host_slow": self.core.pace.slow_host.is_slow,
+                "host_pace_ms": self.core.pace.pace_ms,
                 "host_ready": lambda: self.host.phase is HostPhase.READY,
                 "agents": lambda: len(self.helper.pool),
                 "searches": lambda: len(self.helper.searches),
--- a/src/jasperwalk/fleet/settings.py
+++ b/src/jasperwalk/fleet/settings.py
@@ -46,6 +46,9 @@
     fair_shares: bool = True
     """An agent whose host is busy serves the groups of callers that wait by weighted fair shares.
     It rests on `request_scheduling`, which tells the groups apart."""
+    host_pace: bool = True
+    """An agent measures how long its host takes for a request, tells balancers and keeps flows from
+    a host that is much slower than usual; a balancer weighs agents by what they tell."""
 
 
 class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
