--- a/src/jasperwalk/agent/datagrams/flow_admission.py
+++ b/src/jasperwalk/agent/datagrams/flow_admission.py
@@ -31,10 +31,10 @@
         self._expire_half_open(now)
         flow = parts.table.get(key)
         is_copy = flow is not None and not flow.has_ended()
-        reason = self._refusal(tag, terms, now)
+        reason = self._refusal(tag, terms, now, key)
         reason = None if is_copy and reason in COPIES_PASS else reason
         if reason in MAY_WAIT and not is_copy and self.waiting.lets_wait(key, packet, terms, now):
-            parts.answers.reply(FrameKind.ACCEPTED, 0, key, sender, now)
+            parts.answers.reply(FrameKind.ACCEPTED, parts.pace.told(key, now), key, sender, now)
             return
         if reason is not None:
             parts.counters.note_refusal(reason)
@@ -44,7 +44,7 @@
             self._admit(key, sender, now)
             route = terms.route or UNNAMED_TERMS
             parts.queue.note_begun(route, parts.table.under_way.usual_seconds, now)
-        parts.answers.reply(FrameKind.ACCEPTED, 0, key, sender, now)
+        parts.answers.reply(FrameKind.ACCEPTED, parts.pace.told(key, now), key, sender, now)
         parts.warm_up.note_passed(now)
         parts.to_host(packet)
 
@@ -78,11 +78,13 @@
         self.parts.warm_up.note_passed(now)
         self.parts.to_host(request.packets[0])
 
-    def _refusal(self, tag: int, terms: OpeningTerms, now: float) -> RefusalReason | None:
+    def _refusal(
+        self, tag: int, terms: OpeningTerms, now: float, key: bytes | None = None
+    ) -> RefusalReason | None:
         """Return why a new flow is refused now, None where it is taken."""
         if tag != self.parts.tag:
             return RefusalReason.OTHER_SERVICE
-        return self.parts.admission.refusal(self.parts.requests_at_host(now), terms, now)
+        return self.parts.admission.refusal(self.parts.requests_at_host(now), terms, now, key)
 
     def _admit(
         self, key: bytes, sender: SocketAddress, now: float, waited_seconds: float = 0.0
--- a/src/jasperwalk/agent/datagrams/held_flows.py
+++ b/src/jasperwalk/agent/datagrams/held_flows.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from jasperwalk.agent.datagrams.half_open import HalfOpenFlows
@@ -25,6 +26,8 @@
 
     meter: LoadMeter
     lifetime_seconds: float
+    note_ended: Callable[[HeldFlow, float], None] | None = None
+    """Told of each flow that has no request under way any more, None where nobody is."""
     half_open: HalfOpenFlows = field(default_factory=HalfOpenFlows)
     under_way: RequestsUnderWay = field(default_factory=RequestsUnderWay)
     """The requests that take a place at the host, named by their flows."""
@@ -59,8 +62,10 @@
             self.meter.change(1 if busy else -1, now)
             if busy:
                 self.under_way.begin(flow, now)
-            else:
-                self.under_way.end(flow)
+                return
+            self.under_way.end(flow)
+            if self.note_ended is not None:
+                self.note_ended(flow, now)
 
     def note_asked(self, flow: HeldFlow, now: float) -> None:
         """Note that a request, or a further part of one, goes to the host."""
