A young crowd of new flows waits; only a lasting one is refused at once

Cause: after an outage all callers come back together, late already; refused at once they spent their tries within 0.1 s, though the hosts had worked them off within a second. Ruled out: a longer queue (its bound was not reached: 25 of a thousand failed with it untouched). A flow that cannot be in time is refused only where flows have been too many for 0.9 s, the time one may wait.

--- a/src/jasperwalk/agent/datagrams/waiting_requests.py
+++ b/src/jasperwalk/agent/datagrams/waiting_requests.py
@@ -8,13 +8,16 @@
 from jasperwalk.agent.datagrams.admission import most_requests
 from jasperwalk.agent.datagrams.parts import AgentParts
 from jasperwalk.flows.frames import OpeningTerms
-from jasperwalk.scheduling.request_scheduler import LONGEST_AGE_SECONDS
+from jasperwalk.scheduling.request_scheduler import LONGEST_AGE_SECONDS, LONGEST_WAIT_SECONDS
 from jasperwalk.scheduling.waiting_request import UNNAMED_TERMS, WaitingRequest
 
 WAITING_SHARE = 0.5
 """Part of its objective within which a new flow has to expect its answer in order to wait: the
 other part is for more urgent requests that come later, and for what takes longer than usual."""
 
+YOUNG_CROWD_SECONDS = LONGEST_WAIT_SECONDS
+"""A crowd that lasts no longer than its flows may wait is worked off while they wait."""
+
 
 @dataclass(eq=False, repr=False)
 class WaitingRequests:
@@ -25,6 +28,8 @@
 
     parts: AgentParts
     pass_on: Callable[[WaitingRequest, float], None]
+    _crowded_since: float | None = None
+    """When the first flow came that would be late, None where the last one would not be."""
 
     def lets_wait(self, key: bytes, packet: bytes, terms: OpeningTerms, now: float) -> bool:
         """Put a flow that found no free host into the queue, where it may be served in time.
@@ -34,7 +39,7 @@
         queue = self.parts.queue
         if key in queue:
             return True
-        if not terms.waits or self._is_hopeless(terms, now):
+        if not terms.waits or self._is_refused_at_once(terms, now):
             return False
         route = terms.route or UNNAMED_TERMS
         request = queue.add_opening(key, packet, route, terms.age_seconds, now)
@@ -45,7 +50,20 @@
         self.parts.counters.flows_waited += 1
         return True
 
-    def _is_hopeless(self, terms: OpeningTerms, now: float) -> bool:
+    def _is_refused_at_once(self, terms: OpeningTerms, now: float) -> bool:
+        """Tell whether a flow is refused because it would be late, as those before it were.
+
+        After an outage all callers come back together, late already, and the host has worked them
+        off before their time is over: while a crowd is that young, its flows wait.
+        """
+        if not self._would_be_late(terms, now):
+            self._crowded_since = None
+            return False
+        if self._crowded_since is None:
+            self._crowded_since = now
+        return now - self._crowded_since > YOUNG_CROWD_SECONDS
+
+    def _would_be_late(self, terms: OpeningTerms, now: float) -> bool:
         """Tell whether a flow would not be answered in time: as much comes before it.
 
         Its caller learns so at once and comes again while an answer may still be in time. One
