--- a/bench/suites.py
+++ b/bench/suites.py
@@ -16,6 +16,7 @@
     fair_shares,
     host_pace,
     overload,
+    request_scheduler,
 )
 from bench.harness import DEFAULT_OUTPUT, Figure, make_report
 from jasperwalk_lab.machine import machine_facts, write_json
@@ -29,6 +30,7 @@
     "datagrams": datagrams.measure,
     "fair-shares": fair_shares.measure,
     "host-pace": host_pace.measure,
+    "request-scheduler": request_scheduler.measure,
 }
 
 
--- a/src/jasperwalk/scheduling/request_order.py
+++ b/src/jasperwalk/scheduling/request_order.py
@@ -69,6 +69,10 @@
         """Return how many requests stand in line."""
         return len(self.timely) + len(self.late)
 
+    def __bool__(self) -> bool:
+        """Tell whether any request stands in line."""
+        return bool(self.timely or self.late)
+
     def add(self, request: WaitingRequest) -> None:
         """Take a request in."""
         if request.terms.objective_seconds:
@@ -89,6 +93,10 @@
         """Return the request whose turn it is."""
         return self.timely[0] if self.timely else self.late[-1]
 
+    def take(self) -> WaitingRequest:
+        """Take the request whose turn it is."""
+        return self.timely.pop(0) if self.timely else self.late.pop()
+
     def least_promising(self) -> WaitingRequest:
         """Return the request that is least likely to be served in time."""
         return self.late[0] if self.late else self.timely[0]
@@ -118,18 +126,20 @@
 
     def lines(self, with_openings: bool) -> list[Line]:
         """Return the lines that have something to begin, new flows only where they are taken."""
-        lines = (self.requests, self.openings) if with_openings else (self.requests,)
-        return [line for line in lines if line]
+        lines = [self.requests] if self.requests else []
+        if with_openings and self.openings:
+            lines.append(self.openings)
+        return lines
 
     def take_next(self, with_openings: bool, answer_at: float) -> WaitingRequest:
         """Take the request whose turn it is, for an answer at this time."""
         lines = self.lines(with_openings)
         for line in lines:
             line.sort_out_late(answer_at)
-        line = min(lines, key=lambda each: _rank(each.next(), each))
-        request = line.next()
-        line.remove(request)
-        return request
+        line = lines[0]
+        if len(lines) > 1:
+            line = min(lines, key=lambda each: _rank(each.next(), each))
+        return line.take()
 
 
 @dataclass(eq=False, repr=False)
@@ -161,20 +171,28 @@
         `with_openings` is False while the host takes no new flows. `seconds` is what a request is
         expected to take of a slot.
         """
-        priorities = sorted(
-            priority for priority in self._lanes if self._groups(priority, with_openings)
-        )
+        priorities = self._priorities(with_openings)
         if not priorities:
             return None
         priority = self._priority_in_turn(priorities)
-        group = self.shares.neediest(self._groups(priority, with_openings), now)
+        groups = self._groups(priority, with_openings)
+        group = groups[0] if len(groups) == 1 else self.shares.neediest(groups, now)
         request = self._lanes[priority][group].take_next(with_openings, now + seconds)
         self._drop_if_empty(request)
         self.shares.note_served(group, seconds, now)
         return request
 
+    def _priorities(self, with_openings: bool) -> list[int]:
+        """Return the priorities that have something to begin, the most urgent first."""
+        priorities = sorted(self._lanes)
+        if with_openings:
+            return priorities
+        return [each for each in priorities if self._groups(each, with_openings)]
+
     def _groups(self, priority: int, with_openings: bool) -> list[int]:
         lanes = self._lanes[priority]
+        if with_openings:
+            return list(lanes)
         return [group for group, lane in lanes.items() if lane.lines(with_openings)]
 
     def _priority_in_turn(self, priorities: list[int]) -> int:
