Packets of flows that the host may not hold are never held back

Cause: after a loss of power callers go on asking on flows that are lost. An agent that had restarted held their packets like requests while its host was busy; the host, which hands them back at once, never saw them, so that callers waited for nothing until their limits passed. Ruled out: the replicas (a leader 0.7 s after power was back). The test fails without the mend.

--- a/src/jasperwalk/agent/datagrams/caller_packets.py
+++ b/src/jasperwalk/agent/datagrams/caller_packets.py
@@ -127,6 +127,10 @@
         waiting = self.parts.queue.get(key)
         if waiting is not None:
             return self._joins(waiting, packet)
+        if not flow.confirmed:
+            # Whether the host holds the flow at all, only a packet tells; its caller, who may have
+            # to begin anew, is not to wait for that.
+            return False
         if not self.parts.orders_requests() or not self._begins_request(flow, packet):
             return False
         listener = self.parts.codec.listener_of(key)
--- a/tests/agent/datagrams/test_request_scheduling.py
+++ b/tests/agent/datagrams/test_request_scheduling.py
@@ -225,6 +225,16 @@
     assert len(host.begun()) == FULL + 3
 
 
+def test_a_packet_of_a_flow_that_the_host_may_not_hold_is_not_held_back():
+    """After a loss of power callers go on asking on flows that are lost; the host says so."""
+    host = rush_host()
+    host.begun()
+    for port in range(60, 70):
+        host.ask(port, 2, 1.1)
+    assert len(host.begun()) == 10
+    assert len(host.agent.queue) == 2
+
+
 def test_nothing_waits_for_a_host_that_has_not_said_how_much_it_can_do():
     host = Host(HostPhase.UNKNOWN)
     host.agent.parts.learned.note(FEEDS.pack(), BALANCER, FEED_TERMS)
