--- a/src/jasperwalk/agent/datagrams/caller_packets.py
+++ b/src/jasperwalk/agent/datagrams/caller_packets.py
@@ -127,10 +127,6 @@
         waiting = self.parts.queue.get(key)
         if waiting is not None:
             return self._joins(waiting, packet)
-        if not flow.confirmed:
-            # Whether the host holds the flow at all, only a packet tells; its caller, who may have
-            # to begin anew, is not to wait for that.
-            return False
         if not self.parts.orders_requests() or not self._begins_request(flow, packet):
             return False
         listener = self.parts.codec.listener_of(key)
@@ -164,6 +160,13 @@
         return True
 
     def _begins_request(self, flow: HeldFlow, packet: bytes) -> bool:
+        """Tell whether a packet begins a request that may wait.
+
+        Whether the host holds an unconfirmed flow at all, only a packet tells; its caller, who may
+        have to begin anew, is not to wait for that.
+        """
+        if not flow.confirmed:
+            return False
         codec = self.parts.codec
         if not codec.payload_bytes(packet) or codec.is_opening(packet):
             return False
