No urgent flow is refused while a less urgent one waits; the soak wants the whole promise again

Cause: an urgent flow that would be late was refused at once though less urgent ones waited at the same agent and were begun later (soak, 45 s: nine times at 3.3 s, less urgent openings begun at two hosts). The test fails without it.

--- a/src/jasperwalk/agent/datagrams/waiting_requests.py
+++ b/src/jasperwalk/agent/datagrams/waiting_requests.py
@@ -54,14 +54,19 @@
         """Tell whether a flow is refused because it would be late, as those before it were.
 
         After an outage all callers come back together, late already, and the host has worked them
-        off before their time is over: while a crowd is that young, its flows wait.
+        off before their time is over: while a crowd is that young, its flows wait. One that
+        is more urgent than a flow that waits here waits as well: it is not refused for want of
+        time that the other one gets.
         """
         if not self._would_be_late(terms, now):
             self._crowded_since = None
             return False
         if self._crowded_since is None:
             self._crowded_since = now
-        return now - self._crowded_since > YOUNG_CROWD_SECONDS
+        if now - self._crowded_since <= YOUNG_CROWD_SECONDS:
+            return False
+        route = terms.route or UNNAMED_TERMS
+        return not self.parts.queue.order.has_less_urgent_opening(route.priority)
 
     def _would_be_late(self, terms: OpeningTerms, now: float) -> bool:
         """Tell whether a flow would not be answered in time: as much comes before it.
--- a/src/jasperwalk/scheduling/request_order.py
+++ b/src/jasperwalk/scheduling/request_order.py
@@ -239,6 +239,15 @@
             for lane in groups.values()
         )
 
+    def has_less_urgent_opening(self, priority: int) -> bool:
+        """Tell whether a new flow waits that is less urgent than this priority."""
+        return any(
+            lane.openings
+            for other, groups in self._lanes.items()
+            if other > priority
+            for lane in groups.values()
+        )
+
     def _drop_if_empty(self, request: WaitingRequest) -> None:
         groups = self._lanes[request.terms.priority]
         if not groups[request.terms.group]:
--- a/tests/agent/datagrams/test_request_scheduling.py
+++ b/tests/agent/datagrams/test_request_scheduling.py
@@ -413,3 +413,15 @@
     for port in range(1, FULL + 21):
         host.ask(port, 3, later)
     assert host.open_with(92, FEEDS, FEED_TERMS, later + 0.1, waits=True) is FrameKind.ACCEPTED
+
+
+def test_no_urgent_flow_is_refused_while_a_less_urgent_one_waits():
+    """The less urgent one would be begun later at the host that had no time for the urgent one."""
+    host = rush_host(FULL + 1)
+    host.open_with(89, FEEDS, FEED_TERMS, 1.01, waits=True)
+    for port in range(90, 100):
+        host.open_with(port, HOLDS, HOLD_TERMS, 1.02, waits=True)
+    lasting = 1.6
+    host.open_with(88, FEEDS, FEED_TERMS, lasting, waits=True)
+    later = 1.05 + YOUNG_CROWD_SECONDS
+    assert host.open_with(100, HOLDS, HOLD_TERMS, later, waits=True) is FrameKind.ACCEPTED
--- a/tests/lab/soak/test_soak_run.py
+++ b/tests/lab/soak/test_soak_run.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from jasperwalk_lab.soak.checks import SoakPromise, not_excused
+from jasperwalk_lab.soak.checks import not_excused
 from jasperwalk_lab.soak.run import run_soak
 from jasperwalk_lab.soak.schedule import LAST_FAULT_BEFORE_END_SECONDS
 
@@ -20,9 +20,7 @@
 @pytest.mark.parametrize("seed", [101, 20261203])
 def test_every_promise_holds(tmp_path, seed):
     report = asyncio.run(run_soak(SECONDS, seed, tmp_path, lambda _line: None))
-    broken = not_excused(report.violations, report.stalls)
-    # The order of urgency has a run of its own, below.
-    assert [each for each in broken if each.promise is not SoakPromise.URGENT_FIRST] == []
+    assert not_excused(report.violations, report.stalls) == []
     assert len(report.faults) >= LEAST_KINDS
     assert report.requests["answered"] >= LEAST_ANSWERED
 
