--- a/src/jasperwalk/scheduling/request_order.py
+++ b/src/jasperwalk/scheduling/request_order.py
@@ -6,8 +6,9 @@
 
 So the more urgent request is begun first, and the others keep a least share of the host, so that
 none of them starves. Within a priority the groups of callers take their shares (`GroupShares`), and
-within a group the newest goes first: while more comes than the host can do, first come first
-served would make every caller wait about as long as the oldest, and none would be in time.
+within a group the one with least time left goes first, of those that can be in time still. The late
+ones follow, the newest first: served in the order in which they came, all would wait about as long
+as the oldest.
 
 Sans-IO; times are seconds.
 """
