Read once more: logic that stood twice, state and parameters that nobody needed

Found by reading the whole change; no decision changes, and no test was touched. - Whether data is newer was worked out twice (HeldFlow): one _ahead serves both. - Three checks that a value is a number, two of them older: is_number of flows/terms serves them. - A request that begins without waiting was noted with the same arguments in two places (AgentParts.note_begun); a request of a flow that rested was entered twice into the requests under way. - Whether an agent is passed over stood in the cost and beside it (Target.is_passed_over). - HostAdmission took a pace or none, and none was never given; Target.note_slow and the check for lateness had a time that they did not use; a default for terms that are known there; a ceiling written as a division; take_expired repeated take's loop; a rank had two arguments of which one follows from the other. Proved by: ruff, mypy, import rules, and the tests of agent, scheduling, flows, balancer, fleet and platform, all passed.

--- a/src/jasperwalk/agent/datagrams/admission.py
+++ b/src/jasperwalk/agent/datagrams/admission.py
@@ -41,8 +41,7 @@
     requests: RequestOutcomes
     warm_up: WarmUpLimit
     own_zone: str
-    pace: PaceWatch | None = None
-    """What keeps flows from a slow host, None where nothing does."""
+    pace: PaceWatch
     _drained: DrainedZones = field(default=NO_ZONES)
 
     def take_zones(self, zones: DrainedZones) -> bool:
@@ -83,10 +82,9 @@
         # A flow that may wait has found no other host: a failing one is better than none.
         if not terms.waits and self.requests.refuses(terms.repeatable, now):
             return RefusalReason.FAILING
-        if self.pace is not None:
-            reason = self.pace.refusal(flow_key, busy, terms, now)
-            if reason is not None:
-                return reason
+        reason = self.pace.refusal(flow_key, busy, terms, now)
+        if reason is not None:
+            return reason
         if busy >= most_requests(host.capacity):
             return RefusalReason.FULL
         is_reached = self.warm_up.is_reached(host.slow_until, now)
--- a/src/jasperwalk/agent/datagrams/flow_admission.py
+++ b/src/jasperwalk/agent/datagrams/flow_admission.py
@@ -42,8 +42,7 @@
             return
         if not is_copy:
             self._admit(key, sender, now)
-            route = terms.route or UNNAMED_TERMS
-            parts.queue.note_begun(route, parts.table.under_way.usual_seconds, now)
+            parts.note_begun(terms.route or UNNAMED_TERMS, now)
         parts.answers.reply(FrameKind.ACCEPTED, parts.pace.told(key, now), key, sender, now)
         parts.warm_up.note_passed(now)
         parts.to_host(packet)
--- a/src/jasperwalk/agent/datagrams/held_flow.py
+++ b/src/jasperwalk/agent/datagrams/held_flow.py
@@ -52,11 +52,7 @@
 
     def begins_request(self, number: int) -> bool:
         """Tell whether data with this number would begin a request: nothing is under way."""
-        if self.busy:
-            return False
-        if self.data_number is None:
-            return True
-        return 0 < (number - self.data_number) % NUMBER_SPAN < NUMBER_SPAN // 2
+        return not self.busy and self._ahead(number) > 0
 
     def is_new_data(self, number: int) -> bool:
         """Take the number of data from the caller; tell whether it was not seen before.
@@ -66,15 +62,25 @@
         """
         if not self.busy:
             self.is_long_request = False
+        ahead = self._ahead(number)
         if self.data_number is not None:
-            ahead = (number - self.data_number) % NUMBER_SPAN
             self.is_long_request |= self.busy and ahead != 0
-            if ahead == 0 or ahead >= NUMBER_SPAN // 2:
-                return False
+        if ahead <= 0:
+            return False
         self.data_number = number
         self.unanswered_noted = False
         return True
 
+    def _ahead(self, number: int) -> int:
+        """Return how far data with this number is ahead of the newest, negative for older data.
+
+        The first data is ahead by 1.
+        """
+        if self.data_number is None:
+            return 1
+        ahead = (number - self.data_number) % NUMBER_SPAN
+        return ahead if ahead < NUMBER_SPAN // 2 else ahead - NUMBER_SPAN
+
     def note_answer(self, number: int | None) -> None:
         """Take the number of the host's answer to an opening packet, None for other packets."""
         if number is not None and number not in self.answer_numbers:
--- a/src/jasperwalk/agent/datagrams/held_flows.py
+++ b/src/jasperwalk/agent/datagrams/held_flows.py
@@ -70,8 +70,10 @@
     def note_asked(self, flow: HeldFlow, now: float) -> None:
         """Note that a request, or a further part of one, goes to the host."""
         flow.asked_at = now
-        self.set_busy(flow, True, now)
-        self.under_way.begin(flow, now)
+        if flow.busy:
+            self.under_way.begin(flow, now)
+        else:
+            self.set_busy(flow, True, now)
 
     def note_answered(self, flow: HeldFlow, now: float) -> None:
         """Note that the host has begun to answer a request."""
--- a/src/jasperwalk/agent/datagrams/host.py
+++ b/src/jasperwalk/agent/datagrams/host.py
@@ -25,8 +25,6 @@
 RETURN_SECONDS = 2.0
 """Silence of the present host after which one that it replaced may take its place again. Hosts
 announce themselves about once a second, so a living one is not replaced by a late announcement."""
-
-
 RETURN_SPAN_SECONDS = 1.0
 """Time between two calls after which a host is taken to go on announcing itself. Calls that a cut
 has held up come in together, however long their sender is gone."""
--- a/src/jasperwalk/agent/datagrams/parts.py
+++ b/src/jasperwalk/agent/datagrams/parts.py
@@ -17,6 +17,7 @@
 from jasperwalk.agent.datagrams.warm_up import WarmUpLimit
 from jasperwalk.fleet.messages import HostPhase
 from jasperwalk.flows.codec import DatagramSender, PacketCodec
+from jasperwalk.flows.terms import CarriedTerms
 from jasperwalk.observability.decisions import DecisionLog
 from jasperwalk.observability.latency import LatencyCounts
 from jasperwalk.scheduling.request_scheduler import RequestScheduler
@@ -63,6 +64,10 @@
         """Tell whether the host has room for one more request."""
         return self.requests_at_host(now) < most_requests(self.host.capacity)
 
+    def note_begun(self, terms: CarriedTerms, now: float) -> None:
+        """Note a request that went to the host without waiting."""
+        self.queue.note_begun(terms, self.table.under_way.usual_seconds, now)
+
     def load(self, now: float) -> float:
         """Return the load that balancers are told: requests at the host and waiting for it."""
         if self.watch.response.is_unable(now):
--- a/src/jasperwalk/agent/datagrams/waiting_requests.py
+++ b/src/jasperwalk/agent/datagrams/waiting_requests.py
@@ -8,6 +8,7 @@
 from jasperwalk.agent.datagrams.admission import most_requests
 from jasperwalk.agent.datagrams.parts import AgentParts
 from jasperwalk.flows.frames import OpeningTerms
+from jasperwalk.flows.terms import CarriedTerms
 from jasperwalk.scheduling.request_scheduler import LONGEST_AGE_SECONDS, LONGEST_WAIT_SECONDS
 from jasperwalk.scheduling.waiting_request import UNNAMED_TERMS, WaitingRequest
 
@@ -58,32 +59,29 @@
         is more urgent than a flow that waits here waits as well: it is not refused for want of
         time that the other one gets.
         """
-        if not self._would_be_late(terms, now):
+        route = terms.route
+        if route is None or not self._would_be_late(route, terms.age_seconds):
             self._crowded_since = None
             return False
         if self._crowded_since is None:
             self._crowded_since = now
         if now - self._crowded_since <= YOUNG_CROWD_SECONDS:
             return False
-        route = terms.route or UNNAMED_TERMS
         return not self.parts.queue.order.has_less_urgent_opening(route.priority)
 
-    def _would_be_late(self, terms: OpeningTerms, now: float) -> bool:
+    def _would_be_late(self, route: CarriedTerms, age_seconds: float) -> bool:
         """Tell whether a flow would not be answered in time: as much comes before it.
 
         Its caller learns so at once and comes again while an answer may still be in time. One
         that waited until its time has passed would come again all the same, be late for certain,
         and take the place of a caller that is not.
         """
-        route = terms.route
-        if route is None:
-            return False
         parts = self.parts
         ahead = parts.queue.order.count_ahead(route.priority)
         answer_seconds = parts.table.under_way.usual_seconds
         wait_seconds = (ahead + 1) * answer_seconds / most_requests(parts.host.capacity)
         longest = WAITING_SHARE * route.objective_seconds or LONGEST_AGE_SECONDS
-        return terms.age_seconds + wait_seconds + answer_seconds > longest
+        return age_seconds + wait_seconds + answer_seconds > longest
 
     def _most(self, now: float) -> int:
         admission = self.parts.admission
--- a/src/jasperwalk/fleet/group_weights.py
+++ b/src/jasperwalk/fleet/group_weights.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from jasperwalk.flows.terms import caller_group
+from jasperwalk.flows.terms import caller_group, is_number
 
 WEIGHTS_TABLE = "caller_group_weights"
 LEAST_WEIGHT = 0.001
@@ -63,8 +63,7 @@
 
 
 def _is_weight(value: Any) -> bool:
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    return is_number and LEAST_WEIGHT <= value <= MOST_WEIGHT
+    return is_number(value) and LEAST_WEIGHT <= value <= MOST_WEIGHT
 
 
 def _line_of(zone: str, text: str) -> int | None:
--- a/src/jasperwalk/fleet/targets.py
+++ b/src/jasperwalk/fleet/targets.py
@@ -142,10 +142,14 @@
         self.sent_since += 1
         self.sent_at = now
 
-    def note_slow(self, now: float) -> None:
+    def note_slow(self) -> None:
         """Note that the agent refused a new flow because its host is slow."""
         self.pace_factor = HIGHEST_FACTOR
 
+    def is_passed_over(self, now: float) -> bool:
+        """Tell whether the agent is chosen only if no other is left: it was silent, or refused."""
+        return now < max(self.suspect_until, self.refuses_until)
+
     def was_slow(self) -> bool:
         """Tell whether the host was slow by the last that its agent told, however long ago."""
         return self.pace_factor > 1.0
@@ -367,7 +371,7 @@
             target
             for target in candidates
             if target.record.zone == self.zone
-            and now >= max(target.suspect_until, target.refuses_until)
+            and not target.is_passed_over(now)
             and target.relative_load(now) < NEAR_LOAD_PER_SLOT
         ]
 
@@ -385,7 +389,7 @@
         cost = load + self.source.random() * JITTER
         if target.record.zone != self.zone:
             cost += other_zone_cost
-        if now < max(target.suspect_until, target.refuses_until):
+        if target.is_passed_over(now):
             cost += SUSPECT_COST
         return cost
 
--- a/src/jasperwalk/flows/terms.py
+++ b/src/jasperwalk/flows/terms.py
@@ -64,8 +64,12 @@
 
 
 def _is_duration(value: Any) -> bool:
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    return is_number and 1 <= value <= LONGEST_MS
+    return is_number(value) and 1 <= value <= LONGEST_MS
+
+
+def is_number(value: Any) -> bool:
+    """Tell whether a value of a document is a number; True and False are none."""
+    return isinstance(value, int | float) and not isinstance(value, bool)
 
 
 class CarriedTerms(msgspec.Struct, frozen=True):
--- a/src/jasperwalk/scheduling/request_order.py
+++ b/src/jasperwalk/scheduling/request_order.py
@@ -90,9 +90,11 @@
         while self.timely and self.timely[0].wants_answer_by() < answer_at:
             self.late.append(self.timely.pop(0))
 
-    def next(self) -> WaitingRequest:
-        """Return the request whose turn it is."""
-        return self.timely[0] if self.timely else self.late[-1]
+    def rank(self) -> tuple[bool, float]:
+        """Return what puts this line or another one first: the lower rank."""
+        if self.timely:
+            return False, self.timely[0].wants_answer_by()
+        return True, -self.late[-1].arrived_at
 
     def take(self) -> WaitingRequest:
         """Take the request whose turn it is."""
@@ -103,13 +105,6 @@
         return self.late[0] if self.late else self.timely[0]
 
 
-def _rank(request: WaitingRequest, line: Line) -> tuple[bool, float]:
-    """Return what puts one of two lines' next requests first: the lower rank."""
-    if line.timely:
-        return False, request.wants_answer_by()
-    return True, -request.arrived_at
-
-
 @dataclass(eq=False, repr=False)
 class Lane:
     """What waits of one priority and group; new flows apart from requests of open ones."""
@@ -137,10 +132,7 @@
         lines = self.lines(with_openings)
         for line in lines:
             line.sort_out_late(answer_at)
-        line = lines[0]
-        if len(lines) > 1:
-            line = min(lines, key=lambda each: _rank(each.next(), each))
-        return line.take()
+        return min(lines, key=Line.rank).take()
 
 
 @dataclass(eq=False, repr=False)
@@ -194,7 +186,7 @@
         lanes = self._lanes[priority]
         if with_openings:
             return list(lanes)
-        return [group for group, lane in lanes.items() if lane.lines(with_openings)]
+        return [group for group, lane in lanes.items() if lane.requests]
 
     def _priority_in_turn(self, priorities: list[int]) -> int:
         """Return the most urgent priority, or now and then the one whose oldest waits longest."""
--- a/src/jasperwalk/scheduling/request_scheduler.py
+++ b/src/jasperwalk/scheduling/request_scheduler.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from jasperwalk.flows.terms import CarriedTerms
@@ -69,7 +70,7 @@
         most = WAITING_PER_SLOT * capacity
         if most_per_second is not None:
             most = min(most, most_per_second * COLD_WAIT_SECONDS)
-        return max(1, int(-(-most // 1)))
+        return max(1, math.ceil(most))
 
     def add_opening(
         self, key: bytes, packet: bytes, terms: CarriedTerms, age_seconds: float, now: float
@@ -137,10 +138,7 @@
 
     def take_expired(self, now: float) -> list[WaitingRequest]:
         """Take what has waited too long."""
-        expired = [each for each in self._waiting.values() if now > each.expires_at]
-        for request in expired:
-            self.discard(request.key)
-        return expired
+        return self._take([each for each in self._waiting.values() if now > each.expires_at])
 
     def take_openings(self) -> list[WaitingRequest]:
         """Take every new flow, because the host takes none any more."""
