What a balancer knows of one agent has a module of its own; benchmarks time in one way

Code and constants are moved as they were; tests change their imports only. Ruled out: moving the search for candidates too, which the choice and the searches share.

--- a/bench/fair_shares.py
+++ b/bench/fair_shares.py
@@ -3,18 +3,15 @@
 from __future__ import annotations
 
 import random
-import statistics
-import time
 from collections.abc import Callable
 
-from bench.harness import MICROSECONDS, Figure
+from bench.harness import Figure, median_microseconds
 from jasperwalk.scheduling.fair_shares import FairShares
 
 GROUP_COUNTS = (4, 19)
 """Groups with something waiting: a small deployment's zones, and those of the largest one."""
 WAITING_PER_GROUP = 3
 DECISIONS = 20_000
-ROUNDS = 9
 REQUEST_SECONDS = 0.05
 SEED = 20261202
 BARE = "the first group"
@@ -60,10 +57,4 @@
 
 def _median_time(decide: Decision) -> float:
     """Return the microseconds of a decision."""
-    times = []
-    for _ in range(ROUNDS):
-        started = time.process_time()
-        for step in range(DECISIONS):
-            decide(1000.0 + 0.001 * step)
-        times.append(MICROSECONDS * (time.process_time() - started) / DECISIONS)
-    return statistics.median(times)
+    return median_microseconds(lambda: lambda step: decide(1000.0 + 0.001 * step), DECISIONS)
--- a/bench/harness.py
+++ b/bench/harness.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import multiprocessing
-from collections.abc import Sequence
+import statistics
+import time
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import UTC, datetime
 
@@ -16,6 +18,7 @@
 )
 
 MICROSECONDS = 1e6
+TIMED_ROUNDS = 9
 MEBIBYTE = 1024 * 1024
 DEFAULT_OUTPUT = ROOT / "build" / "bench.json"
 
@@ -55,6 +58,21 @@
     figures: tuple[Figure, ...]
 
 
+def median_microseconds(prepare: Callable[[], Callable[[int], object]], operations: int) -> float:
+    """Return the processor time of an operation, the median of some rounds.
+
+    `prepare` makes what a round works on; the operation takes its number.
+    """
+    times = []
+    for _ in range(TIMED_ROUNDS):
+        operate = prepare()
+        started = time.process_time()
+        for number in range(operations):
+            operate(number)
+        times.append(MICROSECONDS * (time.process_time() - started) / operations)
+    return statistics.median(times)
+
+
 def make_report(started_at: datetime, machine: MachineFacts, figures: Sequence[Figure]) -> Report:
     """Put figures together with the facts of the machine at the start and the commit."""
     return Report(
--- a/bench/request_scheduler.py
+++ b/bench/request_scheduler.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import statistics
-import time
 import tracemalloc
 from collections.abc import Callable
 
-from bench.harness import MICROSECONDS, Figure
+from bench.harness import Figure, median_microseconds
 from jasperwalk.flows.terms import CarriedTerms
 from jasperwalk.scheduling.fair_shares import FairShares
 from jasperwalk.scheduling.request_order import UrgencyOrder
@@ -16,7 +14,6 @@
 WAITING_COUNTS = (4, 32)
 """Requests that wait at a host of one slot: in an ordinary second, and in a crowd."""
 REQUESTS = 10_000
-ROUNDS = 9
 WORK_SECONDS = 0.04
 PACKET = bytes(932)
 """A request's packet with its head."""
@@ -63,14 +60,12 @@
 
 def _median_time(step: Callable[[RequestScheduler, int, float], None], count: int) -> float:
     """Return the microseconds of a request."""
-    times = []
-    for _ in range(ROUNDS):
+
+    def prepare() -> Callable[[int], None]:
         scheduler = _scheduler(count)
-        started = time.process_time()
-        for number in range(count, count + REQUESTS):
-            step(scheduler, number, 0.01 * number)
-        times.append(MICROSECONDS * (time.process_time() - started) / REQUESTS)
-    return statistics.median(times)
+        return lambda number: step(scheduler, count + number, 0.01 * (count + number))
+
+    return median_microseconds(prepare, REQUESTS)
 
 
 def _memory_bytes() -> float:
--- a/src/jasperwalk/agent/datagrams/search_helper.py
+++ b/src/jasperwalk/agent/datagrams/search_helper.py
@@ -13,7 +13,8 @@
 from jasperwalk.fleet.flow_searches import FlowSearches, SearchCounters
 from jasperwalk.fleet.messages import FleetUpdate
 from jasperwalk.fleet.search import Search
-from jasperwalk.fleet.targets import FLOW_LIFETIME_SECONDS, Target, TargetPool
+from jasperwalk.fleet.target import Target
+from jasperwalk.fleet.targets import FLOW_LIFETIME_SECONDS, TargetPool
 from jasperwalk.flows.codec import DatagramSender, PacketCodec, SocketAddress
 from jasperwalk.flows.frames import (
     AgentReply,
--- a/src/jasperwalk/balancer/datagrams/delegated_searches.py
+++ b/src/jasperwalk/balancer/datagrams/delegated_searches.py
@@ -14,7 +14,8 @@
 
 from jasperwalk.balancer.datagrams.counters import FlowCounters
 from jasperwalk.fleet.search import MAXIMUM_HELD_PACKETS
-from jasperwalk.fleet.targets import SUSPECT_SECONDS, Target, TargetPool
+from jasperwalk.fleet.target import SUSPECT_SECONDS, Target
+from jasperwalk.fleet.targets import TargetPool
 from jasperwalk.flows.codec import DatagramSender
 from jasperwalk.flows.frames import encode_locate, service_tag
 from jasperwalk.observability.latency import LatencyCounts
--- a/src/jasperwalk/balancer/datagrams/flow_balancer.py
+++ b/src/jasperwalk/balancer/datagrams/flow_balancer.py
@@ -19,7 +19,8 @@
 from jasperwalk.fleet.flow_searches import FlowSearches
 from jasperwalk.fleet.messages import DrainedZones, FleetUpdate
 from jasperwalk.fleet.search import Search
-from jasperwalk.fleet.targets import FLOW_LIFETIME_SECONDS, Target, TargetPool
+from jasperwalk.fleet.target import Target
+from jasperwalk.fleet.targets import FLOW_LIFETIME_SECONDS, TargetPool
 from jasperwalk.flows.codec import DatagramSender, PacketCodec, SocketAddress
 from jasperwalk.flows.frames import AgentReply, FrameKind, LocateVerdict
 from jasperwalk.flows.routes import RouteEntry, RouteTable
--- a/src/jasperwalk/balancer/datagrams/flow_opener.py
+++ b/src/jasperwalk/balancer/datagrams/flow_opener.py
@@ -13,14 +13,14 @@
 
 from jasperwalk.balancer.datagrams.counters import FlowCounters
 from jasperwalk.balancer.datagrams.openings import Flow, Opening, OpeningAnswer
-from jasperwalk.fleet.targets import (
+from jasperwalk.fleet.target import (
     FAILING_SECONDS,
     REFUSING_SECONDS,
     SLOW_SECONDS,
     SUSPECT_SECONDS,
     Target,
-    TargetPool,
 )
+from jasperwalk.fleet.targets import TargetPool
 from jasperwalk.flows.codec import DatagramSender, PacketCodec
 from jasperwalk.flows.frames import (
     FULL_LOAD_PER_SLOT,
--- a/src/jasperwalk/balancer/datagrams/openings.py
+++ b/src/jasperwalk/balancer/datagrams/openings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from jasperwalk.fleet.targets import Target
+from jasperwalk.fleet.target import Target
 from jasperwalk.flows.routes import RouteEntry
 from jasperwalk.flows.terms import CarriedTerms
 
--- a/src/jasperwalk/fleet/flow_searches.py
+++ b/src/jasperwalk/fleet/flow_searches.py
@@ -15,7 +15,8 @@
 from jasperwalk.errors import MalformedMessage
 from jasperwalk.fleet.question_batch import KEYS_PER_FRAME, QuestionBatch
 from jasperwalk.fleet.search import Confirm, Question, Search, SearchStep, SearchVerdict
-from jasperwalk.fleet.targets import Target, TargetPool
+from jasperwalk.fleet.target import Target
+from jasperwalk.fleet.targets import TargetPool
 from jasperwalk.flows.codec import DatagramSender, PacketCodec
 from jasperwalk.flows.frames import AgentReply, FrameKind, decode_replies
 from jasperwalk.observability.decisions import DecisionLog
--- a/src/jasperwalk/fleet/question_batch.py
+++ b/src/jasperwalk/fleet/question_batch.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from jasperwalk.fleet.targets import Target
+from jasperwalk.fleet.target import Target
 from jasperwalk.flows.codec import DatagramSender
 
 KEYS_PER_FRAME = 64
--- a/src/jasperwalk/fleet/search.py
+++ b/src/jasperwalk/fleet/search.py
@@ -21,7 +21,8 @@
 
 import msgspec
 
-from jasperwalk.fleet.targets import Target, TargetPool
+from jasperwalk.fleet.target import Target
+from jasperwalk.fleet.targets import TargetPool
 from jasperwalk.flows.frames import FrameKind
 
 ANSWER_SECONDS = 0.06
--- a/tests/balancer/datagrams/test_flow_balancer.py
+++ b/tests/balancer/datagrams/test_flow_balancer.py
@@ -8,7 +8,7 @@
 )
 from jasperwalk.fleet.messages import HostPhase
 from jasperwalk.fleet.search import CONFIRM_SECONDS
-from jasperwalk.fleet.targets import FAILING_SECONDS
+from jasperwalk.fleet.target import FAILING_SECONDS
 from jasperwalk.flows.frames import (
     REQUEST_HEAD,
     FrameKind,
--- a/tests/balancer/datagrams/test_host_pace.py
+++ b/tests/balancer/datagrams/test_host_pace.py
@@ -4,7 +4,7 @@
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.fleet.host_paces import HIGHEST_FACTOR, LEAST_FIGURES
-from jasperwalk.fleet.targets import SLOW_SECONDS
+from jasperwalk.fleet.target import SLOW_SECONDS
 from jasperwalk.flows.frames import FULL_LOAD_PER_SLOT, FrameKind, RefusalReason
 from jasperwalk.flows.pace import UNKNOWN_PACE, encode_pace
 from tests.balancer.datagrams.support import Bench, address_of, record
--- a/tests/balancer/datagrams/test_zones.py
+++ b/tests/balancer/datagrams/test_zones.py
@@ -4,7 +4,7 @@
 import pytest
 
 from jasperwalk.fleet.messages import DrainedZones, HostPhase
-from jasperwalk.fleet.targets import REFUSING_SECONDS
+from jasperwalk.fleet.target import REFUSING_SECONDS
 from jasperwalk.flows.frames import FrameKind, RefusalReason
 from jasperwalk.flows.routes import FlowRoute, RouteBackend, RouteSet
 from tests.balancer.datagrams.support import Bench, record
--- a/tests/fleet/test_targets.py
+++ b/tests/fleet/test_targets.py
@@ -4,15 +4,12 @@
 import pytest
 
 from jasperwalk.fleet.messages import FleetUpdate, HostPhase
-from jasperwalk.fleet.targets import (
-    CANDIDATES,
+from jasperwalk.fleet.target import (
     LOAD_FRESH_SECONDS,
     LOAD_HALF_LIFE_SECONDS,
-    NEAR_LOAD_PER_SLOT,
-    SEARCHED_CANDIDATES,
     UNLISTED_USABLE_SECONDS,
-    TargetPool,
 )
+from jasperwalk.fleet.targets import CANDIDATES, NEAR_LOAD_PER_SLOT, SEARCHED_CANDIDATES, TargetPool
 from tests.balancer.datagrams.support import SEED, address_of, record
 
 KEY = b"flow key"
