The mutant of frames that name no service follows the split

Ruled out: a fault of the product: the unmutated model keeps its promises, and with the tag replaced in both modules, as it was before the split, the promise breaks again. The assertion is as before.

--- a/tests/flows/test_fleet_model.py
+++ b/tests/flows/test_fleet_model.py
@@ -6,7 +6,7 @@
 
 from jasperwalk.agent.datagrams import flow_admission, flow_agent, flow_knowledge
 from jasperwalk.agent.datagrams.host import HostState
-from jasperwalk.fleet import search, targets
+from jasperwalk.fleet import search, target, targets
 from jasperwalk.fleet.messages import HostPhase
 from jasperwalk.flows.frames import FrameKind
 from tests.flows.fleet_model import play
@@ -60,7 +60,7 @@
 def test_mutant_nobody_heeds_that_a_host_leaves(monkeypatch):
     # Balancers avoid such a host too, so the agent's refusal alone is seldom needed.
     monkeypatch.setattr(flow_admission.FlowAdmission, "_refusal", lambda *_: None)
-    monkeypatch.setattr(targets.Target, "is_usable", lambda *_: True)
+    monkeypatch.setattr(target.Target, "is_usable", lambda *_: True)
     assert "a host that leaves gets no new flow" in broken_promises()
 
 
@@ -82,7 +82,8 @@
 
 
 def test_mutant_frames_do_not_name_their_service(monkeypatch):
-    monkeypatch.setattr(targets, "service_tag", lambda _: 1)
+    for module in (target, targets):
+        monkeypatch.setattr(module, "service_tag", lambda _: 1)
     monkeypatch.setattr(flow_agent, "service_tag", lambda _: 1)
     assert "a packet reaches only hosts of its service" in broken_promises()
 
