--- a/tests/control/conftest.py
+++ b/tests/control/conftest.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import random
-import socket
 import uuid
 from dataclasses import dataclass, field
 
@@ -19,6 +18,7 @@
 from jasperwalk.distribution.runner import FollowerRunner
 from jasperwalk.membership.liveness import LivenessConfig
 from jasperwalk.messages.distribution import SubscriberRole
+from jasperwalk_lab.ports import common_ports
 
 DEADLINE_SECONDS = 60.0
 ANY_PORT = Endpoint("127.0.0.1", 0)
@@ -68,13 +68,9 @@
 
 
 def free_endpoints(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    endpoints = [Endpoint("127.0.0.1", each.getsockname()[1]) for each in sockets]
-    for each in sockets:
-        each.close()
-    return endpoints
+    names = [str(number) for number in range(count)]
+    ports = common_ports(names, ("127.0.0.1",))
+    return [Endpoint("127.0.0.1", port) for port in ports.values()]
 
 
 @dataclass
--- a/tests/control/test_keys.py
+++ b/tests/control/test_keys.py
@@ -22,6 +22,7 @@
 from jasperwalk.transport.certificates import CONTROL_HOST_NAME
 from jasperwalk.transport.hello import ConnectionKind, make_hello
 from jasperwalk.transport.server import FramedServer
+from jasperwalk_lab.ports import common_port
 
 ANY_PORT = Endpoint("127.0.0.1", 0)
 
@@ -73,7 +74,7 @@
 @contextlib.asynccontextmanager
 async def protected_replica(certificates, folder):
     tls = certificates.tls("control", "control-1")
-    (peer,) = [Endpoint("127.0.0.1", port) for port in await free_ports(1)]
+    peer = Endpoint("127.0.0.1", common_port(("127.0.0.1",)))
     config = ReplicaConfig("control-1", "zagreb", 1, folder, peer, {1: peer}, tls=tls)
     process = ControlProcess(config, ANY_PORT, random.Random(1), tls)
     task = asyncio.create_task(process.run(asyncio.Event()))
@@ -87,14 +88,6 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
-async def free_ports(count):
-    servers = [await asyncio.start_server(lambda *_: None, "127.0.0.1", 0) for _ in range(count)]
-    ports = [each.sockets[0].getsockname()[1] for each in servers]
-    for each in servers:
-        each.close()
-    return ports
-
-
 REACHABLE = {
     ("operator", "/v1/status"): 200,
     ("control", "/v1/status"): 200,
--- a/tests/lab/soak/test_soak_relays.py
+++ b/tests/lab/soak/test_soak_relays.py
@@ -3,9 +3,9 @@
 import asyncio
 import contextlib
 import random
-import socket
 
 from jasperwalk.addresses import Endpoint
+from jasperwalk_lab.ports import common_port
 from jasperwalk_lab.soak.relays import DatagramReceiver, LinkCondition, TcpRelay, UdpRelay
 
 PATIENCE_SECONDS = 20.0
@@ -13,9 +13,7 @@
 
 
 def free_endpoint():
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return Endpoint(*probe.getsockname())
+    return Endpoint("127.0.0.1", common_port(("127.0.0.1",)))
 
 
 async def echo(reader, writer):
