--- a/review/lab.py
+++ b/review/lab.py
@@ -37,20 +37,22 @@
     """The processes of one run, as a context; `record` adds a line to the record."""
 
     def __init__(self, record_path: Path) -> None:
-        self._started_at = time.monotonic()
-        self._record = open(record_path, "w", encoding="utf-8")
-        self.folder = Path(tempfile.mkdtemp(prefix="review-"))
-        self._processes: dict[str, subprocess.Popen[bytes]] = {}
-        self._claim: socket.socket | None = None
         with open(ROOT / "deploy" / "system.toml", "rb") as file:
             self._roles = tomllib.load(file)["roles"]
         for role in self._roles:
             if not list((ROOT / "target").glob(f"{role}.*")):
                 raise CannotRun("target/ is not built")
+        self._started_at = time.monotonic()
+        self._record = open(record_path, "w", encoding="utf-8")
+        self.folder = Path(tempfile.mkdtemp(prefix="review-"))
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._claim: socket.socket | None = None
         self.block = self._claim_block()
         self.ports = self._free_ports()
 
     def __enter__(self) -> Lab:
+        # A run that is stopped from outside must end its processes too.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
         return self
 
     def __exit__(self, *_failure: object) -> None:
