--- a/src/jasperwalk/agent/datagrams/flow_agent.py
+++ b/src/jasperwalk/agent/datagrams/flow_agent.py
@@ -102,7 +102,7 @@
             self.service_times,
         )
         self.knowledge = FlowKnowledge(
-            self.host, self.warm_up, self.started_at, self.flow_lifetime_seconds
+            self.host, self.warm_up, self.log, self.started_at, self.flow_lifetime_seconds
         )
         self.parts = AgentParts(
             codec=self.codec,
@@ -194,11 +194,11 @@
 
         The new host may have taken flows before its first announcement, so the table is kept, and
         the next packet of each flow shows whether the host holds it. Flows that are not in the
-        table cannot be at the new host: it started while this process ran. Waiting requests of open
-        flows go to it at once: it returns what it does not hold, so that their callers learn that
-        the former host is gone.
+        table cannot be at the new host if it started while this process ran. Waiting requests of
+        open flows go to it at once: it returns what it does not hold, so that their callers learn
+        that the former host is gone.
         """
-        self.knowledge.host_started_here = True
+        self.knowledge.record_host_replaced(now)
         self.monitor.on_host_replaced()
         self.table.in_flight.reset_times()
         self.table.unconfirm_all(now)
@@ -222,6 +222,7 @@
         was_drained = self.admission.is_zone_drained()
         if not self.admission.update_zones(zones):
             return
+        self.knowledge.record_zone_order()
         is_drained = self.admission.is_zone_drained()
         if is_drained != was_drained:
             event = "zone-drained" if is_drained else "zone-restored"
--- a/src/jasperwalk/agent/datagrams/host.py
+++ b/src/jasperwalk/agent/datagrams/host.py
@@ -88,7 +88,10 @@
     zone: str = ""
     slow_until: float = 0.0
     _earliest_slow_until: float = 0.0
-    """The same by the announcement with the least delay, which is the earliest value."""
+    """The same by the announcement with the least delay, which is the earliest value; 0 where the
+    host was not in slow start when it was first heard."""
+    first_call_number: int = -1
+    """Number of the first call that this agent received from the present start."""
     call_number: int = -1
     announced_at: float = 0.0
     _left: dict[str, int] = field(default_factory=dict)
@@ -110,7 +113,8 @@
         start = self._start_of(announcement)
         if self._has_deregistered(start):
             return False
-        if self._is_present(start):
+        is_first_call = not self._is_present(start)
+        if not is_first_call:
             if not self._is_newer_call(announcement):
                 return False
             self._is_confirmed = True
@@ -118,14 +122,16 @@
             if not self._may_replace(start, announcement.call_number, now):
                 return False
             self._record_replaced()
-            self._earliest_slow_until = 0.0
             self._is_confirmed = False
         self._unconfirmed.clear()
         self.host_id, self.started_unix_ms = start.host_id, start.unix_ms
         self.phase = announcement.phase
         self.capacity = max(announcement.capacity, 1)
         self.zone = announcement.zone
-        self._record_slow_start(announcement, now)
+        if is_first_call:
+            self.first_call_number = announcement.call_number
+            self._earliest_slow_until = 0.0
+        self._record_slow_start(announcement, is_first_call, now)
         self.call_number = announcement.call_number
         self.announced_at = now
         return True
@@ -150,16 +156,27 @@
         is_back = self.phase is HostPhase.DRAINING and announcement.phase is HostPhase.READY
         return announcement.call_number > self.call_number and not is_back
 
-    def _record_slow_start(self, announcement: HostAnnouncement, now: float) -> None:
+    def _record_slow_start(
+        self, announcement: HostAnnouncement, is_first_call: bool, now: float
+    ) -> None:
+        """Record until when the host is slow.
+
+        A host that was first heard warm and is slow later has not started again: hosts also become
+        cold while their zone is drained.
+        """
         self.slow_until = now + announcement.slow_start_seconds
-        if announcement.slow_start_seconds:
-            known = self._earliest_slow_until or self.slow_until
-            self._earliest_slow_until = min(known, self.slow_until)
+        if not announcement.slow_start_seconds:
+            return
+        if is_first_call:
+            self._earliest_slow_until = self.slow_until
+        elif self._earliest_slow_until:
+            self._earliest_slow_until = min(self._earliest_slow_until, self.slow_until)
 
     def started_at(self, slow_start_seconds: float) -> float | None:
-        """Return when the present host started, None where it was not seen in slow start.
+        """Return when the present host started if it is slow because of its start.
 
-        `slow_start_seconds` is how long hosts of its service are slow after a start.
+        None where it was warm when it was first heard. `slow_start_seconds` is how long hosts of
+        its service are slow after a start.
         """
         if not self._earliest_slow_until or not slow_start_seconds:
             return None
--- a/src/jasperwalk/agent/datagrams/process.py
+++ b/src/jasperwalk/agent/datagrams/process.py
@@ -153,6 +153,7 @@
                 "host_slow": self.core.service_times.slow_host.is_slow,
                 "host_pace_ms": self.core.service_times.service_time_ms,
                 "host_ready": lambda: self.host.phase is HostPhase.READY,
+                "knows_all_flows": self.core.knowledge.is_certain,
                 "agents": lambda: len(self.helper.pool),
                 "searches": lambda: len(self.helper.searches),
                 "log_lines_dropped": lambda: decisions.dropped,
--- a/tests/agent/datagrams/test_held_flows.py
+++ b/tests/agent/datagrams/test_held_flows.py
@@ -8,9 +8,9 @@
     SILENT_HOST_SECONDS,
 )
 from jasperwalk.agent.datagrams.host import HostAnnouncement
-from jasperwalk.fleet.messages import HostPhase, WarmUp
+from jasperwalk.fleet.messages import DrainedZones, HostPhase, WarmUp
 from jasperwalk.flows.frames import FrameKind
-from tests.agent.datagrams.support import CAPACITY, LIFETIME, Harness
+from tests.agent.datagrams.support import CAPACITY, LIFETIME, ZONE, Harness
 from tests.flows.support import (
     CALLER,
     RETURNED,
@@ -163,6 +163,47 @@
     assert harness.find(10.3) is FrameKind.UNSURE
 
 
+def assert_host_may_hold_flows(harness, now):
+    """A query is answered with UNSURE, and the host gets a packet of an unknown flow."""
+    assert harness.find(now) is FrameKind.UNSURE
+    harness.frame(FrameKind.CARRY, from_caller(0, b"data"), now)
+    assert harness.host_packets[-1] == from_caller(0, b"data")
+
+
+@pytest.mark.parametrize("first_call", [2, 20])
+def test_a_host_that_goes_cold_after_its_agents_restart_keeps_its_flows(first_call):
+    """Guards against resets of open flows when a drained zone is restored: hosts go cold then."""
+    harness = Harness(HostPhase.UNKNOWN, started_at=10.0)
+    cold_host(harness, 0.0, 10.3, number=first_call)
+    cold_host(harness, COLD_SECONDS, 14.0, number=first_call + 1)
+    assert_host_may_hold_flows(harness, 14.1)
+
+
+def test_a_host_that_went_cold_right_before_its_agents_restart_keeps_its_flows():
+    """Guards against the same resets where the agent has only ever heard a cold host."""
+    harness = Harness(HostPhase.UNKNOWN, started_at=10.0)
+    cold_host(harness, COLD_SECONDS - 0.3, 10.1, number=20)
+    assert_host_may_hold_flows(harness, 10.2)
+
+
+@pytest.mark.parametrize("drained", [[], [ZONE]], ids=["restored", "drained"])
+def test_a_young_host_that_may_be_cold_from_a_drain_keeps_its_flows(drained):
+    """Guards against the same resets where the host took flows, was drained and cooled at once."""
+    harness = Harness(HostPhase.UNKNOWN, started_at=10.0)
+    harness.agent.zones_changed(DrainedZones(2, drained), 10.1)
+    cold_host(harness, COLD_SECONDS - 0.3, 10.1)
+    assert_host_may_hold_flows(harness, 10.2)
+
+
+def test_a_late_call_of_a_crashed_host_does_not_make_the_present_one_younger():
+    """Guards against resets of open flows after an agent's restart: a late call came first."""
+    harness = Harness(HostPhase.UNKNOWN, started_at=10.0)
+    harness.host.announce(HostAnnouncement("crashed", HostPhase.READY, CAPACITY, 0.0, 1), 10.1)
+    harness.host.announce(HostAnnouncement("h1", HostPhase.READY, CAPACITY, 0.0, 7), 10.4)
+    harness.agent.on_new_host(10.4)
+    assert_host_may_hold_flows(harness, 10.5)
+
+
 def test_an_agent_without_a_host_holds_no_flow():
     harness = Harness(HostPhase.UNKNOWN, started_at=10.0)
     harness.agent.record_host_absent(10.01)
