--- a/src/jasperwalk_lab/commands/soak.py
+++ b/src/jasperwalk_lab/commands/soak.py
@@ -13,6 +13,7 @@
 from jasperwalk_lab.chaos.run import run_chaos
 from jasperwalk_lab.commands.options import example_option, runs_option
 from jasperwalk_lab.commands.running import run_stoppable
+from jasperwalk_lab.soak.faults import FaultSelection
 from jasperwalk_lab.soak.fleet import SIZES
 from jasperwalk_lab.soak.kept_seeds import read_kept_seeds
 from jasperwalk_lab.soak.report import SoakReport, describe
@@ -43,6 +44,14 @@
     show_default=True,
     help="Number of processes (datagram plane).",
 )
+@click.option(
+    "--faults",
+    "selection",
+    type=click.Choice([each.value for each in FaultSelection]),
+    default=FaultSelection.ALL.value,
+    show_default=True,
+    help="All kinds of faults, or planned work alone (datagram plane).",
+)
 @click.option("--seeds", type=click.IntRange(min=1), default=1, help="Number of seeds to play.")
 @example_option
 @runs_option
@@ -53,6 +62,7 @@
     plane: str,
     kept: bool,
     size: str,
+    selection: str,
     seeds: int,
     example: str,
     runs: Path,
@@ -72,7 +82,9 @@
     runs_to_play.extend((seconds, drawn_seed + offset) for offset in range(seeds))
     broken = False
     for run_seconds, each_seed in runs_to_play:
-        soaking = run_soak(run_seconds, each_seed, runs, _print_progress, SIZES[size])
+        soaking = run_soak(
+            run_seconds, each_seed, runs, _print_progress, SIZES[size], FaultSelection(selection)
+        )
         report = run_stoppable(soaking)
         _print(report, as_json)
         broken = broken or bool(report.violations)
--- a/src/jasperwalk_lab/soak/faults.py
+++ b/src/jasperwalk_lab/soak/faults.py
@@ -66,6 +66,14 @@
     HOST_SPEAKS_LATE = "host-speaks-late"
 
 
+class FaultSelection(enum.StrEnum):
+    """Which faults a run injects."""
+
+    ALL = "all"
+    PLANNED = "planned"
+    """Planned work alone, much of it at the same time."""
+
+
 class FaultShape(msgspec.Struct, frozen=True):
     """A kind's target group, its duration bounds in seconds, and whether it is planned work."""
 
@@ -120,6 +128,10 @@
 """Kinds drawn by a random generator of their own: the schedules of kept seeds stay the same."""
 OVERLOAD_KINDS = frozenset((FaultKind.CALLERS_RUSH, FaultKind.HOST_SLOW))
 """Load beyond the hosts' capacity. It excuses no violation, and only `overload` plans it."""
+PLANNED_KINDS = tuple(
+    kind for kind, shape in SHAPES.items() if shape.is_planned and kind not in OVERLOAD_KINDS
+)
+"""What operators do on purpose."""
 
 
 class PlannedFault(msgspec.Struct, frozen=True):
--- a/src/jasperwalk_lab/soak/hosts.py
+++ b/src/jasperwalk_lab/soak/hosts.py
@@ -102,6 +102,7 @@
         self._caller = HttpCaller()
         self.is_alive = False
         self.started_at = 0.0
+        self.cold_until = 0.0
         self._calls = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
@@ -123,10 +124,15 @@
             HostStarted(self.started_at, place.name, self.start_id, place.service)
         )
         if self.is_cold:
-            ends_at = self.started_at + COLD_SECONDS
-            self.history.cold.append(HostColdPeriod(self.start_id, self.started_at, ends_at))
+            self.go_cold()
         self._announcing = asyncio.create_task(self._announce_again())
 
+    def go_cold(self) -> None:
+        """Count as cold from now on, as after a start; the host keeps its flows."""
+        now = self.clock()
+        self.cold_until = now + COLD_SECONDS
+        self.history.cold.append(HostColdPeriod(self.start_id, now, self.cold_until))
+
     async def crash(self) -> None:
         """End at once, without an announcement; all state is lost."""
         self.is_alive = False
@@ -170,7 +176,7 @@
         return is_acknowledged
 
     def _heartbeat(self) -> Heartbeat:
-        left = max(0.0, self.started_at + COLD_SECONDS - self.clock()) if self.is_cold else 0.0
+        left = max(0.0, self.cold_until - self.clock())
         return Heartbeat(
             host_id=self.host_id,
             service=self.place.service,
--- a/src/jasperwalk_lab/soak/injector.py
+++ b/src/jasperwalk_lab/soak/injector.py
@@ -23,6 +23,8 @@
 SLOW_HOST_FACTOR = 6.0
 """Factor on the service time of slow hosts."""
 DRAIN_SECONDS = 0.8
+COOLING_PROBABILITY = 0.8
+"""Probability that the hosts of a zone are cold when it is restored."""
 
 Clock = Callable[[], float]
 Progress = Callable[[str], None]
@@ -222,8 +224,12 @@
         host.service_time_factor = 1.0
 
     async def _drain_zone(self, fault: PlannedFault) -> None:
+        """Drain a zone and restore it; mostly its hosts have gone cold meanwhile."""
         await self._operators.drain_zone(fault.target, drained=True)
         await asyncio.sleep(fault.seconds)
+        if self._rng.random() < COOLING_PROBABILITY:
+            for host in self._hosts.in_zone(fault.target):
+                host.go_cold()
         await self._operators.drain_zone(fault.target, drained=False)
 
     async def _kill_all(self, fault: PlannedFault) -> None:
--- a/src/jasperwalk_lab/soak/running_hosts.py
+++ b/src/jasperwalk_lab/soak/running_hosts.py
@@ -37,6 +37,10 @@
         """Return the host beside an agent."""
         return self._hosts[agent]
 
+    def in_zone(self, zone: str) -> list[SoakHost]:
+        """Return the running hosts of a zone."""
+        return [each for each in self._hosts.values() if each.is_alive and each.place.zone == zone]
+
     async def start(self, agent: str, is_cold: bool) -> None:
         """Start a new host there, unless one runs: faults may overlap."""
         self._numbers[agent] = self._numbers.get(agent, 0) + 1
--- a/src/jasperwalk_lab/soak/schedule.py
+++ b/src/jasperwalk_lab/soak/schedule.py
@@ -12,6 +12,7 @@
 
 from jasperwalk_lab.soak.faults import (
     OVERLOAD_KINDS,
+    PLANNED_KINDS,
     SEPARATELY_DRAWN_KINDS,
     SHAPES,
     FaultKind,
@@ -46,6 +47,8 @@
 """A lost disk together with dead replicas may exceed what the system has to tolerate."""
 DISK_LOSS_MARGIN_SECONDS = 8.0
 """Distance between a lost disk and a burst: the replaced replica needs the log again first."""
+PLANNED_WORK_INTERVAL_SECONDS = (0.2, 1.0)
+"""Shortest and longest time between two starts of planned work in a run of nothing else."""
 BASE_AGENT_COUNT = 6
 MAX_SCALE = 3
 """Larger fleets get more faults, up to this factor: one machine starts all their processes."""
@@ -131,6 +134,47 @@
     return [each for each in planned if each.ends_at <= latest]
 
 
+def plan_planned_work(targets: SoakTargets, seconds: float, seed: int) -> list[PlannedFault]:
+    """Plan a run of planned work alone, ordered by start.
+
+    It overlaps on the same zone, agent and host; only the number of processes that are down at
+    once is limited. Kinds are drawn in rounds of all of them, each in random order.
+    """
+    rng = random.Random(f"planned work {seed}")
+    latest = seconds - LAST_FAULT_BEFORE_END_SECONDS
+    planned: list[PlannedFault] = []
+    remaining_kinds: list[FaultKind] = []
+    at = FIRST_FAULT_SECONDS
+    while at < latest:
+        if not remaining_kinds:
+            remaining_kinds = rng.sample(PLANNED_KINDS, len(PLANNED_KINDS))
+        fault = _draw_shape(remaining_kinds.pop(), targets, at, rng)
+        if fault.ends_at <= latest + 1.0 and not _exceeds_limit(fault, planned, targets):
+            planned.append(fault)
+        at += rng.uniform(*PLANNED_WORK_INTERVAL_SECONDS) / _scale(targets)
+    return planned
+
+
+def _exceeds_limit(fault: PlannedFault, planned: list[PlannedFault], targets: SoakTargets) -> bool:
+    """Tell whether too many targets of a group would have work at once, or one of them twice."""
+    group = SHAPES[fault.kind].group
+    near = {
+        each.target
+        for each in planned
+        if SHAPES[each.kind].group is group and _are_too_close(each, fault)
+    }
+    return fault.target in near or len(near) >= max_down(targets, group)
+
+
+def _draw_shape(
+    kind: FaultKind, targets: SoakTargets, at: float, rng: random.Random
+) -> PlannedFault:
+    """Return a fault of a kind with a random duration and target."""
+    shape = SHAPES[kind]
+    seconds = round(rng.uniform(shape.shortest, shape.longest), 2)
+    return PlannedFault(round(at, 2), kind, rng.choice(targets.of(shape.group)), seconds)
+
+
 def _scale(targets: SoakTargets) -> int:
     return min(MAX_SCALE, max(1, len(targets.agents) // BASE_AGENT_COUNT))
 
@@ -191,9 +235,8 @@
 ) -> PlannedFault | None:
     """Return the next fault, None where it would put too many targets out of service."""
     shape = SHAPES[kind]
-    seconds = round(rng.uniform(shape.shortest, shape.longest), 2)
-    target = rng.choice(targets.of(shape.group))
-    fault = PlannedFault(round(at, 2), kind, target, seconds)
+    fault = _draw_shape(kind, targets, at, rng)
+    target = fault.target
     near = [each for each in planned if _are_too_close(each, fault)]
     if shape.group is TargetGroup.ALL:
         return None if near else fault
--- a/tests/lab/soak/test_soak_schedule.py
+++ b/tests/lab/soak/test_soak_schedule.py
@@ -5,6 +5,7 @@
 from jasperwalk_lab.errors import LabSettingsError
 from jasperwalk_lab.soak.faults import (
     OVERLOAD_KINDS,
+    PLANNED_KINDS,
     SEPARATELY_DRAWN_KINDS,
     SHAPES,
     FaultKind,
@@ -28,6 +29,7 @@
     max_down,
     plan_fault_bursts,
     plan_faults,
+    plan_planned_work,
     plan_steady_faults,
 )
 
@@ -137,6 +139,34 @@
     assert len(plan_faults(LARGE, 60.0, 1)) > 2 * len(plan_faults(TARGETS, 60.0, 1))
 
 
+@pytest.mark.parametrize("targets", [TARGETS, LARGE], ids=["small", "large"])
+@pytest.mark.parametrize("seed", range(20))
+def test_a_run_of_planned_work_has_nothing_else_and_keeps_the_limits(targets, seed):
+    planned = plan_planned_work(targets, 60.0, seed)
+    assert {each.kind for each in planned} <= set(PLANNED_KINDS)
+    assert planned == plan_planned_work(targets, 60.0, seed)
+    assert max(each.ends_at for each in planned) <= 60.0 - LAST_FAULT_BEFORE_END_SECONDS + 1.0
+    for fault in planned:
+        group = SHAPES[fault.kind].group
+        at_once = [e for e in planned if SHAPES[e.kind].group is group]
+        at_once = [e for e in at_once if e.at <= fault.at < e.ends_at]
+        assert len(at_once) <= max_down(targets, group)
+
+
+def test_planned_work_of_several_kinds_overlaps():
+    """Guards against runs that restart no agent and replace no host while a zone is drained."""
+    pairs = {
+        (one.kind, other.kind)
+        for seed in range(20)
+        for one in plan_planned_work(TARGETS, 60.0, seed)
+        for other in plan_planned_work(TARGETS, 60.0, seed)
+        if one is not other and one.at <= other.at < one.ends_at
+    }
+    assert (FaultKind.ZONE_DRAINED, FaultKind.AGENT_TERMINATED) in pairs
+    assert (FaultKind.ZONE_DRAINED, FaultKind.HOST_REPLACED) in pairs
+    assert (FaultKind.HOST_REPLACED, FaultKind.AGENT_TERMINATED) in pairs
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_a_run_begins_with_a_surge_of_each_scope_and_no_fault(seed):
     planned = plan_with_overload(TARGETS, 60.0, seed)
