--- a/src/jasperwalk/agent/datagrams/flow_knowledge.py
+++ b/src/jasperwalk/agent/datagrams/flow_knowledge.py
@@ -29,13 +29,16 @@
 
 
 class KnowledgeBasis(enum.Enum):
-    """Why an agent knows every flow of its host."""
+    """Why a process of an agent knows every flow of its host."""
 
     NONE = "none"
     """It does not: flows that an earlier process admitted may be open."""
     HOST_STARTED_LATER = "host-started-later"
+    """The host started while this process ran."""
     STARTED_TOGETHER = "started-together"
+    """The host and this process started at about the same time."""
     NO_HOST = "no-host"
+    """The host has not announced itself since this process started."""
     IDLE_LIMIT = "idle-limit"
     """Every flow that is still open has sent a packet since this process started."""
 
--- a/src/jasperwalk/agent/datagrams/host.py
+++ b/src/jasperwalk/agent/datagrams/host.py
@@ -130,7 +130,6 @@
         self.zone = announcement.zone
         if is_first_call:
             self.first_call_number = announcement.call_number
-            self._earliest_slow_until = 0.0
         self._record_slow_start(announcement, is_first_call, now)
         self.call_number = announcement.call_number
         self.announced_at = now
@@ -164,12 +163,11 @@
         A host that was first heard warm and is slow later has not started again: hosts also become
         cold while their zone is drained.
         """
+        is_slow = announcement.slow_start_seconds > 0
         self.slow_until = now + announcement.slow_start_seconds
-        if not announcement.slow_start_seconds:
-            return
         if is_first_call:
-            self._earliest_slow_until = self.slow_until
-        elif self._earliest_slow_until:
+            self._earliest_slow_until = self.slow_until if is_slow else 0.0
+        elif is_slow and self._earliest_slow_until:
             self._earliest_slow_until = min(self._earliest_slow_until, self.slow_until)
 
     def started_at(self, slow_start_seconds: float) -> float | None:
