--- a/tests/agent/datagrams/test_warm_up.py
+++ b/tests/agent/datagrams/test_warm_up.py
@@ -6,6 +6,7 @@
 
 from jasperwalk.addresses import Endpoint
 from jasperwalk.agent.datagrams.host import HostAnnouncement
+from jasperwalk.agent.datagrams.host_admission import max_requests
 from jasperwalk.agent.datagrams.warm_up import WINDOW_SECONDS, WarmUpLimit
 from jasperwalk.fleet.messages import DrainedZones, HostPhase, WarmUp
 from jasperwalk.flows.frames import FLAG_WAIT, FrameKind, RefusalReason
@@ -73,6 +74,21 @@
     assert len(harness.host_packets) == FLOOR
 
 
+def test_copies_to_a_cold_host_that_is_full_stop_at_the_bound():
+    """Guards against copies that exceed a cold host's limit while the host is full.
+
+    A balancer that was frozen sends the copies of its callers' opening packets all at once.
+    """
+    harness = Harness(started_at=STARTED, warm_up_floor=FLOOR)
+    announcement = HostAnnouncement("h1", HostPhase.READY, CAPACITY, COLD_SECONDS, 2)
+    harness.host.announce(announcement, 0.0)
+    configure(harness)
+    for copy in range(3):
+        for port in range(1, 1 + max_requests(CAPACITY)):
+            harness.open(1.0 + copy / 100, Endpoint("100.64.0.9", port))
+    assert len(harness.host_packets) <= PER_SECOND
+
+
 def test_a_warm_host_gets_as_many_as_come():
     harness = cold_host_harness(seconds=0.0)
     configure(harness)
