--- a/src/jasperwalk_lab/soak/fleet.py
+++ b/src/jasperwalk_lab/soak/fleet.py
@@ -115,8 +115,12 @@
             tuple(each.name for each in by_role["balancer"]),
             tuple(each.name for each in by_role["agent"]),
             ZONES,
+            {zone: self._agents_in(zone) for zone in ZONES},
         )
 
+    def _agents_in(self, zone: str) -> tuple[str, ...]:
+        return tuple(name for name, place in self.hosts.items() if place.zone == zone)
+
     def of_role(self, role: str) -> list[SoakProcess]:
         """Return the processes of a role."""
         return [each for each in self.processes.values() if each.role == role]
--- a/tests/lab/soak/test_soak_schedule.py
+++ b/tests/lab/soak/test_soak_schedule.py
@@ -1,5 +1,6 @@
 """The schedule that a soak's seed draws, and that every kind of fault can be injected."""
 
+import msgspec
 import pytest
 
 from jasperwalk_lab.errors import LabSettingsError
@@ -21,6 +22,7 @@
     plan_with_overload,
 )
 from jasperwalk_lab.soak.schedule import (
+    AGENT_RESTARTS_SECONDS,
     FAULTS_PER_BURST,
     LAST_FAULT_BEFORE_END_SECONDS,
     MAX_DOWN,
@@ -167,6 +169,26 @@
     assert (FaultKind.HOST_REPLACED, FaultKind.AGENT_TERMINATED) in pairs
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_agents_of_a_drained_zone_are_restarted_before_it_is_restored(seed):
+    """Guards against runs in which no host goes cold soon after its agent's restart."""
+    by_zone = {"north": TARGETS.agents[::2], "south": TARGETS.agents[1::2]}
+    planned = plan_planned_work(
+        msgspec.structs.replace(TARGETS, agents_by_zone=by_zone), 60.0, seed
+    )
+    drains = [each for each in planned if each.kind is FaultKind.ZONE_DRAINED]
+    restarts = [each for each in planned if each.kind is FaultKind.AGENT_TERMINATED]
+    assert drains
+    for drain in drains:
+        restarted = {
+            each.target
+            for each in restarts
+            if drain.ends_at - AGENT_RESTARTS_SECONDS <= each.at < drain.ends_at
+        }
+        assert restarted & set(by_zone[drain.target])
+    assert planned == sorted(planned, key=lambda each: each.at)
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_a_run_begins_with_a_surge_of_each_scope_and_no_fault(seed):
     planned = plan_with_overload(TARGETS, 60.0, seed)
