--- a/review/plane.py
+++ b/review/plane.py
@@ -396,7 +396,9 @@
 class Plane:
     """Three control replicas, balancers, and agents with a host each."""
 
-    def __init__(self, folder: Path, agents: int, balancers: int = 2) -> None:
+    def __init__(self, folder: Path, agents: int, balancers: int = 2,
+                 zones: tuple[str, ...] = ZONES) -> None:
+        self.zones = zones
         self.record = Record(folder / "record.txt")
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -437,7 +439,7 @@
 
         def add(name: str, role: str, ip: str, number: int, **settings: object) -> None:
             self.processes[name] = Process(name, role, {
-                "name": name, "zone": ZONES[number % 2], "seeds": seeds,
+                "name": name, "zone": self.zones[number % len(self.zones)], "seeds": seeds,
                 "metrics_listen": f"{ip}:{ports['metrics']}", **settings,
             }, self.folder, self.record)
 
@@ -445,7 +447,7 @@
             ip = self._at(1, n + 1)
             add(f"core-{n}", "control", ip, n, data_folder=str(self.folder / f"core-{n}"),
                 operators_listen=f"{ip}:{ports['control']}",
-                replica_listen=f"{ip}:{ports['replica']}", founding=True, zones=list(ZONES),
+                replica_listen=f"{ip}:{ports['replica']}", founding=True, zones=list(self.zones),
                 orders_repeat_ms=5000)
         for n in range(balancers):
             ip = self._at(3, n + 1)
@@ -458,7 +460,7 @@
                 processor_share=1.0, processor_speed=1)
         for n in range(agents):
             ip, name = self._at(4, n + 1), f"side-{n}"
-            host = Host(self, f"host-{n}", "svc", ZONES[n % 2], (ip, ports["app"]),
+            host = Host(self, f"host-{n}", "svc", self.zones[n % len(self.zones)], (ip, ports["app"]),
                         (ip, ports["outbound"]), (ip, ports["control"]))
             self.hosts[name] = host
             add(name, "agent", ip, n, service="svc", host=f"{ip}:{ports['app']}",
@@ -469,6 +471,19 @@
                 flow_lifetime_ms=60000, stop_grace_ms=6000, processor_share=1.0,
                 processor_speed=1)
 
+    async def order(self, method: str, path: str, body: bytes = b"", seconds: float = 6.0) -> bool:
+        """Send an order of the operator, to one replica after the other, until it is taken."""
+        end, replica = now() + seconds, 0
+        while now() < end:
+            address = (self._at(1, replica % 3 + 1), self._ports["control"])
+            status, _ = await http(address, method, path, body)
+            self.record.note("order", method=method, path=path, answer=status)
+            if status // 100 == 2:
+                return True
+            replica += 1
+            await asyncio.sleep(0.2)
+        return False
+
     def configuration(self, version: int) -> bytes:
         return json.dumps({
             "version": version,
@@ -562,11 +577,12 @@
     return True
 
 
-def run(case: Callable[[Plane], object], folder: Path, agents: int, balancers: int = 2) -> int:
+def run(case: Callable[[Plane], object], folder: Path, agents: int, balancers: int = 2,
+        zones: tuple[str, ...] = ZONES) -> int:
     """Run a case: 1 where the rule was broken, 0 where it held, 2 where the case cannot run."""
     random.seed()
     try:
-        plane = Plane(folder, agents, balancers)
+        plane = Plane(folder, agents, balancers, zones)
     except (OSError, RuntimeError) as error:
         print(f"cannot run: {error}")
         return 2
